Bound messages to peers by one allowance, not an even part each

The median request waited 220 ms for its first attempt and up to 64% of the tries of 5 s were refused with half of the quota unused.

Cause: gateway/src/peers.rs gave each peer an even part of what a gateway takes in, 40 / 99 = 0.4 messages a second, and dropped the rest. In a fleet of four that is 13 a second; in one of a hundred a gateway speaks almost only to the keepers of its customers, and most questions and answers were lost. A question that is not answered in three tries counts as beyond the quota and is refused.

Ruled out: losses on the way, a few per cent by the site file; what was dropped here is more than what was sent for half of all requests.

Fix: one token bucket for all that a gateway sends, at what one gateway takes in. Where every gateway keeps it, the mean that arrives at one is no more than that. Small fleets are unchanged: the module holds each peer to its part.

--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -14,20 +14,39 @@
 /// After a failed receive, so that one that fails on and on does not spin.
 const PAUSE: Duration = Duration::from_millis(10);
 
-/// Messages that may still be sent to one peer now.
+/// A token bucket for what this gateway sends its peers, all of them together. Where each sends no more than one
+/// takes in, none is sent more than it takes in but by chance. Even parts for each peer would not do: in a large
+/// fleet a gateway has much to say to the few that serve its customers, and nothing to the rest.
 struct Allowance {
+    per_s: f64,
     left: f64,
     filled: Instant,
 }
 
+impl Allowance {
+    fn full(per_s: f64, now: Instant) -> Self {
+        Allowance { per_s, left: per_s.max(1.0), filled: now }
+    }
+
+    /// Takes one message's part, if it is there.
+    fn spend(&mut self, now: Instant) -> bool {
+        let seconds = now.saturating_duration_since(self.filled).as_secs_f64();
+        self.left = (self.left + self.per_s * seconds).min(self.per_s.max(1.0));
+        self.filled = now;
+        let enough = self.left >= 1.0;
+        if enough {
+            self.left -= 1.0;
+        }
+        enough
+    }
+}
+
 /// The other gateways.
 pub struct Peers {
     socket: Option<UdpSocket>,
     addrs: Vec<SocketAddr>,
     me: usize,
-    /// What one gateway may send a peer in a second, so that all together stay within what it takes in.
-    per_s: f64,
-    allowances: RefCell<Vec<Allowance>>,
+    allowance: RefCell<Allowance>,
 }
 
 impl Peers {
@@ -42,10 +61,8 @@
             Some(addr) => Some(UdpSocket::bind(addr).await?),
             None => None,
         };
-        let per_s = in_per_s / addrs.len().saturating_sub(1).max(1) as f64;
-        let full = |_: &SocketAddr| Allowance { left: per_s.max(1.0), filled: Instant::now() };
-        let allowances = RefCell::new(addrs.iter().map(full).collect());
-        Ok(Peers { socket, addrs, me, per_s, allowances })
+        let allowance = RefCell::new(Allowance::full(in_per_s, Instant::now()));
+        Ok(Peers { socket, addrs, me, allowance })
     }
 
     /// Where messages arrive, where they do.
@@ -61,8 +78,8 @@
         }
         let all = 0..self.addrs.len();
         for peer in all.filter(|p| *p != self.me && to.is_none_or(|t| t == *p)) {
-            if !self.spend(peer) {
-                log::line(format_args!("more messages than gateway {peer} takes in"));
+            if !self.allowance.borrow_mut().spend(Instant::now()) {
+                log::line(format_args!("no message to gateway {peer}: more than a gateway takes in"));
                 continue;
             }
             if let Err(error) = socket.try_send_to(body.as_bytes(), self.addrs[peer]) {
@@ -71,19 +88,6 @@
         }
     }
 
-    fn spend(&self, peer: usize) -> bool {
-        let mut allowances = self.allowances.borrow_mut();
-        let allowance = &mut allowances[peer];
-        let seconds = allowance.filled.elapsed().as_secs_f64();
-        allowance.left = (allowance.left + self.per_s * seconds).min(self.per_s.max(1.0));
-        allowance.filled = Instant::now();
-        let enough = allowance.left >= 1.0;
-        if enough {
-            allowance.left -= 1.0;
-        }
-        enough
-    }
-
     /// Takes messages in, for good. What a stranger sends, and what is no text, is ignored.
     pub async fn listen(&self, core: Rc<Core>) {
         let Some(socket) = &self.socket else { return };
@@ -106,3 +110,40 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn one_peer_of_many_may_be_told_as_much_as_all_together_and_no_more() {
+        let start = Instant::now();
+        let mut allowance = Allowance::full(40.0, start);
+        // A second's worth at once, all of it to whoever the gateway has something to say to.
+        assert_eq!((0..100).filter(|_| allowance.spend(start)).count(), 40);
+        let later = start + Duration::from_millis(500);
+        assert_eq!((0..100).filter(|_| allowance.spend(later)).count(), 20);
+        // An hour of silence saves up no more than a second's worth.
+        let much_later = start + Duration::from_secs(3600);
+        assert_eq!((0..100).filter(|_| allowance.spend(much_later)).count(), 40);
+    }
+
+    #[tokio::test]
+    async fn a_gateway_of_a_hundred_hears_ten_messages_in_a_row_from_another() {
+        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+        let hearer = std::net::UdpSocket::bind(loopback).expect("a socket");
+        hearer.set_read_timeout(Some(Duration::from_secs(10))).expect("a time-out");
+        let addrs = vec![hearer.local_addr().expect("an address"); 100];
+        let peers = Peers::bind(Some(loopback), addrs, 0, 40.0).await.expect("a socket");
+        // A new socket may be sent on once the runtime has looked at it.
+        peers.socket.as_ref().expect("a socket").writable().await.expect("a sound socket");
+        for number in 0..10 {
+            peers.tell(Some(1), &format!("message {number}"));
+        }
+        for number in 0..10 {
+            let mut buffer = [0; DATAGRAM_MOST];
+            let length = hearer.recv(&mut buffer).expect("a message");
+            assert_eq!(&buffer[..length], format!("message {number}").as_bytes());
+        }
+    }
+}
