Call discovery at a pace that a large fleet together can keep

Checked, with a line for each call: the refusals come either at once (the line is full) or after 2 s (waited too long), and a 503 closes the connection. About 20 calls a second are served, those that have given up included, so with all gateways back within 0.8 s of each refusal the line stays over 2 s long for good, and the news for those who do hold a watch waits in it as well (4.7 s). Ruled out: that discovery is down; the few watches it has are answered to the millisecond.

Cause: gateway/src/discovery.rs, BACKOFF and BACKOFF_MOST (50 to 800 ms, no jitter, the same for any fleet), and `follow`, which forgot the version and asked for all lines anew after every failure.

Fix: full-jitter back-off whose window grows with the number of gateways, 50 ms each at first and 100 ms each at most; a refusal keeps the version, and a start with a list goes on from that list's version, so that changes are written, not the whole list. Outages and new addresses still begin with the whole list.

--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -53,11 +53,14 @@
     let peers = Peers::bind(config.peer_listen, config.peers, settings.me, settings.peer_in_per_s).await;
     let peers = Rc::new(peers.map_err(|e| format!("cannot listen for peers: {e}"))?);
     let core = Core::new(gateway, clock, config.names, hosts, peers.clone());
+    // A list with nobody on it is not worth going on from.
+    let known = config.known.as_ref().filter(|list| !list.is_empty()).map(|list| list.rev);
     if let Some(known) = config.known {
         core.on_list(ListKind::Remembered, known);
     }
     let listener = TcpListener::bind(config.listen).await;
     let listener = Rc::new(listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?);
+    let gateways = settings.gateways;
     let clients = Clients::new(core.clone(), settings, config.socket_settings.retry_after, clients_most);
 
     let bound = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
@@ -68,7 +71,7 @@
 
     spawn_local(core.clone().run_timers());
     let (discovery, watched) = watch::channel(config.discovery);
-    spawn_local(discovery::watch(core.clone(), watched));
+    spawn_local(discovery::watch(core.clone(), watched, known, gateways, config.seed));
     spawn_local(reload(hangup, discovery));
     spawn_local({
         let core = core.clone();
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -195,7 +195,9 @@
                     let Ok(next) = pushed.recv() else { return };
                     // None breaks the connection: an outage.
                     let Some(list) = next else { break };
-                    let Reply::Answer(text) = answer("200 OK", "", &list.to_string()) else { return };
+                    // Null turns the call away: discovery is overrun.
+                    let status = if list.is_null() { "503 Service Unavailable" } else { "200 OK" };
+                    let Reply::Answer(text) = answer(status, "", &list.to_string()) else { return };
                     let _ = stream.write_all(text.as_bytes());
                 }
             }
@@ -211,6 +213,10 @@
         self.news.send(None).expect("discovery runs");
     }
 
+    pub fn turn_away(&self) {
+        self.push(Value::Null);
+    }
+
     pub fn call(&self) -> String {
         self.calls.recv_timeout(LONG).expect("a call")
     }
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -160,6 +160,21 @@
     assert_eq!(gateway.client().ask(&Ask::new("read").text()).status(), 200);
 }
 
+/// What an overrun discovery does not need is to write out the whole list to everyone.
+#[test]
+fn a_gateway_that_is_turned_away_asks_on_from_the_version_it_knows() {
+    let host = Host::start(answer("200 OK", "", ""));
+    let (_gateway, discovery) = gateway(&[&host]);
+    // The list that it was started with is version 1.
+    assert!(discovery.call().starts_with("GET /v1/servers?after=1&wait_ms="));
+    discovery.turn_away();
+    assert!(discovery.call().starts_with("GET /v1/servers?after=1&wait_ms="));
+    discovery.push(list(6, false, &[]));
+    assert!(discovery.call().starts_with("GET /v1/servers?after=6&wait_ms="));
+    discovery.turn_away();
+    assert!(discovery.call().starts_with("GET /v1/servers?after=6&wait_ms="));
+}
+
 /// A new configuration moves the watch, whatever the old address was just doing: waiting in a call, silent
 /// before its first answer, or refusing connections. Unhandled, SIGHUP would end the process.
 #[test]
