Tell of servers that leave a wide fleet's gateways unanswered

A gateway sends to one host every ten seconds, so its own back-off forgets a host before it needs it again, and each of a hundred gateways pays for itself.

Checked: peers' sights do arrive, about one a second for each host, but a told failure counted only from the second of the same class on, for one second, and a time-out was told as a slow answer. That raised the fleet's residence and closed the band over hosts that were well (residence part 0.5 where answers took 0.3).

Lines at fault: ledger.rs `note_seen` (TimedOut as an answer), rules.rs `heed` (a mark of 1 s), `stuck` (the limit held up by the mean age of all attempts, up to twice the aim, so that hardly a copy was ever sent: 7 in 100,000).

Fix: a time-out is told as a failure. Each gateway counts what it saw and heard of failures at a host since the host's last known answer; with two of them and no answer for as long as 2.5 sights of a usual host take to arrive, the host is silent: out of the band, its repeatable work copied elsewhere, a twentieth of its usual share sent to try it. What may not be repeated avoids a host from the first failure on.

--- a/src/health.rs
+++ b/src/health.rs
@@ -11,7 +11,23 @@
 pub(crate) const BACKOFF_MS: f64 = 400.0;
 pub(crate) const BACKOFF_MOST_MS: f64 = 6400.0;
 
+/// A wide fleet's gateway sends to a server too seldom to judge it alone. It takes for silent one of which this
+/// many attempts are known to have brought nothing since its last known answer, which must lie back as long as
+/// it takes to hear of so many answers of a usual server, and at most so long.
+pub(crate) const MISSED: u32 = 2;
+pub(crate) const UNHEARD: f64 = 2.5;
+pub(crate) const UNHEARD_MOST_MS: f64 = 2000.0;
+/// Span over which the answers heard of are counted.
+pub(crate) const SIGHT_SPAN_S: f64 = 3.0;
+
 impl Gateway {
+    /// Whether the fleet, as far as this gateway has heard, gets no answers from a server any more.
+    pub(crate) fn unheard(&self, server: &Server) -> bool {
+        let each = self.sights.now(self.now, SIGHT_SPAN_S) / self.servers.len().max(1) as f64;
+        let long_ms = (1000.0 * UNHEARD / each.max(1e-3)).min(UNHEARD_MOST_MS);
+        self.wide() && server.missed >= MISSED && self.now - server.alive_ms > long_ms
+    }
+
     /// Judged by symptoms: backing off after failures, gone with work out, or silent with work out for
     /// longer than chance explains (a hung machine, a cut link, a pause).
     pub(crate) fn ailing(&self, server: &Server) -> bool {
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -575,10 +575,10 @@
                 self.see(end.server, seen_answer(class, end.took_ms / aim));
             }
             Outcome::Full => self.see(end.server, SEEN_PLAN + plan as u32),
-            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => {
+            // A time-out is no sign of life, and tells of this server, not of how slow the fleet is.
+            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed | Outcome::TimedOut => {
                 self.see(end.server, base + SEEN_FAILED)
             }
-            Outcome::TimedOut => self.see(end.server, seen_answer(class, end.took_ms / aim)),
             Outcome::Cancelled | Outcome::Moot => {}
         }
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,7 +1,7 @@
 //! The decision policy. Its settings, events and actions are named in `src/interface.rs`; the text of
 //! messages between gateways is in `src/peer_text.rs`; what makes a server ill is decided in `src/health.rs`.
 //! All other decisions and tuned values are here.
-use crate::health::BACKOFF_MOST_MS;
+use crate::health::{BACKOFF_MOST_MS, SIGHT_SPAN_S};
 use crate::interface::*;
 use crate::peer_text::*;
 pub use crate::state::Gateway;
@@ -176,7 +176,8 @@
                 server.confined.iter().any(|(c, m)| matches!(c, Confined::Class(_)) && self.now < m.0);
             // What is out at the clearly slow swells the stock as if the rest were full.
             let slow = self.wide() && self.off_kind(server).1 > CLEARLY_SLOW;
-            let failed = server.state == ServerState::Gone || backing_off || marked || slow;
+            let failed =
+                server.state == ServerState::Gone || backing_off || marked || slow || self.unheard(server);
             let lost = failed || self.silence(server) > HUNG;
             if lost && !self.shared_cause {
                 continue;
@@ -214,6 +215,7 @@
         let (wide, draw) = (self.wide(), if self.wide() { self.random_part() } else { 0.0 });
         let open = self.open.get(&id)?;
         let (class, plan) = (Confined::Class(open.request.class), Confined::Plan(open.request.plan));
+        let once = self.settings.classes[open.request.class].effect != Effect::Repeatable;
         let window_s = self.settings.fall_window_ms / 1000.0;
         let mut found: Vec<(f64, ServerId, bool)> = Vec::new();
         for (sid, server) in &self.servers {
@@ -227,7 +229,9 @@
             }
             let marked = |what| server.confined.get(&what).is_some_and(|m| self.now < m.0);
             let probing = !wide && server.fails > 0 && !server.out.is_empty();
-            let ill = self.ailing(server) || probing || marked(class) || marked(plan);
+            // Only what may be repeated tries out a server that leaves others without an answer.
+            let silent = wide && if once { server.missed > 0 } else { self.unheard(server) };
+            let ill = self.ailing(server) || probing || marked(class) || marked(plan) || silent && once;
             let mut cost = (server.out.len() + 1) as f64 / warm;
             cost *= if server.zone == self.settings.zone { 1.0 } else { OTHER_ZONE };
             cost *= if open.attempts.iter().any(|a| a.server == *sid) { 4.0 } else { 1.0 };
@@ -235,6 +239,7 @@
                 let (base, off) = self.off_kind(server);
                 cost *= (server.out.len() + 1) as f64 * base * off * off;
                 cost /= if warm < 1.0 { COLD_PART } else { 1.0 };
+                cost *= if silent { TRIAL } else { 1.0 };
             } else {
                 cost *= server.slowness_now(self.now);
             }
@@ -756,13 +761,14 @@
         let (mut stuck, mut marks) = (Vec::new(), Vec::new());
         for (id, open) in &self.open {
             let class = open.request.class;
-            let limit = self.residence_ms[class].max(self.typical_age_ms) * LONG_USUAL;
+            let limit = self.residence_ms[class] * LONG_USUAL;
             let limit = limit.max(LONG_PART * self.settings.classes[class].aim_ms);
             for (number, attempt) in (0u32..).zip(&open.attempts).filter(|(_, a)| a.pending) {
                 let Some(server) = self.servers.get(&attempt.server) else { continue };
                 let marked = server.confined.get(&Confined::Class(class)).is_some_and(|m| self.now < m.0);
                 let age = self.now - attempt.sent_ms;
-                if self.ailing(server) || age > limit * if marked { 1.0 } else { STUCK_LONG } {
+                let silent = self.ailing(server) || self.unheard(server);
+                if silent || age > limit * if marked { 1.0 } else { STUCK_LONG } {
                     stuck.push((*id, number));
                 }
                 if age > limit && age < limit + UPKEEP_MS {
@@ -791,6 +797,12 @@
             return;
         }
         let (class, how) = ((seen.what / SEEN_CLASS) as usize, seen.what % SEEN_CLASS);
+        if how == SEEN_FAILED {
+            server.missed += 1;
+        } else {
+            (server.alive_ms, server.missed) = (now, 0);
+            self.sights.add(1.0, now, SIGHT_SPAN_S);
+        }
         let bad = server.bad.entry(class).or_insert(0.0);
         *bad += BAD_GAIN * (f64::from(u32::from(how == SEEN_FAILED)) - *bad);
         if how == SEEN_FAILED {
@@ -814,6 +826,8 @@
     }
 }
 
+/// A silent server gets so small a part of what it would get, to be tried out by some gateway now and then.
+pub(crate) const TRIAL: f64 = 20.0;
 /// First time a server is left alone with a class or plan; doubles.
 pub(crate) const CONFINED_MS: f64 = 1000.0;
 /// Slowness against its kind from which a server gets less: all gateways hear the same, and small differences
--- a/src/state.rs
+++ b/src/state.rs
@@ -155,6 +155,9 @@
     pub(crate) answered_ms: f64,
     /// When its slowness was last observed or told.
     pub(crate) seen_ms: f64,
+    /// When an answer of it was last seen or told, and the attempts seen or told since that brought none.
+    pub(crate) alive_ms: f64,
+    pub(crate) missed: u32,
     pub(crate) fails: u32,
     pub(crate) error_part: f64,
     pub(crate) off_until_ms: f64,
@@ -253,6 +256,8 @@
             slowness: 1.0,
             answered_ms: now,
             seen_ms: now,
+            alive_ms: now,
+            missed: 0,
             fails: 0,
             error_part: 0.0,
             off_until_ms: 0.0,
@@ -326,6 +331,8 @@
     /// Own observations of servers, newest last, and the servers by tag.
     pub(crate) seen: VecDeque<Seen>,
     pub(crate) server_tags: BTreeMap<u32, ServerId>,
+    /// Answers of servers seen or told a second.
+    pub(crate) sights: Rate,
     /// Slowness by kind of machine.
     pub(crate) kind_slowness: BTreeMap<usize, f64>,
 }
--- a/tests/wide.rs
+++ b/tests/wide.rs
@@ -538,3 +538,22 @@
         }
     }
 }
+
+#[test]
+fn a_hundred_gateways_soon_leave_a_server_alone_that_answers_none_of_them() {
+    let mut fleet = Fleet::new(settings(100, plan(50.0, 400.0)), warm(40));
+    fleet.outcome = |_, _, server| if server == ServerId(7) { Outcome::TimedOut } else { Outcome::Ok };
+    // 500 requests a second, of customers of three gateways each: a gateway sees a server every 8 s.
+    for step in 0..8000usize {
+        let first = step * 37 % 100;
+        fleet.ask((first + step % 3) % 100, |r| {
+            (r.customer, r.spread, r.first) = (CustomerId(first as u64 + (5 << 40)), 3, first);
+        });
+        fleet.pass(2.0);
+    }
+    let late = |server: u64| fleet.sent.iter().filter(move |s| s.at_ms > 5000.0 && s.server.0 == server);
+    let usual = (0..40).filter(|s| *s != 7).map(|s| late(s).count()).sum::<usize>() as f64 / 39.0;
+    let silent = late(7).count() as f64;
+    assert!(usual > 50.0 && silent < 0.17 * usual, "{silent} sends to the silent one, {usual} to another");
+    assert!(silent > 0.0, "some gateway tries it now and then");
+}
