Keep a wide fleet's work in its zone as far as the zone can take it

Counted across the fleet: a gateway with 6 requests a second over 60 hosts comes to each once in 10 s and lets a connection go after 7.5 s idle, so nearly every send of a quiet gateway is a handshake.

Checked: descriptors are not the bound (60 of 384 used) and no host closed a connection first.

Lines at fault: rules.rs `pick`, where another zone's host was 1.1 times as dear, and gateway/src/hosts.rs IDLE_PART, half of the hosts' idle time.

Fix: in a wide fleet `pick` sends nine tenths within its zone, or, where the zone's servers can take less than an even part of what all can (lost, cold, draining), that much less; the rest goes abroad by the same odds as before. Idle connections are kept for 0.8 of the time after which hosts close them.

--- a/gateway/src/hosts.rs
+++ b/gateway/src/hosts.rs
@@ -18,8 +18,9 @@
 /// Bodies, either way, hold this much at most.
 pub const BODY_MOST: usize = 64 * 1024;
 /// An idle connection is let go after this part of the time after which its host would close it: a request
-/// that crosses the host's closing ends as a reset, and may have run.
-const IDLE_PART: f64 = 0.5;
+/// that crosses the host's closing ends as a reset, and may have run. Letting go sooner costs a large fleet a
+/// handshake each time: its gateways come to a host once in seconds.
+const IDLE_PART: f64 = 0.8;
 /// How often idle connections are looked over.
 pub const REAP_EVERY: Duration = Duration::from_millis(1000);
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,6 +6,7 @@
 use crate::peer_text::*;
 pub use crate::state::Gateway;
 use crate::state::{customer_tag, mix, Confined, Grant, Open, Quota, Server};
+use std::collections::BTreeMap;
 
 /// Time between two rounds of upkeep: short beside any aim, so that nothing is noticed late.
 pub(crate) const UPKEEP_MS: f64 = 20.0;
@@ -29,8 +30,8 @@
 pub(crate) const WATERMARK_START: f64 = 2.0;
 /// The band never closes below this for each server, however slow the answers.
 pub(crate) const WATERMARK_FLOOR: f64 = 2.0;
-/// Both are so many times as high in a wide fleet. What many gateways place by chance lies unevenly: at a mean of
-/// 2 a server of two cores stands empty an eighth of the time and half empty a quarter; at 4 it rarely does.
+/// Both are so many times as high in a wide fleet. What many gateways place by chance lies unevenly: at 2 a
+/// server of two cores stands empty an eighth of the time and half empty a quarter; at 4 it rarely does.
 pub(crate) const BAND_WIDE: f64 = 2.0;
 /// Nor opens beyond this.
 pub(crate) const WATERMARK_MOST: f64 = 64.0;
@@ -73,6 +74,9 @@
 pub(crate) const HUNG: f64 = 2.0;
 /// Part of the servers that must be well for illness to be a server's own: else the cause is shared.
 pub(crate) const WELL_PART: f64 = 0.25;
+/// Most that a wide fleet's gateway sends within its zone: the rest shows it how others do. It comes to one of
+/// 60 servers too seldom to find its connection still open; of its zone's it finds most.
+pub(crate) const HOME_MOST: f64 = 0.9;
 /// A server of the other zone must be better by this factor to be chosen.
 pub(crate) const OTHER_ZONE: f64 = 1.1;
 /// A slow server's mark fades by half in this time without answers, so that it is tried again.
@@ -218,6 +222,8 @@
         let once = self.settings.classes[open.request.class].effect != Effect::Repeatable;
         let window_s = self.settings.fall_window_ms / 1000.0;
         let mut found: Vec<(f64, ServerId, bool)> = Vec::new();
+        // What servers can take, by zone.
+        let mut zones: BTreeMap<usize, f64> = BTreeMap::new();
         for (sid, server) in &self.servers {
             let warm = self.warm_part(server);
             if server.state != ServerState::Ready || !self.allowed(open, server) {
@@ -233,14 +239,16 @@
             let silent = wide && if once { server.missed > 0 } else { self.unheard(server) };
             let ill = self.ailing(server) || probing || marked(class) || marked(plan) || silent && once;
             let mut cost = (server.out.len() + 1) as f64 / warm;
-            cost *= if server.zone == self.settings.zone { 1.0 } else { OTHER_ZONE };
             cost *= if open.attempts.iter().any(|a| a.server == *sid) { 4.0 } else { 1.0 };
             if wide {
                 let (base, off) = self.off_kind(server);
                 cost *= (server.out.len() + 1) as f64 * base * off * off;
                 cost /= if warm < 1.0 { COLD_PART } else { 1.0 };
                 cost *= if silent { TRIAL } else { 1.0 };
+                let cold = if warm < 1.0 { COLD_PART } else { 1.0 };
+                *zones.entry(server.zone).or_insert(0.0) += if ill || silent { 0.0 } else { warm * cold };
             } else {
+                cost *= if server.zone == self.settings.zone { 1.0 } else { OTHER_ZONE };
                 cost *= server.slowness_now(self.now);
             }
             found.push((cost, *sid, ill));
@@ -253,9 +261,25 @@
         if !wide {
             return found.iter().min_by(|a, b| a.0.total_cmp(&b.0)).map(|f| f.1);
         }
-        let mut left = draw * found.iter().map(|f| 1.0 / f.0).sum::<f64>();
+        // The own zone's servers get as much as they can take beside what the other zones' take from theirs.
+        let home = |sid: &ServerId| self.servers.get(sid).is_some_and(|s| s.zone == self.settings.zone);
+        let (inside, outside) = found.iter().fold((0.0, 0.0), |(inside, outside), f| match home(&f.1) {
+            true => (inside + 1.0 / f.0, outside),
+            false => (inside, outside + 1.0 / f.0),
+        });
+        let takes = zones.get(&self.settings.zone).copied().unwrap_or(0.0);
+        let even = zones.values().sum::<f64>() / zones.len().max(1) as f64;
+        let stays = HOME_MOST * (takes / even.max(1e-9)).min(1.0);
+        let both = inside > 0.0 && outside > 0.0;
+        let abroad = if both { (1.0 - stays) / outside } else { 1.0 };
+        let weight = |f: &(f64, ServerId, bool)| match home(&f.1) {
+            true if both => stays / inside / f.0,
+            true => 1.0 / f.0,
+            false => abroad / f.0,
+        };
+        let mut left = draw * found.iter().map(weight).sum::<f64>();
         let drawn = found.iter().find(|f| {
-            left -= 1.0 / f.0;
+            left -= weight(f);
             left <= 0.0
         });
         drawn.or(found.last()).map(|f| f.1)
--- a/tests/wide.rs
+++ b/tests/wide.rs
@@ -557,3 +557,42 @@
     assert!(usual > 50.0 && silent < 0.17 * usual, "{silent} sends to the silent one, {usual} to another");
     assert!(silent > 0.0, "some gateway tries it now and then");
 }
+
+/// Sends of 60 gateways of three zones to 30 servers of the same, `cold` of the first zone's ten just started:
+/// the part that stays in its zone, and the sends a server of each zone gets, the cold ones apart.
+fn by_zone(cold: u64) -> (f64, Vec<f64>, f64) {
+    let zone = |server: u64| (server % 3) as usize;
+    let is_cold = |server: u64| server % 3 == 0 && server / 3 < cold;
+    let entry = |n| ServerEntry { zone: zone(n), ..server(n, is_cold(n).then_some(0.0)) };
+    let mut fleet = Fleet::new(settings(60, plan(50.0, 400.0)), (0..30).map(entry).collect());
+    for me in 0..60 {
+        let settings = Settings { me, zone: me % 3, ..fleet.settings.clone() };
+        fleet.gateways.insert(me, Gateway::new(settings, 5 + me as u64, 0.0).expect("sound settings"));
+        let entries = fleet.servers.clone();
+        fleet.event(me, Event::ServerList { kind: ListKind::Remembered, entries });
+    }
+    let mut home = 0;
+    for step in 0..1500usize {
+        let me = step * 37 % 60;
+        let before = fleet.sent.len();
+        fleet.ask(me, |r| (r.customer, r.spread, r.first) = (CustomerId(me as u64 + (5 << 40)), 1, me));
+        home += fleet.sent[before..].iter().filter(|s| zone(s.server.0) == me % 3).count();
+        fleet.pass(2.0);
+    }
+    let sent = |wanted: &dyn Fn(u64) -> bool| fleet.sent.iter().filter(|s| wanted(s.server.0)).count() as f64;
+    let warm = |z: usize| sent(&|s| zone(s) == z && !is_cold(s)) / if z == 0 { 10 - cold } else { 10 } as f64;
+    let each_cold = sent(&is_cold) / cold.max(1) as f64;
+    (home as f64 / 1500.0, (0..3).map(warm).collect(), each_cold)
+}
+
+#[test]
+fn work_stays_in_its_zone_as_far_as_the_zones_servers_can_take_it() {
+    let (home, each, _) = by_zone(0);
+    assert!(home > 0.8, "{home} in the own zone, where each has as much to give");
+    assert!(each.iter().all(|n| (30.0..75.0).contains(n)), "{each:?} sends to a server by zone");
+    // Eight of ten of a zone's servers have just started: most of the work of its gateways goes elsewhere.
+    let (home, each, cold) = by_zone(8);
+    assert!(home < 0.8 && home > 0.4, "{home}");
+    assert!(cold < 0.4 * each[1], "{cold} to a cold one, {each:?} to a warm one by zone");
+    assert!(each[0] < 1.7 * each[1], "{each:?} sends to a warm server by zone");
+}
