--- a/src/rules.rs
+++ b/src/rules.rs
@@ -74,8 +74,8 @@
 pub(crate) const HUNG: f64 = 2.0;
 /// Part of the servers that must be well for illness to be a server's own: else the cause is shared.
 pub(crate) const WELL_PART: f64 = 0.25;
-/// Most that a wide fleet's gateway sends within its zone: the rest shows it how others do. It comes to one of
-/// 60 servers too seldom to find its connection still open; of its zone's it finds most.
+/// Most that a wide fleet's gateway sends within its zone: the rest shows it how others do. It comes to one
+/// of 60 servers too seldom to find its connection still open; of its zone's it finds most.
 pub(crate) const HOME_MOST: f64 = 0.9;
 /// A server of the other zone must be better by this factor to be chosen.
 pub(crate) const OTHER_ZONE: f64 = 1.1;
