Let dear classes of a wide fleet go before cheap ones while sends are short

An order is worth three times a check a unit.

Line at fault: rules.rs `under_band`, which asked one whole earned send of every request, and `pump`, which looked no further once the smallest finish had to wait.

Fix: a request's virtual size is its units over its class's worth; a class worth more than the cheapest may take a send up to half a one before it is earned (at three times the worth: at none), to be made up for by what comes after; and the pump takes the smallest finish among those that may go. Beyond-quota use still yields first: it is refused by the keeper before it gets here.

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -402,7 +402,7 @@
         let wait = OUT_AIMS * self.settings.classes[open.request.class].aim_ms;
         let first = open.attempts.is_empty();
         self.sends.add(1.0, self.now, RATE_SPAN_S);
-        self.earned = (self.earned - 1.0).max(0.0);
+        self.earned = (self.earned - 1.0).max(-ADVANCE_MOST);
         if let Some((warm, rate)) = cold {
             if warm < 1.0 {
                 server.cold_tokens = server.cold_tokens_now(self.now, rate, window) - 1.0;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -103,6 +103,9 @@
 pub(crate) const FREE_FILL: f64 = 0.6;
 pub(crate) const RELEASE_MOST: f64 = 3.0;
 pub(crate) const RELEASE_LEAST: f64 = 0.3;
+/// Sends not yet earned that a request of boundless worth may take, and how many may be taken in all.
+pub(crate) const ADVANCE: f64 = 1.5;
+pub(crate) const ADVANCE_MOST: f64 = 1.0;
 /// How fast the told mean stock follows the own, a second.
 pub(crate) const MEAN_PULL: f64 = 2.0;
 /// Weight of each told mean in what the band goes by: own attempts, few and jumpy, stay out of it.
@@ -371,14 +374,15 @@
         let newcomer = now - self.started_ms < NEWCOMER_MS;
         let (first, spread) = (request.first, request.spread.clamp(1, s.gateways));
         if wide {
-            let units = request.units;
+            let (units, class) = (request.units, request.class);
             let open = Open::new(request, tag, now, aim, false);
             let hopeless = self.hopeless(&open);
             self.open.insert(id, open);
             if hopeless || self.held >= HELD_MOST {
                 return self.finish(id, None, actions);
             }
-            self.hold(id, tag, &plan, units);
+            let worth = self.settings.classes[class].worth.max(0.01);
+            self.hold(id, tag, &plan, units / worth);
             return self.ask(id, 0, actions);
         }
         let reserved = self.flows.get(&tag).map_or(0.0, |f| f.units);
@@ -396,7 +400,7 @@
             // A client's last try may come with no time left to serve it.
             return self.finish(id, None, actions);
         }
-        let (under_lower, under_upper) = self.under_band();
+        let (under_lower, under_upper) = self.under_band(id);
         // Beyond the quota only what earns more than it costs goes on, and only with nothing held.
         let earns = plan.over_worth > plan.over_cost && ceiling_ok && plan.open_limit == 0;
         let may_go = if inside { under_upper && self.gate(id) == Gate::Go } else { under_lower && earns };
@@ -473,10 +477,9 @@
     /// Whether the stock lies under the lower and under the upper bound of the band. A gateway with less out
     /// than its even part of the band counts as under it whatever the stock: guards against being locked out
     /// by peers that see a wider band, or by totals that are wrong.
-    fn under_band(&self) -> (bool, bool) {
+    fn under_band(&self, id: RequestId) -> (bool, bool) {
         if self.wide() {
-            let parts = self.ready_parts;
-            let go = self.earned >= 1.0 || self.fill_of_band(parts) < FREE_FILL;
+            let go = self.earned >= self.owed(id) || self.fill_of_band(self.ready_parts) < FREE_FILL;
             return (go, go);
         }
         let (own, stock, middle, count) = self.band();
@@ -485,6 +488,15 @@
         (entitled || stock < lower, entitled || stock < upper)
     }
 
+    /// Earned sends that a request of a wide fleet must find: a whole one where its class is the cheapest, fewer
+    /// where it is worth more, so that while sends are short the cheap wait for the dear.
+    fn owed(&self, id: RequestId) -> f64 {
+        let worth = |class: usize| self.settings.classes[class].worth;
+        let least = (0..self.settings.classes.len()).map(worth).fold(f64::INFINITY, f64::min);
+        let own = self.open.get(&id).map_or(least, |o| worth(o.request.class));
+        1.0 - ADVANCE * (1.0 - least / own.max(1e-9)).max(0.0)
+    }
+
     /// Own stock, that of all, the band's middle, and how many gateways these are of.
     fn band(&self) -> (f64, f64, f64, f64) {
         let (parts, own) = self.band_parts();
@@ -505,12 +517,13 @@
                 self.flows.iter().filter_map(|(t, f)| f.queue.front().map(|h| (*t, h.0, h.1))).collect();
             for (tag, id, finish) in heads {
                 match self.gate(id) {
+                    Gate::Go if wide && !self.under_band(id).0 => (self.waiting, self.waited) = (true, true),
                     Gate::Go if best.map_or(true, |b| finish < b.0) => best = Some((finish, tag, id)),
                     Gate::Beyond => {
                         self.unhold(tag, id);
                         let soft =
                             self.open.get(&id).is_some_and(|o| o.quota == Quota::Beyond { ceiling: true });
-                        match if soft && self.under_band().0 { self.pick(id) } else { None } {
+                        match if soft && self.under_band(id).0 { self.pick(id) } else { None } {
                             Some(server) => self.send(id, server, actions),
                             None => {
                                 self.finish(id, wide.then_some(self.settings.max_retry_after_ms), actions)
@@ -521,7 +534,7 @@
                 }
             }
             let Some((finish, tag, id)) = best else { return };
-            if !self.under_band().0 {
+            if !self.under_band(id).0 {
                 (self.waiting, self.waited) = (true, true);
                 return;
             }
--- a/tests/wide.rs
+++ b/tests/wide.rs
@@ -596,3 +596,50 @@
     assert!(cold < 0.4 * each[1], "{cold} to a cold one, {each:?} to a warm one by zone");
     assert!(each[0] < 1.7 * each[1], "{each:?} sends to a warm server by zone");
 }
+
+#[test]
+fn while_sends_are_short_the_dear_class_goes_before_the_cheap_one() {
+    let mut limits = settings(100, plan(50.0, 400.0));
+    limits.classes[0].worth = 1.0;
+    limits.classes[1].worth = 3.0;
+    limits.classes.iter_mut().for_each(|c| c.effect = Effect::Once);
+    let mut gateway = Gateway::new(Settings { me: 3, ..limits }, 7, 0.0).expect("sound settings");
+    let mut actions = Vec::new();
+    gateway.on_event(0.0, Event::ServerList { kind: ListKind::Whole, entries: warm(40) }, &mut actions);
+    // The band is over-full: 6 attempts out at each server, at a watermark of 4.
+    let body = format!("w{}{}{}", digits(240 * 64 / 100, 2), digits(4 * 32, 2), digits(12 * 32, 2));
+    let (mut asked, mut sent, mut refused) = ([0; 2], [0; 2], [0; 2]);
+    for round in 0..300usize {
+        let now = 20.0 * round as f64;
+        gateway.on_event(now, Event::PeerMessage { from: 4 + round % 90, body: body.clone() }, &mut actions);
+        gateway.on_event(now, Event::Timer { token: 0 }, &mut actions);
+        // 5 requests a second of each class; a send is earned every third of a second.
+        if round > 50 && round % 5 == 0 {
+            let class = round / 5 % 2;
+            asked[class] += 1;
+            let request = Request {
+                id: RequestId(round as u64 * 2 + class as u64),
+                class,
+                plan: 0,
+                customer: CustomerId(round as u64 + (3 << 40)),
+                time_left_ms: 3000.0,
+                units: 1.0,
+                spread: 1,
+                first: 3,
+                repeat: false,
+                write: false,
+            };
+            gateway.on_event(now, Event::Request(request), &mut actions);
+        }
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { request, .. } => sent[request.0 as usize % 2] += 1,
+                Action::Refuse { request, .. } => refused[request.0 as usize % 2] += 1,
+                _ => {}
+            }
+        }
+    }
+    assert!(asked.iter().all(|n| *n >= 24), "{asked:?}");
+    assert!(sent[1] > 2 * sent[0], "{sent:?} sent of {asked:?}, {refused:?} refused");
+    assert!(refused[0] > refused[1], "{refused:?} refused");
+}
