Try a silent home zone now and then, so that it is used again when back

Seen in a fleet on a virtual clock: with every server of the gateways' own zone silent, the zone can take nothing by `pick`'s reckoning, its share of the sends is 0, and no gateway of the zone ever finds out that its servers are back.

Line at fault: rules.rs `pick`, the share that stays had no least.

Fix: it is at least the part that a silent server gets (a twentieth).

Also tried, and taken out: judging a zone as silent by the answers heard from all its servers together.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -272,7 +272,7 @@
         });
         let takes = zones.get(&self.settings.zone).copied().unwrap_or(0.0);
         let even = zones.values().sum::<f64>() / zones.len().max(1) as f64;
-        let stays = HOME_MOST * (takes / even.max(1e-9)).min(1.0);
+        let stays = (HOME_MOST * takes / even.max(1e-9)).clamp(1.0 / TRIAL, HOME_MOST);
         let both = inside > 0.0 && outside > 0.0;
         let abroad = if both { (1.0 - stays) / outside } else { 1.0 };
         let weight = |f: &(f64, ServerId, bool)| match home(&f.1) {
@@ -488,8 +488,8 @@
         (entitled || stock < lower, entitled || stock < upper)
     }
 
-    /// Earned sends that a request of a wide fleet must find: a whole one where its class is the cheapest, fewer
-    /// where it is worth more, so that while sends are short the cheap wait for the dear.
+    /// Earned sends that a request of a wide fleet must find: a whole one in the cheapest class, fewer where
+    /// it is worth more, so that while sends are short the cheap wait for the dear.
     fn owed(&self, id: RequestId) -> f64 {
         let worth = |class: usize| self.settings.classes[class].worth;
         let least = (0..self.settings.classes.len()).map(worth).fold(f64::INFINITY, f64::min);
--- a/tests/wide.rs
+++ b/tests/wide.rs
@@ -643,3 +643,33 @@
     assert!(sent[1] > 2 * sent[0], "{sent:?} sent of {asked:?}, {refused:?} refused");
     assert!(refused[0] > refused[1], "{refused:?} refused");
 }
+
+#[test]
+fn a_zone_that_was_lost_whole_is_left_alone_and_used_again_once_it_is_back() {
+    let entry = |n| ServerEntry { zone: (n % 3) as usize, ..server(n, None) };
+    let mut fleet = Fleet::new(settings(100, plan(50.0, 400.0)), (0..6).map(entry).collect());
+    // 500 requests a second, all of gateways in zone 0; gives the part that goes to their own zone.
+    let play = |fleet: &mut Fleet, steps: usize| {
+        let before = fleet.sent.len();
+        for step in 0..steps {
+            let first = step * 37 % 100;
+            fleet.ask((first + step % 3) % 100, |r| {
+                (r.customer, r.spread, r.first) = (CustomerId(first as u64 + (5 << 40)), 3, first);
+            });
+            fleet.pass(2.0);
+        }
+        let sent = &fleet.sent[before..];
+        sent.iter().filter(|s| s.server.0 % 3 == 0).count() as f64 / sent.len() as f64
+    };
+    play(&mut fleet, 1500);
+    let well = play(&mut fleet, 400);
+    fleet.outcome = |_, _, s| if s.0 % 3 == 0 { Outcome::ConnectFailed } else { Outcome::Ok };
+    play(&mut fleet, 4000);
+    let lost = play(&mut fleet, 1000);
+    fleet.outcome = |_, _, _| Outcome::Ok;
+    play(&mut fleet, 4000);
+    let back = play(&mut fleet, 1000);
+    assert!(well > 0.8, "{well} before the loss");
+    assert!(lost < 0.25 && lost > 0.0, "{lost} while it is lost: less, and never nothing");
+    assert!(back > 0.6, "{back} once it is back");
+}
