Tell who is given up unsent, for want of room, when to come back

Each try is weighed and may be put to a keeper; the front counted up to two tries for each request.

Line at fault: rules.rs, `on_request` and `upkeep` gave such requests up with no advice, so the refusal went out without Retry-After. Only refusals for a spent quota said when to come back.

Fix: a request that is given up before anything was sent for it, because no answer can come in time or too much is held, is told the longest wait that clients heed. The answer still goes out at once. Given up after a failed attempt, as before, it names no time: another try may find a better host.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -379,7 +379,7 @@
             let hopeless = self.hopeless(&open);
             self.open.insert(id, open);
             if hopeless || self.held >= HELD_MOST {
-                return self.finish(id, None, actions);
+                return self.finish(id, self.no_room(), actions);
             }
             let worth = self.settings.classes[class].worth.max(0.01);
             self.hold(id, tag, &plan, units / worth);
@@ -398,7 +398,7 @@
         self.open.insert(id, open);
         if hopeless {
             // A client's last try may come with no time left to serve it.
-            return self.finish(id, None, actions);
+            return self.finish(id, self.no_room(), actions);
         }
         let (under_lower, under_upper) = self.under_band(id);
         // Beyond the quota only what earns more than it costs goes on, and only with nothing held.
@@ -548,6 +548,12 @@
         }
     }
 
+    /// When to come back to a gateway that had no room in time: after the longest wait that clients heed.
+    /// Try on try would come too late as well, and each is weighed and asked about anew.
+    fn no_room(&self) -> Option<f64> {
+        Some(self.settings.max_retry_after_ms).filter(|ms| *ms > 0.0)
+    }
+
     /// Gives the final answer: a refusal where that promise can be kept.
     fn finish(&mut self, id: RequestId, retry_after_ms: Option<f64>, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id).filter(|o| !o.answered) else { return };
@@ -595,7 +601,8 @@
             }
         }
         for id in due {
-            self.finish(id, None, actions);
+            let unsent = self.open.get(&id).is_some_and(|o| o.attempts.is_empty());
+            self.finish(id, if unsent { self.no_room() } else { None }, actions);
         }
         self.rescue(actions);
         if wide {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -762,3 +762,27 @@
         assert!(answered.len() > 100);
     }
 }
+
+#[test]
+fn who_is_given_up_for_want_of_room_is_told_at_once_when_to_come_back() {
+    let told = |actions: &[Action], id| {
+        let refusal = |a: &&Action| matches!(a, Action::Refuse { request, .. } if *request == id);
+        match actions.iter().find(refusal) {
+            Some(Action::Refuse { retry_after_ms, .. }) => *retry_after_ms,
+            _ => panic!("{id:?} was not refused: {actions:?}"),
+        }
+    };
+    // Too late already when it comes.
+    let mut bench = Bench::new(settings(Effect::Repeatable), 3);
+    let (id, actions) = bench.ask_with(|r| r.time_left_ms = 4.0);
+    assert_eq!(told(&actions, id), Some(1000.0));
+    // Held until no answer could come within the aim of a second; long before the client's 3 s are over.
+    let mut bench = Bench::new(settings(Effect::Repeatable), 0);
+    let (id, mut actions) = bench.ask();
+    actions.extend(bench.pass(1000.0));
+    assert_eq!(told(&actions, id), Some(1000.0));
+    // Where clients heed no advice none is given.
+    let mut bench = Bench::new(Settings { max_retry_after_ms: 0.0, ..settings(Effect::Repeatable) }, 3);
+    let (id, actions) = bench.ask_with(|r| r.time_left_ms = 4.0);
+    assert_eq!(told(&actions, id), None);
+}
