--- a/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,4 +1,4 @@
-//! hatchhead decides for an admission gateway of a service sold by plan: which requests go on to which
+//! irishinge decides for an admission gateway of a service sold by plan: which requests go on to which
 //! server, which wait, and which are refused. It does no I/O and reads no clock: the host program feeds
 //! [`Event`]s to a [`Gateway`] and carries out the [`Action`]s it answers with.
 #![warn(missing_docs)]
@@ -18,5 +18,5 @@
 
 /// The README's example is compiled and run with the tests.
 #[cfg(doctest)]
-#[doc = include_str!("../README.md")]
+#[doc = include_str!("../../../README.md")]
 pub struct ReadmeExample;
--- a/tests/cold.rs
+++ b/crates/admission/tests/cold.rs
@@ -1,7 +1,7 @@
 //! Rule 4 over a whole fleet: many gateways together must not send a cold server more than it bears. Each draw is a
 //! day of its own with made-up time: gateways that hear each other and the list late, clients that come by chance,
 //! servers that answer first come first, with a capacity that rises from their start.
-use hatchhead::*;
+use irishinge_admission::*;
 use std::collections::{BTreeMap, VecDeque};
 
 /// Some gateways of a day with uneven traffic get so many times what the others get.
--- a/tests/rules.rs
+++ b/crates/admission/tests/rules.rs
@@ -1,5 +1,5 @@
 //! Tests of the decision module without the bench: the five rules, the mechanisms, and failures found.
-use hatchhead::*;
+use irishinge_admission::*;
 
 const SEED: u64 = 7;
 
--- a/tests/wide.rs
+++ b/crates/admission/tests/wide.rs
@@ -1,5 +1,5 @@
 //! Tests of fleets too wide for every gateway to hear every other: keepers of counts, gossip, servers by chance.
-use hatchhead::*;
+use irishinge_admission::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 const AIM_MS: f64 = 1000.0;
--- a/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,7 +1,7 @@
 //! What the gateway is told: the file that `LB_CONFIG` names, read at the start and on SIGHUP.
 use crate::discovery::List;
-use hatchhead::Settings;
-use hatchhead_conf::{Conf, Names, SocketSettings};
+use irishinge_admission::Settings;
+use irishinge_settings::{Conf, Names, SocketSettings};
 use serde::Deserialize;
 use std::net::SocketAddr;
 
--- a/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -7,9 +7,11 @@
 use crate::log;
 use crate::peers::Peers;
 use bytes::Bytes;
-use hatchhead::{Action, AttemptEnd, Event, Gateway, ListKind, Outcome, Request, RequestId, ServerId};
-use hatchhead_conf::Names;
 use hyper::Response;
+use irishinge_admission::{
+    Action, AttemptEnd, Event, Gateway, ListKind, Outcome, Request, RequestId, ServerId,
+};
+use irishinge_settings::Names;
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
--- a/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -2,10 +2,10 @@
 use crate::clock::from_ms;
 use crate::link::Link;
 use bytes::Bytes;
-use hatchhead::CountOutcome;
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
+use irishinge_admission::CountOutcome;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/gateway/src/discovery/pace.rs
+++ b/crates/gateway/src/discovery/pace.rs
@@ -1,6 +1,6 @@
 //! When to call discovery, and until when the list that is known holds.
 use crate::clock::from_ms;
-use hatchhead_conf::{Lists, SocketSettings};
+use irishinge_settings::{Lists, SocketSettings};
 use std::fmt;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/gateway/src/discovery/tests.rs
+++ b/crates/gateway/src/discovery/tests.rs
@@ -1,6 +1,6 @@
 use super::expire;
 use super::pace::*;
-use hatchhead_conf::{Lists, SocketSettings};
+use irishinge_settings::{Lists, SocketSettings};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
--- a/gateway/src/hosts/tests.rs
+++ b/crates/gateway/src/hosts/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use hatchhead::ServerEntry;
+use irishinge_admission::ServerEntry;
 use std::io::{Read, Write};
 use tokio::net::TcpListener;
 
@@ -9,7 +9,7 @@
         connect_timeout_ms: 60_000.0,
         retry_after: false,
         count_limit_ms: 50.0,
-        lists: hatchhead_conf::Lists::Pushed,
+        lists: irishinge_settings::Lists::Pushed,
         drain_grace_ms: 2000.0,
     };
     Hosts::new(&settings, 10)
--- a/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -22,10 +22,10 @@
     } else {
         lines += 1;
         if dropped > 0 {
-            eprintln!("rushwick: {dropped} lines left out");
+            eprintln!("irishinge: {dropped} lines left out");
             dropped = 0;
         }
-        eprintln!("rushwick: {text}");
+        eprintln!("irishinge: {text}");
     }
     SECOND.set((Some(start), lines, dropped));
 }
--- a/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,4 +1,4 @@
-//! rushwick: an api gateway on real sockets. Starts the parts, tells them of a new configuration on SIGHUP, and
+//! irishinge: an api gateway on real sockets. Starts the parts, tells them of a new configuration on SIGHUP, and
 //! ends them on SIGTERM.
 mod clients;
 mod clock;
@@ -19,7 +19,7 @@
 use crate::discovery::Pace;
 use crate::hosts::{Hosts, REAP_EVERY};
 use crate::peers::Peers;
-use hatchhead::{Gateway, ListKind, Settings};
+use irishinge_admission::{Gateway, ListKind, Settings};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -156,7 +156,7 @@
     match runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, run())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("rushwick: {message}");
+            eprintln!("irishinge: {message}");
             ExitCode::FAILURE
         }
     }
--- a/gateway/src/tests.rs
+++ b/crates/gateway/src/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use hatchhead::{ClassSettings, Effect};
+use irishinge_admission::{ClassSettings, Effect};
 
 #[test]
 fn everything_is_answered_between_the_last_deadline_and_sigkill_whatever_the_classes() {
--- a/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -376,7 +376,7 @@
 
 fn spawn_at(path: &str, config: &Value) -> Child {
     std::fs::write(path, config.to_string()).expect("a file");
-    Command::new(env!("CARGO_BIN_EXE_rushwick"))
+    Command::new(env!("CARGO_BIN_EXE_irishinge"))
         .env("LB_CONFIG", path)
         .stdin(Stdio::null())
         .stdout(Stdio::null())
@@ -399,7 +399,7 @@
         std::fs::write(&path, config.to_string()).expect("a file");
         let script = format!("ulimit -n {} && exec \"$0\"", config["limits"]["sockets"]);
         let child = Command::new("sh")
-            .args(["-c", &script, env!("CARGO_BIN_EXE_rushwick")])
+            .args(["-c", &script, env!("CARGO_BIN_EXE_irishinge")])
             .env("LB_CONFIG", &path)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
--- a/gateway/tests/listing.rs
+++ b/crates/gateway/tests/listing.rs
@@ -2,8 +2,10 @@
 mod common;
 
 use common::*;
-use hatchhead::{Action, ClassSettings, CustomerId, Effect, Event, ListKind, PlanSettings, Request};
-use hatchhead::{RequestId, ServerEntry, ServerId, ServerState, Settings};
+use irishinge_admission::{
+    Action, ClassSettings, CustomerId, Effect, Event, ListKind, PlanSettings, Request,
+};
+use irishinge_admission::{RequestId, ServerEntry, ServerId, ServerState, Settings};
 use serde_json::json;
 use socket2::{Domain, Socket, Type};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -169,7 +171,7 @@
             plans: vec![plan.clone()],
             ..Settings::default()
         };
-        let mut gateway = hatchhead::Gateway::new(settings, 7, 0.0).expect("sound settings");
+        let mut gateway = irishinge_admission::Gateway::new(settings, 7, 0.0).expect("sound settings");
         let mut at = |now: f64, event: Event| {
             let mut actions = Vec::new();
             gateway.on_event(now, event, &mut actions);
--- a/conf/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,7 +2,7 @@
 //! one reading of it for both programs. Keys that are not known are skipped.
 #![warn(missing_docs)]
 
-use hatchhead::{ClassSettings, DedupGroup, Effect, PlanSettings, Settings};
+use irishinge_admission::{ClassSettings, DedupGroup, Effect, PlanSettings, Settings};
 use serde::Deserialize;
 
 /// The settings as they are written.
--- a/wirehost/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -2,8 +2,8 @@
 //! It translates and nothing else. Malformed input ends it with one plain line on standard error.
 mod wire;
 
-use hatchhead::Gateway;
-use hatchhead_conf::Names;
+use irishinge_admission::Gateway;
+use irishinge_settings::Names;
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
 use wire::{Arrival, Batch, Out, Reply, ReplyPart};
@@ -41,7 +41,7 @@
         id: &str,
         now_ms: f64,
         arrival: Arrival,
-        actions: &mut Vec<hatchhead::Action>,
+        actions: &mut Vec<irishinge_admission::Action>,
     ) -> Result<(), String> {
         match arrival {
             Arrival::Start { rng_seed, conf } => {
@@ -78,7 +78,7 @@
     match run() {
         Ok(()) => std::process::ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("hatchhead-wirehost: {message}");
+            eprintln!("irishinge-simulator-adapter: {message}");
             std::process::ExitCode::FAILURE
         }
     }
--- a/wirehost/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -1,9 +1,9 @@
 //! The wire's messages as they stand, and their translation to and from the library's terms.
-use hatchhead::{
+use irishinge_admission::{
     Action, AttemptEnd, CountOutcome, CustomerId, Event, ListKind, Outcome, Request, RequestId, ServerEntry,
     ServerId, ServerState,
 };
-use hatchhead_conf::{find, Conf, Names};
+use irishinge_settings::{find, Conf, Names};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
--- a/wirehost/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -3,7 +3,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(lines: &[String]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_hatchhead-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_irishinge-simulator-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
