--- a/crates/admission/src/interface.rs
+++ b/crates/admission/src/interface.rs
@@ -9,30 +9,30 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CustomerId(pub u64);
 
-/// A server's id, the same at every gateway and after a restart of its process.
+/// A endpoint's id, the same at every gateway and after a restart of its process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ServerId(pub u64);
+pub struct EndpointId(pub u64);
 
 /// What a class of requests allows once an attempt may have run.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Effect {
+pub enum Idempotency {
     /// May be repeated at will.
-    Repeatable,
-    /// Carries a key: servers of the group drop a repeat for `window_ms` after the first send.
-    Keyed {
-        /// The servers among which repeats are dropped.
+    Idempotent,
+    /// Carries a key: endpoints of the group drop a repeat for `window_ms` after the first send.
+    IdempotencyKey {
+        /// The endpoints among which repeats are dropped.
         group: DedupGroup,
         /// How long they remember.
         window_ms: f64,
     },
     /// Must not run twice.
-    Once,
+    NonIdempotent,
 }
 
-/// The servers that share their memory of keys.
+/// The endpoints that share their memory of keys.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DedupGroup {
-    /// All servers.
+    /// All endpoints.
     All,
     /// Those of one zone.
     Zone,
@@ -44,34 +44,34 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct ClassSettings {
     /// An answer within this time earns the full worth.
-    pub aim_ms: f64,
+    pub latency_objective_ms: f64,
     /// The client's whole wait.
     pub deadline_ms: f64,
     /// Worth of a request.
-    pub worth: f64,
+    pub priority_weight: f64,
     /// Part of the worth that an answer after the aim earns.
-    pub late_share: f64,
+    pub late_value_fraction: f64,
     /// What a further attempt may do.
-    pub effect: Effect,
+    pub idempotency: Idempotency,
 }
 
 /// A plan that customers buy.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PlanSettings {
     /// Units a second at which a customer's quota store fills; 0: no quota on the rate.
-    pub rate_per_s: f64,
+    pub rate_per_second: f64,
     /// Units the quota store holds at most; it starts full.
     pub burst_units: f64,
     /// Attempts a customer may have out inside its quota; 0: no such limit.
     pub open_limit: u32,
     /// Worth factor.
-    pub price: f64,
+    pub plan_weight: f64,
     /// Part of its worth that a request sent on beyond the quota earns.
-    pub over_worth: f64,
+    pub over_quota_value: f64,
     /// Part of its worth that a try sent on beyond the quota costs.
-    pub over_cost: f64,
+    pub over_quota_cost: f64,
     /// Units a second at which the hard ceiling's store fills; 0: no ceiling.
-    pub ceiling_rate_per_s: f64,
+    pub ceiling_rate_per_second: f64,
     /// Units the ceiling's store holds at most.
     pub ceiling_burst_units: f64,
     /// Units by which the ceiling's store may go below nothing.
@@ -96,29 +96,29 @@
     /// Attempts a request may have at most.
     pub max_attempts: u32,
     /// Two attempts of a request may be out at once.
-    pub second_copies: bool,
+    pub hedging_allowed: bool,
     /// Attempts may be cancelled.
-    pub may_cancel: bool,
+    pub cancel_allowed: bool,
     /// Peers may be sent messages.
-    pub may_tell: bool,
+    pub peer_messages_allowed: bool,
     /// The counter may be called.
-    pub may_count: bool,
+    pub counter_allowed: bool,
     /// Messages a second that a gateway takes in.
-    pub peer_in_per_s: f64,
+    pub peer_messages_per_second: f64,
     /// Longest advice to stay away that clients honour.
     pub max_retry_after_ms: f64,
     /// Most units one request counts.
-    pub most_units: f64,
-    /// Sends to a server must stop this long after it is told to drain or gone.
+    pub max_units: f64,
+    /// Sends to a endpoint must stop this long after it is told to drain or gone.
     pub drain_grace_ms: f64,
-    /// Part of its capacity that a server has at its start, at least.
-    pub cold_share: f64,
-    /// A server is warm after this time at the latest.
+    /// Part of its capacity that a endpoint has at its start, at least.
+    pub cold_start_fraction: f64,
+    /// A endpoint is warm after this time at the latest.
     pub warm_up_ms: f64,
-    /// A cold server sent more than this multiple of its present capacity falls over ...
-    pub fall_multiple: f64,
+    /// A cold endpoint sent more than this multiple of its present capacity falls over ...
+    pub overload_multiple: f64,
     /// ... when it lasts this long.
-    pub fall_window_ms: f64,
+    pub overload_window_ms: f64,
 }
 
 impl Settings {
@@ -137,27 +137,36 @@
             return Err(SettingsError::NotAmongGateways);
         }
         for class in &self.classes {
-            figure("aim_ms", sound(class.aim_ms) && class.aim_ms > 0.0)?;
+            figure(
+                "latency_objective_ms",
+                sound(class.latency_objective_ms) && class.latency_objective_ms > 0.0,
+            )?;
             figure("deadline_ms", sound(class.deadline_ms) && class.deadline_ms > 0.0)?;
-            figure("worth", sound(class.worth) && sound(class.late_share))?;
-            if let Effect::Keyed { window_ms, .. } = class.effect {
+            figure("worth", sound(class.priority_weight) && sound(class.late_value_fraction))?;
+            if let Idempotency::IdempotencyKey { window_ms, .. } = class.idempotency {
                 figure("window_ms", sound(window_ms))?;
             }
         }
         for plan in &self.plans {
-            figure("rate_per_s", sound(plan.rate_per_s) && sound(plan.burst_units))?;
-            figure("over_worth", sound(plan.over_worth) && sound(plan.over_cost) && sound(plan.price))?;
-            figure("ceiling_rate_per_s", sound(plan.ceiling_rate_per_s) && sound(plan.ceiling_burst_units))?;
+            figure("rate_per_second", sound(plan.rate_per_second) && sound(plan.burst_units))?;
+            figure(
+                "over_quota_value",
+                sound(plan.over_quota_value) && sound(plan.over_quota_cost) && sound(plan.plan_weight),
+            )?;
+            figure(
+                "ceiling_rate_per_second",
+                sound(plan.ceiling_rate_per_second) && sound(plan.ceiling_burst_units),
+            )?;
             figure("ceiling_slack_units", sound(plan.ceiling_slack_units))?;
         }
         figure("tick_ms", sound(self.tick_ms))?;
-        figure("peer_in_per_s", sound(self.peer_in_per_s))?;
+        figure("peer_messages_per_second", sound(self.peer_messages_per_second))?;
         figure("max_retry_after_ms", sound(self.max_retry_after_ms))?;
-        figure("most_units", sound(self.most_units))?;
+        figure("max_units", sound(self.max_units))?;
         figure("drain_grace_ms", sound(self.drain_grace_ms))?;
-        figure("cold_share", sound(self.cold_share) && self.cold_share <= 1.0)?;
+        figure("cold_start_fraction", sound(self.cold_start_fraction) && self.cold_start_fraction <= 1.0)?;
         figure("warm_up_ms", sound(self.warm_up_ms))?;
-        figure("fall_multiple", sound(self.fall_multiple) && sound(self.fall_window_ms))
+        figure("overload_multiple", sound(self.overload_multiple) && sound(self.overload_window_ms))
     }
 }
 
@@ -187,9 +196,9 @@
 
 impl std::error::Error for SettingsError {}
 
-/// What the list says of a server.
+/// What the list says of a endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ServerState {
+pub enum EndpointState {
     /// Takes work.
     Ready,
     /// Finishes what it has; must be sent nothing new.
@@ -198,11 +207,11 @@
     Gone,
 }
 
-/// A line of the server list.
+/// A line of the endpoint list.
 #[derive(Debug, Clone, PartialEq)]
-pub struct ServerEntry {
-    /// The server.
-    pub id: ServerId,
+pub struct EndpointEntry {
+    /// The endpoint.
+    pub id: EndpointId,
     /// Its zone, as an index.
     pub zone: usize,
     /// Its machine kind, as an index.
@@ -210,7 +219,7 @@
     /// Its cell.
     pub cell: u64,
     /// Its state.
-    pub state: ServerState,
+    pub state: EndpointState,
     /// When its process last started; `None`: long ago.
     pub started_at_ms: Option<f64>,
 }
@@ -220,7 +229,7 @@
 pub enum ListKind {
     /// Changed lines only.
     Changes,
-    /// All lines; a server not among them is gone.
+    /// All lines; a endpoint not among them is gone.
     Whole,
     /// All lines as last held before a restart.
     Remembered,
@@ -260,10 +269,10 @@
 pub enum Outcome {
     /// Served.
     Ok,
-    /// The server failed; it may have run.
+    /// The endpoint failed; it may have run.
     Error,
     /// Turned away unseen: full or draining.
-    Full,
+    Overloaded,
     /// No answer in time; it may have run or be running.
     TimedOut,
     /// No connection; it never ran.
@@ -273,7 +282,7 @@
     /// Cancelled; it may have run.
     Cancelled,
     /// Not sent: its time or its request had ended.
-    Moot,
+    TooLate,
 }
 
 /// How an attempt ended, and what came with it.
@@ -283,8 +292,8 @@
     pub request: RequestId,
     /// Its number.
     pub attempt: u32,
-    /// Its server.
-    pub server: ServerId,
+    /// Its endpoint.
+    pub endpoint: EndpointId,
     /// How it ended.
     pub outcome: Outcome,
     /// Time since it was sent.
@@ -295,13 +304,13 @@
     pub true_units: Option<f64>,
     /// The customer's use over all gateways in the meter's last period, in percent of its rate.
     pub metered_percent: Option<f64>,
-    /// The server's load report.
+    /// The endpoint's load report.
     pub load: Vec<(String, f64)>,
 }
 
 /// How a call to the counter ended.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum CountOutcome {
+pub enum CounterOutcome {
     /// The total after the call.
     Total(f64),
     /// Nothing was added.
@@ -313,12 +322,12 @@
 /// What a gateway is told.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
-    /// News of the server list.
-    ServerList {
+    /// News of the endpoint list.
+    EndpointList {
         /// How much of it.
         kind: ListKind,
         /// The lines.
-        entries: Vec<ServerEntry>,
+        entries: Vec<EndpointEntry>,
     },
     /// A request came in.
     Request(Request),
@@ -328,15 +337,15 @@
         token: u64,
     },
     /// An attempt ended.
-    Outcome(AttemptEnd),
+    AttemptEnded(AttemptEnd),
     /// A streamed answer began.
     StreamOpened {
         /// Its request.
         request: RequestId,
         /// The attempt's number.
         attempt: u32,
-        /// Its server.
-        server: ServerId,
+        /// Its endpoint.
+        endpoint: EndpointId,
     },
     /// The client left.
     ClientGone {
@@ -345,13 +354,13 @@
     },
     /// A probe ended.
     ProbeDone {
-        /// The server.
-        server: ServerId,
+        /// The endpoint.
+        endpoint: EndpointId,
         /// How it ended.
         outcome: Outcome,
         /// Time since it was sent.
         took_ms: f64,
-        /// The server's load report.
+        /// The endpoint's load report.
         load: Vec<(String, f64)>,
     },
     /// A peer's message.
@@ -362,11 +371,11 @@
         body: String,
     },
     /// The counter answered.
-    Counted {
+    CounterReply {
         /// The number's name.
         name: u64,
         /// The answer.
-        outcome: CountOutcome,
+        outcome: CounterOutcome,
         /// Time since the call.
         took_ms: f64,
     },
@@ -379,13 +388,13 @@
     Send {
         /// The request.
         request: RequestId,
-        /// The server.
-        server: ServerId,
+        /// The endpoint.
+        endpoint: EndpointId,
         /// Time-out of the attempt.
         timeout_ms: f64,
     },
     /// Final answer: refused; trying again is harmless.
-    Refuse {
+    Reject {
         /// The request.
         request: RequestId,
         /// How long the client should stay away.
@@ -403,18 +412,18 @@
         /// The attempt's number.
         attempt: u32,
     },
-    /// Probe a server.
+    /// Probe a endpoint.
     Probe {
-        /// The server.
-        server: ServerId,
+        /// The endpoint.
+        endpoint: EndpointId,
     },
-    /// Close idle connections to a server.
+    /// Close idle connections to a endpoint.
     CloseIdle {
-        /// The server.
-        server: ServerId,
+        /// The endpoint.
+        endpoint: EndpointId,
     },
     /// Send a message to a peer.
-    Tell {
+    SendPeerMessage {
         /// The peer's number; `None`: all.
         to: Option<usize>,
         /// Up to 256 bytes.
@@ -428,7 +437,7 @@
         token: u64,
     },
     /// Add to a number that the counter keeps.
-    Count {
+    AddToCounter {
         /// The number's name.
         name: u64,
         /// What to add; 0 only reads.
@@ -436,12 +445,12 @@
         /// Life of a new name.
         ttl_ms: f64,
     },
-    /// Ask for changes of the server list from now on, or no longer.
+    /// Ask for changes of the endpoint list from now on, or no longer.
     Subscribe {
         /// On or off.
         active: bool,
     },
-    /// Ask for the whole server list once.
+    /// Ask for the whole endpoint list once.
     FetchList,
     /// Write a line to the log.
     Log {
--- a/crates/admission/src/keepers.rs
+++ b/crates/admission/src/keepers.rs
@@ -2,88 +2,95 @@
 //! customer's set, its keeper, holds the customer's store and is asked.
 use crate::interface::*;
 use crate::peer_text::*;
-use crate::rules::{FREE_FILL, OUT_AIMS};
-use crate::state::{Gateway, Grant, Quota};
+use crate::rules::{ATTEMPT_TIMEOUT_OBJECTIVES, UNGATED_FILL};
+use crate::state::{Gateway, Grant, QuotaState};
 
 /// A keeper that has not answered for this part of the shortest aim, the least at least, is asked again.
-pub(crate) const ASK_PART: f64 = 0.1;
-pub(crate) const ASK_LEAST_MS: f64 = 60.0;
+pub(crate) const RESPONSE_WAIT_FRACTION: f64 = 0.1;
+pub(crate) const MIN_RESPONSE_WAIT_MS: f64 = 60.0;
 /// A gateway that left two questions unanswered is not asked for so long.
-pub(crate) const SHUN_MS: f64 = 2500.0;
+pub(crate) const SUSPECT_MS: f64 = 2500.0;
 /// Parts of the messages that a gateway takes in that others' questions and the answers to its own may use together,
 /// and that its own may use at least.
-pub(crate) const ASK_IN: f64 = 0.9;
-pub(crate) const ASK_IN_LEAST: f64 = 0.2;
+pub(crate) const QUOTA_MESSAGE_FRACTION: f64 = 0.9;
+pub(crate) const MIN_QUOTA_MESSAGE_FRACTION: f64 = 0.2;
 /// Own parts of a ceiling: of the customer's keeper, and of the one that stands by.
-pub(crate) const KEEPER_PART: f64 = 0.6;
+pub(crate) const OWNER_CEILING_FRACTION: f64 = 0.6;
 /// A keeper wants to be asked for so many times what it grants, where it is asked for more.
-pub(crate) const THIN: f64 = 1.5;
+pub(crate) const SAMPLING_HEADROOM: f64 = 1.5;
 /// And for this part at least. What it told holds for so long.
-pub(crate) const THIN_LEAST: f64 = 0.05;
-pub(crate) const THIN_MS: f64 = 3000.0;
+pub(crate) const MIN_SAMPLING_FRACTION: f64 = 0.05;
+pub(crate) const SAMPLING_TTL_MS: f64 = 3000.0;
 /// Span over which a keeper smooths what is asked and granted.
-pub(crate) const KEEP_SPAN_S: f64 = 1.5;
+pub(crate) const QUOTA_RATE_SPAN_S: f64 = 1.5;
 
 impl Gateway {
     /// Puts a held request's question to its customer's keeper, or to the next in line where that is silent.
-    pub(crate) fn ask(&mut self, id: RequestId, tries: u32, actions: &mut Vec<Action>) {
-        let Some(open) = self.open.get(&id) else { return };
-        let (r, now, tag) = (open.request.clone(), self.now, open.tag);
+    pub(crate) fn request_quota(&mut self, id: RequestId, tries: u32, actions: &mut Vec<Action>) {
+        let Some(active) = self.requests.active.get(&id) else { return };
+        let (r, now, tag) = (active.request.clone(), self.clock.now_ms, active.tag);
         let (first, spread) = (r.first % self.settings.gateways, r.spread.clamp(1, self.settings.gateways));
-        let end = open.aim_ms.min(open.deadline_ms) - 0.8 * self.residence_ms[r.class];
-        let customer = self.acquaint(tag, r.plan, first, spread);
-        let thin = 1.0 - (1.0 - customer.thin) * (1.0 - (now - customer.thin_ms) / THIN_MS).max(0.0);
-        let shunned = |k: usize| self.peers.get(&k).is_some_and(|p| now < p.shunned_until_ms);
-        let line = self.ranks(tag, first, spread).filter(|(_, k)| !shunned(*k));
+        let end =
+            active.objective_at_ms.min(active.deadline_ms) - 0.8 * self.latency.mean_by_class_ms[r.class];
+        let customer = self.customer_entry(tag, r.plan, first, spread);
+        let thin = 1.0
+            - (1.0 - customer.sampling_fraction)
+                * (1.0 - (now - customer.sampling_fraction_ms) / SAMPLING_TTL_MS).max(0.0);
+        let shunned = |k: usize| self.peers.by_index.get(&k).is_some_and(|p| now < p.suspected_until_ms);
+        let line = self.rendezvous_ranking(tag, first, spread).filter(|(_, k)| !shunned(*k));
         let keeper = line.min().map_or(self.settings.me, |(_, k)| k);
         // The same keeper gets the same number again: had its answer been lost, it would else draw twice.
-        let number = match self.open.get(&id).map(|o| o.quota) {
-            Some(Quota::Asked { keeper: last, number, .. }) if last == keeper => number,
-            Some(Quota::Asked { number, .. }) => {
-                self.asked.remove(&number);
-                self.next_ask
+        let number = match self.requests.active.get(&id).map(|o| o.quota) {
+            Some(QuotaState::Asked { keeper: last, number, .. }) if last == keeper => number,
+            Some(QuotaState::Asked { number, .. }) => {
+                self.quota_owner.pending.remove(&number);
+                self.quota_owner.next_number
             }
-            _ => self.next_ask,
+            _ => self.quota_owner.next_number,
         };
-        let ask = Ask {
+        let ask = QuotaRequest {
             customer: tag,
             plan: r.plan as u32,
             units: r.units.ceil().max(0.0) as u32,
             first: first as u32,
             spread: spread as u32,
             number,
-            patience: ((end - now).max(0.0) / 16.0) as u32,
-            thin: ((thin * 63.0).round() as u32).max(1),
+            wait_budget: ((end - now).max(0.0) / 16.0) as u32,
+            sampling_fraction: ((thin * 63.0).round() as u32).max(1),
         };
-        let by_chance = self.random_part() > f64::from(ask.thin) / 63.0;
+        let by_chance = self.random_fraction() > f64::from(ask.sampling_fraction) / 63.0;
         let other = keeper != self.settings.me;
         if other && tries == 0 && by_chance {
-            return self.go_unasked(id, false);
+            return self.decide_without_owner(id, false);
         }
-        if other && self.tell_tokens < 1.0 {
-            return self.go_unasked(id, ask.thin == 63);
+        if other && self.peers.message_tokens < 1.0 {
+            return self.decide_without_owner(id, ask.sampling_fraction == 63);
         }
-        self.tell_tokens -= f64::from(u8::from(other));
-        let Some(open) = self.open.get_mut(&id) else { return };
-        self.next_ask = if number == self.next_ask { (number + 1) & 0xfff } else { self.next_ask };
-        open.quota = Quota::Asked { keeper, number, at_ms: now, tries };
-        self.asked.insert(number, id);
-        self.post(keeper, WideNote { asks: vec![ask], ..WideNote::default() }, actions);
+        self.peers.message_tokens -= f64::from(u8::from(other));
+        let Some(active) = self.requests.active.get_mut(&id) else { return };
+        self.quota_owner.next_number = if number == self.quota_owner.next_number {
+            (number + 1) & 0xfff
+        } else {
+            self.quota_owner.next_number
+        };
+        active.quota = QuotaState::Asked { keeper, number, at_ms: now, tries };
+        self.quota_owner.pending.insert(number, id);
+        self.send_gossip(keeper, GossipMessage { requests: vec![ask], ..GossipMessage::default() }, actions);
     }
 
     /// Decides on a request whose keeper can't be asked, or does not answer. Most customers are well inside their
     /// quota, so where the band has room it goes on by what this gateway itself passed of the customer; not where the
     /// keeper lately told that there is too little for what is asked, and never under a ceiling.
-    pub(crate) fn go_unasked(&mut self, id: RequestId, likely: bool) {
-        let room = self.fill_of_band(self.ready_parts) < FREE_FILL;
-        let Some(open) = self.open.get_mut(&id) else { return };
-        let own = likely && room && self.settings.plans[open.request.plan].ceiling_rate_per_s <= 0.0;
-        open.quota = if own { Quota::Own } else { Quota::Beyond { ceiling: false } };
-        open.inside = own;
+    pub(crate) fn decide_without_owner(&mut self, id: RequestId, likely: bool) {
+        let room = self.band_fill(self.band.ready_capacity) < UNGATED_FILL;
+        let Some(active) = self.requests.active.get_mut(&id) else { return };
+        let own = likely && room && self.settings.plans[active.request.plan].ceiling_rate_per_second <= 0.0;
+        active.quota = if own { QuotaState::Own } else { QuotaState::Beyond { ceiling: false } };
+        active.within_quota = own;
     }
 
-    /// The keeper's verdict: store, open slots and its own part of the ceiling, taken before it answers.
-    pub(crate) fn judge(&mut self, from: usize, ask: &Ask) -> Option<Answer> {
+    /// The keeper's verdict: store, active slots and its own part of the ceiling, taken before it answers.
+    pub(crate) fn decide(&mut self, from: usize, ask: &QuotaRequest) -> Option<QuotaResponse> {
         let gateways = self.settings.gateways;
         let (first, spread) = (ask.first as usize, ask.spread as usize);
         let inside = |g: usize| (g + gateways - first) % gateways < spread;
@@ -91,20 +98,25 @@
         if first >= gateways || spread > gateways || !inside(from) || !inside(self.settings.me) {
             return None;
         }
-        let (now, most) = (self.now, self.settings.most_units.max(1.0));
+        let (now, most) = (self.clock.now_ms, self.settings.max_units.max(1.0));
         let units = f64::from(ask.units).min(most);
-        let out_ms = OUT_AIMS * self.settings.classes.iter().map(|c| c.aim_ms).fold(0.0, f64::max);
-        let until_ms = now + 16.0 * f64::from(ask.patience).min(4095.0);
-        let customer = self.acquaint(ask.customer, ask.plan as usize, first, spread);
+        let out_ms = ATTEMPT_TIMEOUT_OBJECTIVES
+            * self.settings.classes.iter().map(|c| c.latency_objective_ms).fold(0.0, f64::max);
+        let until_ms = now + 16.0 * f64::from(ask.wait_budget).min(4095.0);
+        let customer = self.customer_entry(ask.customer, ask.plan as usize, first, spread);
         let grant = Grant { from, number: ask.number, until_ms: until_ms + out_ms };
         let same = |g: &Grant| g.from == from && g.number == ask.number;
         customer.grants.retain(|g| g.until_ms > now);
         customer.waiters.retain(|g| g.until_ms > now);
-        let enough = plan.rate_per_s <= 0.0 || customer.level >= units;
-        let ceiling = plan.ceiling_rate_per_s <= 0.0 || customer.share >= units;
+        let enough = plan.rate_per_second <= 0.0 || customer.tokens >= units;
+        let ceiling = plan.ceiling_rate_per_second <= 0.0 || customer.ceiling_tokens >= units;
         let known = customer.grants.iter().any(same);
         if !known {
-            customer.asked.add(units * 63.0 / f64::from(ask.thin.clamp(1, 63)), now, KEEP_SPAN_S);
+            customer.requested_rate.add(
+                units * 63.0 / f64::from(ask.sampling_fraction.clamp(1, 63)),
+                now,
+                QUOTA_RATE_SPAN_S,
+            );
         }
         let verdict = if known {
             GRANTED
@@ -122,25 +134,33 @@
                 BEYOND
             }
         } else if enough && ceiling {
-            if plan.rate_per_s > 0.0 {
-                customer.level -= units;
+            if plan.rate_per_second > 0.0 {
+                customer.tokens -= units;
             }
-            customer.share -= units;
-            customer.granted.add(units, now, KEEP_SPAN_S);
+            customer.ceiling_tokens -= units;
+            customer.granted_rate.add(units, now, QUOTA_RATE_SPAN_S);
             customer.grants.push(grant);
             GRANTED
-        } else if plan.over_worth > plan.over_cost && plan.open_limit == 0 && ceiling {
-            customer.share -= units;
+        } else if plan.over_quota_value > plan.over_quota_cost && plan.open_limit == 0 && ceiling {
+            customer.ceiling_tokens -= units;
             SOFT
         } else {
             BEYOND
         };
-        let (asked, granted) = (customer.asked.now(now, KEEP_SPAN_S), customer.granted.now(now, KEEP_SPAN_S));
-        let easy = plan.rate_per_s > 0.0 && plan.open_limit == 0 && customer.level > 0.5 * plan.burst_units;
+        let (asked, granted) = (
+            customer.requested_rate.now(now, QUOTA_RATE_SPAN_S),
+            customer.granted_rate.now(now, QUOTA_RATE_SPAN_S),
+        );
+        let easy =
+            plan.rate_per_second > 0.0 && plan.open_limit == 0 && customer.tokens > 0.5 * plan.burst_units;
         let (verdict, thin) = match verdict {
             GRANTED if easy => (EASY, 1.0),
-            v => (v, (THIN * granted.max(plan.rate_per_s) / asked.max(1e-9)).clamp(THIN_LEAST, 1.0)),
+            v => (
+                v,
+                (SAMPLING_HEADROOM * granted.max(plan.rate_per_second) / asked.max(1e-9))
+                    .clamp(MIN_SAMPLING_FRACTION, 1.0),
+            ),
         };
-        Some(Answer { number: ask.number, verdict, thin: (thin * 63.0).round() as u32 })
+        Some(QuotaResponse { number: ask.number, verdict, sampling_fraction: (thin * 63.0).round() as u32 })
     }
 }
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,5 +1,5 @@
 //! irishinge decides for an admission gateway of a service sold by plan: which requests go on to which
-//! server, which wait, and which are refused. It does no I/O and reads no clock: the host program feeds
+//! endpoint, which wait, and which are refused. It does no I/O and reads no clock: the host program feeds
 //! [`Event`]s to a [`Gateway`] and carries out the [`Action`]s it answers with.
 #![warn(missing_docs)]
 
--- a/crates/admission/src/peer_text.rs
+++ b/crates/admission/src/peer_text.rs
@@ -5,22 +5,22 @@
 
 /// What a gateway tells of one customer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CountEntry {
+pub(crate) struct CountEntry {
     /// The customer's tag, 24 bits.
     pub tag: u32,
     /// Quarter units drawn since the sender's start, the low 18 bits.
-    pub drawn: u32,
+    pub consumed: u32,
     /// The store's level as the sender sees it, in 63rds of the burst.
-    pub level: u32,
+    pub fill: u32,
     /// Attempts the sender has out for the customer, 63 at most.
-    pub open: u32,
+    pub in_flight: u32,
 }
 
 /// A message between gateways.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct PeerNote {
+pub(crate) struct CountsMessage {
     /// The sender's start number, 18 bits.
-    pub start: u32,
+    pub incarnation: u32,
     /// The message's number, the low 12 bits.
     pub seq: u32,
     /// Attempts the sender has out.
@@ -29,38 +29,38 @@
     pub watermark: u32,
     /// Customers it passed something for.
     pub counts: Vec<CountEntry>,
-    /// Customers for which it asks for ceiling units.
-    pub needs: Vec<u32>,
+    /// Customers for which it requests for ceiling units.
+    pub ceiling_requests: Vec<u32>,
     /// Quarter units of ceiling it gives away, by customer.
-    pub gifts: Vec<(u32, u32)>,
+    pub ceiling_transfers: Vec<(u32, u32)>,
 }
 
-impl PeerNote {
+impl CountsMessage {
     /// Length of the text in bytes.
-    pub fn len(&self) -> usize {
-        10 + 10 * self.counts.len() + 5 * self.needs.len() + 8 * self.gifts.len()
+    pub(crate) fn len(&self) -> usize {
+        10 + 10 * self.counts.len() + 5 * self.ceiling_requests.len() + 8 * self.ceiling_transfers.len()
     }
 
     /// The text.
-    pub fn encode(&self) -> String {
+    pub(crate) fn encode(&self) -> String {
         let mut text = String::with_capacity(self.len());
         text.push(VERSION);
-        put(&mut text, self.start, 3);
+        put(&mut text, self.incarnation, 3);
         put(&mut text, self.seq, 2);
         put(&mut text, self.stock.min(4095), 2);
         put(&mut text, self.watermark.min(4095), 2);
         for c in &self.counts {
             text.push('q');
             put(&mut text, c.tag, 4);
-            put(&mut text, c.drawn, 3);
-            put(&mut text, c.level.min(63), 1);
-            put(&mut text, c.open.min(63), 1);
+            put(&mut text, c.consumed, 3);
+            put(&mut text, c.fill.min(63), 1);
+            put(&mut text, c.in_flight.min(63), 1);
         }
-        for tag in &self.needs {
+        for tag in &self.ceiling_requests {
             text.push('n');
             put(&mut text, *tag, 4);
         }
-        for (tag, quarters) in &self.gifts {
+        for (tag, quarters) in &self.ceiling_transfers {
             text.push('g');
             put(&mut text, *tag, 4);
             put(&mut text, *quarters, 3);
@@ -69,28 +69,28 @@
     }
 
     /// Reads a text; `None` where any of it is not of this format.
-    pub fn decode(text: &str) -> Option<Self> {
+    pub(crate) fn decode(text: &str) -> Option<Self> {
         let mut bytes = text.bytes();
         if bytes.next()? != VERSION as u8 {
             return None;
         }
-        let mut note = PeerNote {
-            start: take(&mut bytes, 3)?,
+        let mut note = CountsMessage {
+            incarnation: take(&mut bytes, 3)?,
             seq: take(&mut bytes, 2)?,
             stock: take(&mut bytes, 2)?,
             watermark: take(&mut bytes, 2)?,
-            ..PeerNote::default()
+            ..CountsMessage::default()
         };
         while let Some(kind) = bytes.next() {
             match kind {
                 b'q' => note.counts.push(CountEntry {
                     tag: take(&mut bytes, 4)?,
-                    drawn: take(&mut bytes, 3)?,
-                    level: take(&mut bytes, 1)?,
-                    open: take(&mut bytes, 1)?,
+                    consumed: take(&mut bytes, 3)?,
+                    fill: take(&mut bytes, 1)?,
+                    in_flight: take(&mut bytes, 1)?,
                 }),
-                b'n' => note.needs.push(take(&mut bytes, 4)?),
-                b'g' => note.gifts.push((take(&mut bytes, 4)?, take(&mut bytes, 3)?)),
+                b'n' => note.ceiling_requests.push(take(&mut bytes, 4)?),
+                b'g' => note.ceiling_transfers.push((take(&mut bytes, 4)?, take(&mut bytes, 3)?)),
                 _ => return None,
             }
         }
@@ -120,18 +120,18 @@
     Some(value)
 }
 
-/// What a gateway saw of a server.
+/// What a gateway saw of a endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Seen {
-    /// The server's tag, 24 bits.
-    pub server: u32,
-    /// What was seen, below 4096: `rules.rs` gives it its meaning.
+pub(crate) struct Observation {
+    /// The endpoint's tag, 24 bits.
+    pub endpoint: u32,
+    /// What was observations, below 4096: `rules.rs` gives it its meaning.
     pub what: u32,
 }
 
 /// A question to a customer's keeper: may a request go on?
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Ask {
+pub(crate) struct QuotaRequest {
     /// The customer's full id.
     pub customer: u64,
     /// Its plan, 63 at most.
@@ -145,25 +145,25 @@
     /// The question's number, the low 12 bits.
     pub number: u32,
     /// Time for which an answer is of use, in 16 ms.
-    pub patience: u32,
+    pub wait_budget: u32,
     /// Part of such requests that are asked about, in 63rds.
-    pub thin: u32,
+    pub sampling_fraction: u32,
 }
 
 /// A keeper's answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Answer {
+pub(crate) struct QuotaResponse {
     /// The question's number.
     pub number: u32,
     /// The verdict: `rules.rs` gives it its meaning.
     pub verdict: u32,
     /// Part of such requests that the keeper wants to be asked about, in 63rds.
-    pub thin: u32,
+    pub sampling_fraction: u32,
 }
 
 /// A granted request has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Ended {
+pub(crate) struct QuotaRelease {
     /// The customer's full id.
     pub customer: u64,
     /// Number of the question that was granted.
@@ -174,34 +174,34 @@
 
 /// A message between gateways of a wide fleet: gossip, and what passes between a customer's gateways and its keeper.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct WideNote {
+pub(crate) struct GossipMessage {
     /// Mean stock of a gateway as the sender has it, in 64ths.
     pub stock: u32,
     /// Mean watermark, in 32nds.
     pub watermark: u32,
-    /// Mean good answers of a gateway a second, in 32nds.
+    /// Mean good responses of a gateway a second, in 32nds.
     pub rate: u32,
     /// Questions.
-    pub asks: Vec<Ask>,
+    pub requests: Vec<QuotaRequest>,
     /// Answers.
-    pub answers: Vec<Answer>,
+    pub responses: Vec<QuotaResponse>,
     /// Granted requests that have ended.
-    pub ends: Vec<Ended>,
-    /// What was seen of servers.
-    pub seen: Vec<Seen>,
+    pub releases: Vec<QuotaRelease>,
+    /// What was observations of endpoints.
+    pub observations: Vec<Observation>,
 }
 
 const WIDE_VERSION: char = 'w';
 
-impl WideNote {
+impl GossipMessage {
     /// The text.
-    pub fn encode(&self) -> String {
+    pub(crate) fn encode(&self) -> String {
         let mut text = String::with_capacity(64);
         text.push(WIDE_VERSION);
         put(&mut text, self.stock.min(4095), 2);
         put(&mut text, self.watermark.min(4095), 2);
         put(&mut text, self.rate.min(4095), 2);
-        for a in &self.asks {
+        for a in &self.requests {
             text.push('a');
             put_long(&mut text, a.customer);
             put(&mut text, a.plan.min(63), 1);
@@ -209,64 +209,66 @@
             put(&mut text, a.first.min(4095), 2);
             put(&mut text, a.spread.min(4095), 2);
             put(&mut text, a.number & 0xfff, 2);
-            put(&mut text, a.patience.min(4095), 2);
-            put(&mut text, a.thin.min(63), 1);
+            put(&mut text, a.wait_budget.min(4095), 2);
+            put(&mut text, a.sampling_fraction.min(63), 1);
         }
-        for a in &self.answers {
+        for a in &self.responses {
             text.push('r');
             put(&mut text, a.number & 0xfff, 2);
             put(&mut text, a.verdict.min(63), 1);
-            put(&mut text, a.thin.min(63), 1);
+            put(&mut text, a.sampling_fraction.min(63), 1);
         }
-        for e in &self.ends {
+        for e in &self.releases {
             text.push('e');
             put_long(&mut text, e.customer);
             put(&mut text, e.number & 0xfff, 2);
             put(&mut text, (e.quarters.clamp(-2048, 2047) + 2048) as u32, 2);
         }
-        for s in &self.seen {
+        for s in &self.observations {
             text.push('s');
-            put(&mut text, s.server, 4);
+            put(&mut text, s.endpoint, 4);
             put(&mut text, s.what.min(4095), 2);
         }
         text
     }
 
     /// Reads a text; `None` where any of it is not of this format.
-    pub fn decode(text: &str) -> Option<Self> {
+    pub(crate) fn decode(text: &str) -> Option<Self> {
         let mut bytes = text.bytes();
         if bytes.next()? != WIDE_VERSION as u8 {
             return None;
         }
-        let mut note = WideNote {
+        let mut note = GossipMessage {
             stock: take(&mut bytes, 2)?,
             watermark: take(&mut bytes, 2)?,
             rate: take(&mut bytes, 2)?,
-            ..WideNote::default()
+            ..GossipMessage::default()
         };
         while let Some(kind) = bytes.next() {
             match kind {
-                b'a' => note.asks.push(Ask {
+                b'a' => note.requests.push(QuotaRequest {
                     customer: take_long(&mut bytes)?,
                     plan: take(&mut bytes, 1)?,
                     units: take(&mut bytes, 1)?,
                     first: take(&mut bytes, 2)?,
                     spread: take(&mut bytes, 2)?,
                     number: take(&mut bytes, 2)?,
-                    patience: take(&mut bytes, 2)?,
-                    thin: take(&mut bytes, 1)?,
+                    wait_budget: take(&mut bytes, 2)?,
+                    sampling_fraction: take(&mut bytes, 1)?,
                 }),
-                b'r' => note.answers.push(Answer {
+                b'r' => note.responses.push(QuotaResponse {
                     number: take(&mut bytes, 2)?,
                     verdict: take(&mut bytes, 1)?,
-                    thin: take(&mut bytes, 1)?,
+                    sampling_fraction: take(&mut bytes, 1)?,
                 }),
-                b'e' => note.ends.push(Ended {
+                b'e' => note.releases.push(QuotaRelease {
                     customer: take_long(&mut bytes)?,
                     number: take(&mut bytes, 2)?,
                     quarters: take(&mut bytes, 2)? as i32 - 2048,
                 }),
-                b's' => note.seen.push(Seen { server: take(&mut bytes, 4)?, what: take(&mut bytes, 2)? }),
+                b's' => note
+                    .observations
+                    .push(Observation { endpoint: take(&mut bytes, 4)?, what: take(&mut bytes, 2)? }),
                 _ => return None,
             }
         }
@@ -285,7 +287,7 @@
     Some((u64::from(high) & 0xf) << 60 | u64::from(middle) << 30 | u64::from(low))
 }
 
-/// Codes of what was seen of a server: the class times this, and how slow it was or that it failed; above all
+/// Codes of what was observations of a endpoint: the class times this, and how slow it was or that it failed; above all
 /// classes, the plan that it turned away.
 pub(crate) const SEEN_CLASS: u32 = 64;
 pub(crate) const SEEN_FAILED: u32 = 63;
--- a/crates/admission/tests/cold.rs
+++ b/crates/admission/tests/cold.rs
@@ -1,6 +1,6 @@
-//! Rule 4 over a whole fleet: many gateways together must not send a cold server more than it bears. Each draw is a
+//! Rule 4 over a whole fleet: many gateways together must not send a cold endpoint more than it bears. Each draw is a
 //! day of its own with made-up time: gateways that hear each other and the list late, clients that come by chance,
-//! servers that answer first come first, with a capacity that rises from their start.
+//! endpoints that answer first come first, with a capacity that rises from their start.
 use irishinge_admission::*;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -9,7 +9,7 @@
 /// In waves the traffic is so many times the mean for this long, and then as much less.
 const WAVE: f64 = 1.7;
 const WAVE_MS: f64 = 1200.0;
-/// From here servers join, cold: what comes before shows the gateways what warm ones take.
+/// From here endpoints join, cold: what comes before shows the gateways what warm ones take.
 const JOIN_MS: f64 = 1000.0;
 const LOADS: [f64; 3] = [0.5, 0.75, 1.0];
 const AIM_MS: f64 = 800.0;
@@ -29,7 +29,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Cell {
     gateways: usize,
-    servers: usize,
+    endpoints: usize,
     cold: usize,
     traffic: Traffic,
     load: f64,
@@ -60,7 +60,7 @@
     }
 }
 
-/// A server of the made-up fleet: `cores` that each work off one request at a time.
+/// A endpoint of the made-up fleet: `cores` that each work off one request at a time.
 struct Machine {
     start_ms: Option<f64>,
     cores: usize,
@@ -96,7 +96,7 @@
     due: BTreeMap<(u64, u64), Due>,
     /// When each request came, and how many attempts it has had.
     requests: BTreeMap<RequestId, (f64, u32)>,
-    /// Requests that came while servers warmed, and those of them answered within the aim.
+    /// Requests that came while endpoints warmed, and those of them answered within the aim.
     asked: f64,
     in_time: f64,
 }
@@ -104,24 +104,25 @@
 impl Day {
     fn new(cell: Cell, seed: u64) -> Self {
         let mut chance = Chance(seed);
-        let (fall_multiple, fall_window_ms) = chance.one_of(&[(2.0, 2000.0), (4.0, 1500.0), (2.0, 1000.0)]);
+        let (overload_multiple, overload_window_ms) =
+            chance.one_of(&[(2.0, 2000.0), (4.0, 1500.0), (2.0, 1000.0)]);
         let plan = PlanSettings {
-            rate_per_s: 1000.0,
+            rate_per_second: 1000.0,
             burst_units: 4000.0,
             open_limit: 0,
-            price: 1.0,
-            over_worth: 0.0,
-            over_cost: 1.0,
-            ceiling_rate_per_s: 0.0,
+            plan_weight: 1.0,
+            over_quota_value: 0.0,
+            over_quota_cost: 1.0,
+            ceiling_rate_per_second: 0.0,
             ceiling_burst_units: 0.0,
             ceiling_slack_units: 0.0,
         };
         let class = ClassSettings {
-            aim_ms: AIM_MS,
+            latency_objective_ms: AIM_MS,
             deadline_ms: 2500.0,
-            worth: 1.0,
-            late_share: 0.0,
-            effect: Effect::Repeatable,
+            priority_weight: 1.0,
+            late_value_fraction: 0.0,
+            idempotency: Idempotency::Idempotent,
         };
         let settings = Settings {
             gateways: cell.gateways,
@@ -129,21 +130,21 @@
             classes: vec![class],
             plans: vec![plan],
             max_attempts: 4,
-            second_copies: true,
-            may_cancel: true,
-            may_tell: true,
-            peer_in_per_s: 40.0,
+            hedging_allowed: true,
+            cancel_allowed: true,
+            peer_messages_allowed: true,
+            peer_messages_per_second: 40.0,
             max_retry_after_ms: 1000.0,
-            most_units: 1.0,
+            max_units: 1.0,
             drain_grace_ms: 250.0,
-            cold_share: chance.one_of(&[0.19, 0.3, 0.5]),
+            cold_start_fraction: chance.one_of(&[0.19, 0.3, 0.5]),
             warm_up_ms: WARM_UP_MS,
-            fall_multiple,
-            fall_window_ms,
+            overload_multiple,
+            overload_window_ms,
             ..Settings::default()
         };
         let cores = chance.one_of(&[1, 1, 2]);
-        let machines = (0..cell.servers).map(|n| Machine {
+        let machines = (0..cell.endpoints).map(|n| Machine {
             start_ms: (n < cell.cold).then(|| chance.between(JOIN_MS, JOIN_MS + 500.0)),
             cores,
             // Work of 160 ms, on machines that are not quite alike.
@@ -171,13 +172,19 @@
             in_time: 0.0,
         };
         for gateway in 0..cell.gateways {
-            for n in 0..cell.servers {
+            for n in 0..cell.endpoints {
                 let started_at_ms = day.machines[n].start_ms;
-                let id = ServerId(n as u64);
-                let entry =
-                    ServerEntry { id, zone: 0, kind: 0, cell: 0, state: ServerState::Ready, started_at_ms };
+                let id = EndpointId(n as u64);
+                let entry = EndpointEntry {
+                    id,
+                    zone: 0,
+                    kind: 0,
+                    cell: 0,
+                    state: EndpointState::Ready,
+                    started_at_ms,
+                };
                 let told_ms = started_at_ms.map_or(0.0, |start| start + day.chance.between(20.0, 400.0));
-                let event = Event::ServerList { kind: ListKind::Changes, entries: vec![entry] };
+                let event = Event::EndpointList { kind: ListKind::Changes, entries: vec![entry] };
                 day.later(told_ms, Due::Event { gateway, event });
             }
             day.next_client(gateway);
@@ -193,7 +200,7 @@
     /// Part of its capacity that a machine has at a time.
     fn warm_part(&self, machine: usize, at_ms: f64) -> f64 {
         let Some(start) = self.machines[machine].start_ms else { return 1.0 };
-        let cold = self.settings.cold_share;
+        let cold = self.settings.cold_start_fraction;
         cold + (1.0 - cold) * ((at_ms - start) / WARM_UP_MS).clamp(0.0, 1.0)
     }
 
@@ -210,9 +217,9 @@
 
     /// Part of the highest rate at which clients come now: before the cold ones join there is work for the others only.
     fn coming(&self) -> f64 {
-        let ready = self.machines.iter().filter(|m| m.start_ms.map_or(true, |s| s <= self.now)).count();
+        let ready = self.machines.iter().filter(|m| m.start_ms.is_none_or(|s| s <= self.now)).count();
         let low = self.cell.traffic == Traffic::Waves && (self.now / WAVE_MS) as u64 % 2 == 0;
-        ready as f64 / self.cell.servers as f64 * if low { (2.0 - WAVE) / WAVE } else { 1.0 }
+        ready as f64 / self.cell.endpoints as f64 * if low { (2.0 - WAVE) / WAVE } else { 1.0 }
     }
 
     fn ask(&mut self, gateway: usize) {
@@ -242,16 +249,16 @@
                 Action::SetTimer { at_ms, token } => {
                     self.later(at_ms - self.now, Due::Event { gateway, event: Event::Timer { token } })
                 }
-                Action::Tell { to: Some(to), body } => {
+                Action::SendPeerMessage { to: Some(to), body } => {
                     let way_ms = self.chance.between(2.0, 20.0);
                     let event = Event::PeerMessage { from: gateway, body };
                     self.later(way_ms, Due::Event { gateway: to, event });
                 }
-                Action::Send { request, server, .. } => {
+                Action::Send { request, endpoint, .. } => {
                     let (_, attempts) = self.requests.get_mut(&request).expect("known");
                     let sent = Sent { gateway, request, attempt: *attempts, at_ms: self.now };
                     *attempts += 1;
-                    self.arrive(server.0 as usize, sent);
+                    self.arrive(endpoint.0 as usize, sent);
                 }
                 _ => {}
             }
@@ -301,7 +308,7 @@
                     let end = AttemptEnd {
                         request: sent.request,
                         attempt: sent.attempt,
-                        server: ServerId(machine as u64),
+                        endpoint: EndpointId(machine as u64),
                         outcome: Outcome::Ok,
                         took_ms: self.now - sent.at_ms,
                         closed: true,
@@ -309,7 +316,7 @@
                         metered_percent: None,
                         load: Vec::new(),
                     };
-                    self.event(sent.gateway, Event::Outcome(end));
+                    self.event(sent.gateway, Event::AttemptEnded(end));
                 }
             }
         }
@@ -318,7 +325,7 @@
     /// The most that any window's sends to a cold machine came to, in parts of what may be put down to chance.
     fn worst(&self) -> f64 {
         let mut worst = 0.0f64;
-        let window_ms = self.settings.fall_window_ms;
+        let window_ms = self.settings.overload_window_ms;
         for (n, machine) in self.machines.iter().enumerate() {
             let Some(start) = machine.start_ms else { continue };
             let sent = &machine.sent_ms;
@@ -328,7 +335,7 @@
                     last += 1;
                 }
                 let capacity = machine.capacity * self.warm_part(n, *at);
-                let budget = self.settings.fall_multiple * capacity * window_ms / 1000.0;
+                let budget = self.settings.overload_multiple * capacity * window_ms / 1000.0;
                 worst = worst.max((last - first) as f64 / (budget + 2.0 * budget.sqrt() + 2.0));
             }
         }
@@ -401,16 +408,16 @@
     }
 }
 
-/// Plays every kind of day with one cold server and with six in ten: no window may hold more than the limit, and
-/// over the days with work for all a cold server must do two fifths of what a warm one does for its capacity by the
+/// Plays every kind of day with one cold endpoint and with six in ten: no window may hold more than the limit, and
+/// over the days with work for all a cold endpoint must do two fifths of what a warm one does for its capacity by the
 /// middle of its warm-up, and its part after it.
-fn play(gateways: usize, servers: usize, loads: &[f64], draws: u64) {
+fn play(gateways: usize, endpoints: usize, loads: &[f64], draws: u64) {
     let mut faults = Vec::new();
-    for cold in [1, servers * 6 / 10] {
+    for cold in [1, endpoints * 6 / 10] {
         let mut busy = Figures::default();
         for traffic in [Traffic::Even, Traffic::Uneven, Traffic::Waves] {
             for &load in loads.iter().filter(|_| gateways > 1 || traffic != Traffic::Uneven) {
-                let cell = Cell { gateways, servers, cold, traffic, load };
+                let cell = Cell { gateways, endpoints, cold, traffic, load };
                 let kind = (cold as u64) << 20 | (traffic as u64) << 16 | (load * 4.0) as u64;
                 let days = (0..draws).map(|draw| {
                     let mut day = Day::new(cell, draw << 40 | kind << 16 | gateways as u64);
@@ -428,12 +435,12 @@
             }
         }
         let least = |part: f64, use_of: (f64, f64)| use_of.0 >= part * use_of.1.min(busy.draws);
-        // What a handful of cold servers gets is chance.
+        // What a handful of cold endpoints gets is chance.
         let known = busy.draws * cold as f64 >= 20.0;
         if known && !(least(0.4, busy.mid) && least(0.8, busy.after)) {
-            faults.push(format!("{gateways} gateways, {cold} of {servers} cold, too little: {busy}"));
+            faults.push(format!("{gateways} gateways, {cold} of {endpoints} cold, too little: {busy}"));
         }
-        println!("{gateways} gateways, {cold} of {servers} cold, load over 0.5: {busy}");
+        println!("{gateways} gateways, {cold} of {endpoints} cold, load over 0.5: {busy}");
     }
     assert!(faults.is_empty(), "{faults:#?}");
 }
@@ -474,7 +481,7 @@
     play(300, 30, &[0.75], 1);
 }
 
-/// The same at all loads and with more servers, which takes a minute or more.
+/// The same at all loads and with more endpoints, which takes a minute or more.
 #[test]
 #[ignore]
 fn three_hundred_gateways_keep_to_a_cold_servers_budget_at_all_loads() {
--- a/crates/admission/tests/wide.rs
+++ b/crates/admission/tests/wide.rs
@@ -1,18 +1,18 @@
-//! Tests of fleets too wide for every gateway to hear every other: keepers of counts, gossip, servers by chance.
+//! Tests of fleets too wide for every gateway to hear every other: keepers of counts, gossip, endpoints by chance.
 use irishinge_admission::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 const AIM_MS: f64 = 1000.0;
 
-fn plan(rate_per_s: f64, burst_units: f64) -> PlanSettings {
+fn plan(rate_per_second: f64, burst_units: f64) -> PlanSettings {
     PlanSettings {
-        rate_per_s,
+        rate_per_second,
         burst_units,
         open_limit: 0,
-        price: 1.0,
-        over_worth: 0.0,
-        over_cost: 1.0,
-        ceiling_rate_per_s: 0.0,
+        plan_weight: 1.0,
+        over_quota_value: 0.0,
+        over_quota_cost: 1.0,
+        ceiling_rate_per_second: 0.0,
         ceiling_burst_units: 0.0,
         ceiling_slack_units: 0.0,
     }
@@ -20,11 +20,11 @@
 
 fn settings(gateways: usize, plan: PlanSettings) -> Settings {
     let class = ClassSettings {
-        aim_ms: AIM_MS,
+        latency_objective_ms: AIM_MS,
         deadline_ms: 3000.0,
-        worth: 1.0,
-        late_share: 0.0,
-        effect: Effect::Repeatable,
+        priority_weight: 1.0,
+        late_value_fraction: 0.0,
+        idempotency: Idempotency::Idempotent,
     };
     Settings {
         gateways,
@@ -32,23 +32,23 @@
         classes: vec![class.clone(), class],
         plans: vec![plan.clone(), plan],
         max_attempts: 4,
-        second_copies: true,
-        may_cancel: true,
-        may_tell: true,
-        peer_in_per_s: 60.0,
+        hedging_allowed: true,
+        cancel_allowed: true,
+        peer_messages_allowed: true,
+        peer_messages_per_second: 60.0,
         max_retry_after_ms: 1000.0,
-        most_units: 4.0,
+        max_units: 4.0,
         drain_grace_ms: 250.0,
-        cold_share: 0.2,
+        cold_start_fraction: 0.2,
         warm_up_ms: 10_000.0,
-        fall_multiple: 2.0,
-        fall_window_ms: 1000.0,
+        overload_multiple: 2.0,
+        overload_window_ms: 1000.0,
         ..Settings::default()
     }
 }
 
-fn server(n: u64, started_at_ms: Option<f64>) -> ServerEntry {
-    ServerEntry { id: ServerId(n), zone: 0, kind: 0, cell: 0, state: ServerState::Ready, started_at_ms }
+fn endpoint(n: u64, started_at_ms: Option<f64>) -> EndpointEntry {
+    EndpointEntry { id: EndpointId(n), zone: 0, kind: 0, cell: 0, state: EndpointState::Ready, started_at_ms }
 }
 
 /// A send: when, of which customer, class and plan, where.
@@ -58,14 +58,14 @@
     customer: u64,
     class: usize,
     plan: usize,
-    server: ServerId,
+    endpoint: EndpointId,
 }
 
-/// Many gateways that hear each other a little later, and servers that answer after 100 ms unless told otherwise.
+/// Many gateways that hear each other a little later, and endpoints that answer after 100 ms unless told otherwise.
 /// It holds no policy: it carries messages and answers, to the letter of the interface.
 struct Fleet {
     settings: Settings,
-    servers: Vec<ServerEntry>,
+    endpoints: Vec<EndpointEntry>,
     gateways: BTreeMap<usize, Gateway>,
     now: f64,
     next: u64,
@@ -80,7 +80,7 @@
     /// Every so many-th message is lost; 0 loses none.
     lose: u64,
     asked: BTreeMap<RequestId, (u64, usize, usize, u32)>,
-    outcome: fn(class: usize, plan: usize, server: ServerId) -> Outcome,
+    outcome: fn(class: usize, plan: usize, endpoint: EndpointId) -> Outcome,
     /// What the counter holds, and the calls it has had.
     totals: BTreeMap<u64, f64>,
     calls: usize,
@@ -99,14 +99,14 @@
 }
 
 impl Fleet {
-    fn new(settings: Settings, servers: Vec<ServerEntry>) -> Self {
-        Self::drawn(settings, servers, 0)
+    fn new(settings: Settings, endpoints: Vec<EndpointEntry>) -> Self {
+        Self::drawn(settings, endpoints, 0)
     }
 
     /// A fleet whose gateways draw other chances.
-    fn drawn(settings: Settings, servers: Vec<ServerEntry>, chance: u64) -> Self {
+    fn drawn(settings: Settings, endpoints: Vec<EndpointEntry>, chance: u64) -> Self {
         let mut fleet = Fleet {
-            servers,
+            endpoints,
             gateways: BTreeMap::new(),
             now: 0.0,
             next: 0,
@@ -135,7 +135,7 @@
         let settings = Settings { me, ..self.settings.clone() };
         let seed = 7777 * self.chance + 1000 + me as u64 + self.now as u64 * 7919;
         self.gateways.insert(me, Gateway::new(settings, seed, self.now).expect("sound settings"));
-        self.event(me, Event::ServerList { kind: ListKind::Remembered, entries: self.servers.clone() });
+        self.event(me, Event::EndpointList { kind: ListKind::Remembered, entries: self.endpoints.clone() });
     }
 
     fn later(&mut self, after_ms: f64, to: usize, event: Event) {
@@ -150,9 +150,13 @@
         for action in actions {
             match action {
                 Action::SetTimer { at_ms, token } => self.later(at_ms - self.now, me, Event::Timer { token }),
-                Action::Tell { .. } if !self.settings.may_tell => panic!("the settings allow no messages"),
-                Action::Count { .. } if !self.settings.may_count => panic!("the settings allow no counter"),
-                Action::Count { name, amount, ttl_ms } => {
+                Action::SendPeerMessage { .. } if !self.settings.peer_messages_allowed => {
+                    panic!("the settings allow no messages")
+                }
+                Action::AddToCounter { .. } if !self.settings.counter_allowed => {
+                    panic!("the settings allow no counter")
+                }
+                Action::AddToCounter { name, amount, ttl_ms } => {
                     assert!(amount.abs() < 1e9 && (1.0..=60_000.0).contains(&ttl_ms) && name < 1 << 63);
                     self.calls += 1;
                     let total = self.totals.entry(name).or_insert(0.0);
@@ -161,13 +165,13 @@
                     let how = (self.counter)(self.span.1);
                     *total += if how == Counter::TurnsAway { 0.0 } else { amount };
                     let (outcome, took_ms) = match how {
-                        Counter::Answers => (CountOutcome::Total(*total), 4.0),
-                        Counter::TurnsAway => (CountOutcome::Rejected, 4.0),
-                        Counter::Silent => (CountOutcome::Unanswered, 50.0),
+                        Counter::Answers => (CounterOutcome::Total(*total), 4.0),
+                        Counter::TurnsAway => (CounterOutcome::Rejected, 4.0),
+                        Counter::Silent => (CounterOutcome::Unanswered, 50.0),
                     };
-                    self.later(took_ms, me, Event::Counted { name, outcome, took_ms });
+                    self.later(took_ms, me, Event::CounterReply { name, outcome, took_ms });
                 }
-                Action::Tell { to: Some(to), body } => {
+                Action::SendPeerMessage { to: Some(to), body } => {
                     assert!(body.len() <= 256, "{} bytes", body.len());
                     self.bytes += body.len();
                     self.told_last = Some(to);
@@ -176,19 +180,19 @@
                         self.later(8.0, to, Event::PeerMessage { from: me, body });
                     }
                 }
-                Action::Tell { to: None, .. } => panic!("a message to all cannot scale"),
-                Action::Send { request, server, .. } => {
+                Action::SendPeerMessage { to: None, .. } => panic!("a message to all cannot scale"),
+                Action::Send { request, endpoint, .. } => {
                     let (customer, class, plan, attempts) = self.asked.get_mut(&request).expect("known");
                     let (customer, class, plan) = (*customer, *class, *plan);
                     let attempt = *attempts;
                     *attempts += 1;
-                    self.sent.push(Sent { at_ms: self.now, customer, class, plan, server });
-                    let outcome = (self.outcome)(class, plan, server);
+                    self.sent.push(Sent { at_ms: self.now, customer, class, plan, endpoint });
+                    let outcome = (self.outcome)(class, plan, endpoint);
                     let took_ms = if outcome == Outcome::TimedOut { 2.0 * AIM_MS } else { 100.0 };
                     let end = AttemptEnd {
                         request,
                         attempt,
-                        server,
+                        endpoint,
                         outcome,
                         took_ms,
                         closed: outcome == Outcome::Ok,
@@ -196,9 +200,9 @@
                         metered_percent: None,
                         load: Vec::new(),
                     };
-                    self.later(took_ms, me, Event::Outcome(end));
+                    self.later(took_ms, me, Event::AttemptEnded(end));
                 }
-                Action::Refuse { request, .. } | Action::Fail { request } => {
+                Action::Reject { request, .. } | Action::Fail { request } => {
                     assert!(self.refused.insert(request), "{request:?} answered twice");
                 }
                 _ => {}
@@ -246,8 +250,8 @@
     }
 }
 
-fn warm(count: u64) -> Vec<ServerEntry> {
-    (0..count).map(|n| server(n, None)).collect()
+fn warm(count: u64) -> Vec<EndpointEntry> {
+    (0..count).map(|n| endpoint(n, None)).collect()
 }
 
 fn wide(gateways: usize, plan: PlanSettings) -> Fleet {
@@ -266,7 +270,7 @@
     }
     fleet.pass(400.0);
     let mut count = BTreeMap::new();
-    fleet.sent.iter().for_each(|s| *count.entry(s.server).or_insert(0) += 1);
+    fleet.sent.iter().for_each(|s| *count.entry(s.endpoint).or_insert(0) += 1);
     assert_eq!(fleet.sent.len(), 200);
     assert!(count.len() > 35 && count.values().all(|n| *n < 20), "{count:?}");
 }
@@ -274,7 +278,7 @@
 #[test]
 fn cold_servers_get_no_more_than_their_budget_from_500_gateways_together() {
     let mut entries = warm(38);
-    entries.extend([server(38, Some(0.0)), server(39, Some(0.0))]);
+    entries.extend([endpoint(38, Some(0.0)), endpoint(39, Some(0.0))]);
     let mut fleet = Fleet::new(settings(500, plan(100.0, 400.0)), entries);
     for step in 0..60 {
         for n in 0..20 {
@@ -284,14 +288,14 @@
         fleet.pass(50.0);
     }
     assert!(fleet.sent.len() > 900, "{}", fleet.sent.len());
-    // 400 a second on 40 servers: 10 a second each when warm. Cold ones can do a fifth at first, a half after 3 s.
+    // 400 a second on 40 endpoints: 10 a second each when warm. Cold ones can do a fifth at first, a half after 3 s.
     for cold in [38, 39] {
         let times: Vec<f64> =
-            fleet.sent.iter().filter(|s| s.server == ServerId(cold)).map(|s| s.at_ms).collect();
+            fleet.sent.iter().filter(|s| s.endpoint == EndpointId(cold)).map(|s| s.at_ms).collect();
         for start in &times {
             let part = 0.2 + 0.8 * start / 10_000.0;
             let window = times.iter().filter(|t| **t >= *start && **t < start + 1000.0).count() as f64;
-            // One in 100 ms is what a server here answers one at a time; four of these at once are its capacity.
+            // One in 100 ms is what a endpoint here answers one at a time; four of these at once are its capacity.
             assert!(window <= 2.0 * 40.0 * part, "{window} at {start}");
             assert!(window <= 10.0, "no more than a warm one gets: {window}");
         }
@@ -338,7 +342,8 @@
 
 #[test]
 fn a_ceiling_holds_through_lost_messages_and_restarts_of_the_whole_set() {
-    let limits = PlanSettings { ceiling_rate_per_s: 4.0, ceiling_burst_units: 12.0, ..plan(1000.0, 4000.0) };
+    let limits =
+        PlanSettings { ceiling_rate_per_second: 4.0, ceiling_burst_units: 12.0, ..plan(1000.0, 4000.0) };
     let mut fleet = wide(60, limits);
     fleet.lose = 7;
     for step in 0..300 {
@@ -397,7 +402,8 @@
 #[test]
 fn full_for_one_plan_leaves_the_server_in_use_for_the_rest() {
     let mut fleet = wide(60, plan(1000.0, 4000.0));
-    fleet.outcome = |_, plan, server| if plan == 0 && server.0 < 16 { Outcome::Full } else { Outcome::Ok };
+    fleet.outcome =
+        |_, plan, endpoint| if plan == 0 && endpoint.0 < 16 { Outcome::Overloaded } else { Outcome::Ok };
     for step in 0..2500 {
         fleet.ask(step * 17 % 60, |r| {
             (r.plan, r.customer) = (step % 2, CustomerId(step as u64 % 98 + (5 << 40)))
@@ -407,7 +413,7 @@
     let share = |plan: usize| {
         let late = fleet.sent.iter().filter(|s| s.plan == plan && s.at_ms > 4000.0);
         let (bad, all) =
-            late.fold((0.0, 0.0), |(b, a), s| (b + f64::from(u8::from(s.server.0 < 16)), a + 1.0));
+            late.fold((0.0, 0.0), |(b, a), s| (b + f64::from(u8::from(s.endpoint.0 < 16)), a + 1.0));
         bad / all
     };
     assert!(share(0) < 0.3 && share(1) > 0.3, "{} {}", share(0), share(1));
@@ -417,7 +423,7 @@
 fn failure_of_one_class_leaves_the_server_in_use_for_the_rest() {
     let mut fleet = wide(60, plan(1000.0, 4000.0));
     fleet.outcome =
-        |class, _, server| if class == 0 && server.0 < 16 { Outcome::TimedOut } else { Outcome::Ok };
+        |class, _, endpoint| if class == 0 && endpoint.0 < 16 { Outcome::TimedOut } else { Outcome::Ok };
     for step in 0..2500 {
         fleet.ask(step * 17 % 60, |r| {
             (r.class, r.customer) = (step % 2, CustomerId(step as u64 % 97 + (5 << 40)))
@@ -427,7 +433,7 @@
     let share = |class: usize| {
         let late = fleet.sent.iter().filter(|s| s.class == class && s.at_ms > 4500.0);
         let (bad, all) =
-            late.fold((0.0, 0.0), |(b, a), s| (b + f64::from(u8::from(s.server.0 < 16)), a + 1.0));
+            late.fold((0.0, 0.0), |(b, a), s| (b + f64::from(u8::from(s.endpoint.0 < 16)), a + 1.0));
         bad / all
     };
     assert!(share(0) < 0.3 && share(1) > 0.3, "{} {}", share(0), share(1));
@@ -510,7 +516,7 @@
 #[test]
 fn foreign_cut_replayed_and_absurd_messages_change_no_ceiling() {
     let limits =
-        PlanSettings { ceiling_rate_per_s: 0.001, ceiling_burst_units: 12.0, ..plan(1000.0, 4000.0) };
+        PlanSettings { ceiling_rate_per_second: 0.001, ceiling_burst_units: 12.0, ..plan(1000.0, 4000.0) };
     let mut fleet = wide(40, limits);
     let bodies = [
         "",
@@ -553,8 +559,8 @@
     let mut gateway = Gateway::new(settings, 7, 0.0).expect("sound settings");
     let mut now = 0.0;
     let mut actions = Vec::new();
-    gateway.on_event(now, Event::ServerList { kind: ListKind::Whole, entries: warm(40) }, &mut actions);
-    // 3 attempts out at each server, answered promptly, and a watermark of 2.
+    gateway.on_event(now, Event::EndpointList { kind: ListKind::Whole, entries: warm(40) }, &mut actions);
+    // 3 attempts out at each endpoint, answered promptly, and a watermark of 2.
     let body = format!("w{}{}{}", digits(120 * 64 / 100, 2), digits(2 * 32, 2), digits(12 * 32, 2));
     let mut sent = 0;
     for round in 0..100usize {
@@ -589,8 +595,8 @@
 #[test]
 fn a_hundred_gateways_soon_leave_a_server_alone_that_answers_none_of_them() {
     let mut fleet = Fleet::new(settings(100, plan(50.0, 400.0)), warm(40));
-    fleet.outcome = |_, _, server| if server == ServerId(7) { Outcome::TimedOut } else { Outcome::Ok };
-    // 500 requests a second, of customers of three gateways each: a gateway sees a server every 8 s.
+    fleet.outcome = |_, _, endpoint| if endpoint == EndpointId(7) { Outcome::TimedOut } else { Outcome::Ok };
+    // 500 requests a second, of customers of three gateways each: a gateway sees a endpoint every 8 s.
     for step in 0..8000usize {
         let first = step * 37 % 100;
         fleet.ask((first + step % 3) % 100, |r| {
@@ -598,35 +604,37 @@
         });
         fleet.pass(2.0);
     }
-    let late = |server: u64| fleet.sent.iter().filter(move |s| s.at_ms > 5000.0 && s.server.0 == server);
+    let late =
+        |endpoint: u64| fleet.sent.iter().filter(move |s| s.at_ms > 5000.0 && s.endpoint.0 == endpoint);
     let usual = (0..40).filter(|s| *s != 7).map(|s| late(s).count()).sum::<usize>() as f64 / 39.0;
     let silent = late(7).count() as f64;
     assert!(usual > 50.0 && silent < 0.17 * usual, "{silent} sends to the silent one, {usual} to another");
     assert!(silent > 0.0, "some gateway tries it now and then");
 }
 
-/// Sends of 60 gateways of three zones to 30 servers of the same, `cold` of the first zone's ten just started:
-/// the part that stays in its zone, and the sends a server of each zone gets, the cold ones apart.
+/// Sends of 60 gateways of three zones to 30 endpoints of the same, `cold` of the first zone's ten just started:
+/// the part that stays in its zone, and the sends a endpoint of each zone gets, the cold ones apart.
 fn by_zone(cold: u64) -> (f64, Vec<f64>, f64) {
-    let zone = |server: u64| (server % 3) as usize;
-    let is_cold = |server: u64| server % 3 == 0 && server / 3 < cold;
-    let entry = |n| ServerEntry { zone: zone(n), ..server(n, is_cold(n).then_some(0.0)) };
+    let zone = |endpoint: u64| (endpoint % 3) as usize;
+    let is_cold = |endpoint: u64| endpoint % 3 == 0 && endpoint / 3 < cold;
+    let entry = |n| EndpointEntry { zone: zone(n), ..endpoint(n, is_cold(n).then_some(0.0)) };
     let mut fleet = Fleet::new(settings(60, plan(50.0, 400.0)), (0..30).map(entry).collect());
     for me in 0..60 {
         let settings = Settings { me, zone: me % 3, ..fleet.settings.clone() };
         fleet.gateways.insert(me, Gateway::new(settings, 5 + me as u64, 0.0).expect("sound settings"));
-        let entries = fleet.servers.clone();
-        fleet.event(me, Event::ServerList { kind: ListKind::Remembered, entries });
+        let entries = fleet.endpoints.clone();
+        fleet.event(me, Event::EndpointList { kind: ListKind::Remembered, entries });
     }
     let mut home = 0;
     for step in 0..1500usize {
         let me = step * 37 % 60;
         let before = fleet.sent.len();
         fleet.ask(me, |r| (r.customer, r.spread, r.first) = (CustomerId(me as u64 + (5 << 40)), 1, me));
-        home += fleet.sent[before..].iter().filter(|s| zone(s.server.0) == me % 3).count();
+        home += fleet.sent[before..].iter().filter(|s| zone(s.endpoint.0) == me % 3).count();
         fleet.pass(2.0);
     }
-    let sent = |wanted: &dyn Fn(u64) -> bool| fleet.sent.iter().filter(|s| wanted(s.server.0)).count() as f64;
+    let sent =
+        |wanted: &dyn Fn(u64) -> bool| fleet.sent.iter().filter(|s| wanted(s.endpoint.0)).count() as f64;
     let warm = |z: usize| sent(&|s| zone(s) == z && !is_cold(s)) / if z == 0 { 10 - cold } else { 10 } as f64;
     let each_cold = sent(&is_cold) / cold.max(1) as f64;
     (home as f64 / 1500.0, (0..3).map(warm).collect(), each_cold)
@@ -636,24 +644,24 @@
 fn work_stays_in_its_zone_as_far_as_the_zones_servers_can_take_it() {
     let (home, each, _) = by_zone(0);
     assert!(home > 0.8, "{home} in the own zone, where each has as much to give");
-    assert!(each.iter().all(|n| (30.0..75.0).contains(n)), "{each:?} sends to a server by zone");
-    // Eight of ten of a zone's servers have just started: most of the work of its gateways goes elsewhere.
+    assert!(each.iter().all(|n| (30.0..75.0).contains(n)), "{each:?} sends to a endpoint by zone");
+    // Eight of ten of a zone's endpoints have just started: most of the work of its gateways goes elsewhere.
     let (home, each, cold) = by_zone(8);
     assert!(home < 0.8 && home > 0.4, "{home}");
     assert!(cold < 0.4 * each[1], "{cold} to a cold one, {each:?} to a warm one by zone");
-    assert!(each[0] < 1.7 * each[1], "{each:?} sends to a warm server by zone");
+    assert!(each[0] < 1.7 * each[1], "{each:?} sends to a warm endpoint by zone");
 }
 
 #[test]
 fn while_sends_are_short_the_dear_class_goes_before_the_cheap_one() {
     let mut limits = settings(100, plan(50.0, 400.0));
-    limits.classes[0].worth = 1.0;
-    limits.classes[1].worth = 3.0;
-    limits.classes.iter_mut().for_each(|c| c.effect = Effect::Once);
+    limits.classes[0].priority_weight = 1.0;
+    limits.classes[1].priority_weight = 3.0;
+    limits.classes.iter_mut().for_each(|c| c.idempotency = Idempotency::NonIdempotent);
     let mut gateway = Gateway::new(Settings { me: 3, ..limits }, 7, 0.0).expect("sound settings");
     let mut actions = Vec::new();
-    gateway.on_event(0.0, Event::ServerList { kind: ListKind::Whole, entries: warm(40) }, &mut actions);
-    // The band is over-full: 6 attempts out at each server, at a watermark of 4.
+    gateway.on_event(0.0, Event::EndpointList { kind: ListKind::Whole, entries: warm(40) }, &mut actions);
+    // The band is over-full: 6 attempts out at each endpoint, at a watermark of 4.
     let body = format!("w{}{}{}", digits(240 * 64 / 100, 2), digits(4 * 32, 2), digits(12 * 32, 2));
     let (mut asked, mut sent, mut refused) = ([0; 2], [0; 2], [0; 2]);
     for round in 0..300usize {
@@ -681,7 +689,7 @@
         for action in actions.drain(..) {
             match action {
                 Action::Send { request, .. } => sent[request.0 as usize % 2] += 1,
-                Action::Refuse { request, .. } => refused[request.0 as usize % 2] += 1,
+                Action::Reject { request, .. } => refused[request.0 as usize % 2] += 1,
                 _ => {}
             }
         }
@@ -693,7 +701,7 @@
 
 #[test]
 fn a_zone_that_was_lost_whole_is_left_alone_and_used_again_once_it_is_back() {
-    let entry = |n| ServerEntry { zone: (n % 3) as usize, ..server(n, None) };
+    let entry = |n| EndpointEntry { zone: (n % 3) as usize, ..endpoint(n, None) };
     let mut fleet = Fleet::new(settings(100, plan(50.0, 400.0)), (0..6).map(entry).collect());
     // 500 requests a second, all of gateways in zone 0; gives the part that goes to their own zone.
     let play = |fleet: &mut Fleet, steps: usize| {
@@ -706,7 +714,7 @@
             fleet.pass(2.0);
         }
         let sent = &fleet.sent[before..];
-        sent.iter().filter(|s| s.server.0 % 3 == 0).count() as f64 / sent.len() as f64
+        sent.iter().filter(|s| s.endpoint.0 % 3 == 0).count() as f64 / sent.len() as f64
     };
     play(&mut fleet, 1500);
     let well = play(&mut fleet, 400);
@@ -729,7 +737,8 @@
 }
 
 fn counting_drawn(gateways: usize, plan: PlanSettings, chance: u64) -> Fleet {
-    let settings = Settings { may_tell: false, may_count: true, ..settings(gateways, plan) };
+    let settings =
+        Settings { peer_messages_allowed: false, counter_allowed: true, ..settings(gateways, plan) };
     let mut fleet = Fleet::drawn(settings, warm(40), chance);
     fleet.pass(1100.0);
     fleet
@@ -843,15 +852,16 @@
 
 #[test]
 fn gateways_that_may_tell_nobody_spread_their_sends_all_the_same() {
-    for may_count in [false, true] {
-        let settings = Settings { may_tell: false, may_count, ..settings(200, plan(10.0, 400.0)) };
+    for counter_allowed in [false, true] {
+        let settings =
+            Settings { peer_messages_allowed: false, counter_allowed, ..settings(200, plan(10.0, 400.0)) };
         let mut fleet = Fleet::new(settings, warm(40));
         for me in 0..200 {
             fleet.ask(me, |r| r.customer = CustomerId(me as u64 + (9 << 40)));
         }
         fleet.pass(400.0);
         let mut count = BTreeMap::new();
-        fleet.sent.iter().for_each(|s| *count.entry(s.server).or_insert(0) += 1);
+        fleet.sent.iter().for_each(|s| *count.entry(s.endpoint).or_insert(0) += 1);
         assert_eq!(fleet.sent.len(), 200);
         assert!(count.len() > 35 && count.values().all(|n| *n < 20), "{count:?}");
     }
@@ -860,10 +870,10 @@
 /// A ceiling is a rule, and nobody can tell what the others passed: each gateway has its even part.
 #[test]
 fn a_ceiling_holds_where_gateways_may_not_tell_each_other() {
-    for may_count in [false, true] {
+    for counter_allowed in [false, true] {
         let limits =
-            PlanSettings { ceiling_rate_per_s: 40.0, ceiling_burst_units: 60.0, ..plan(1000.0, 4000.0) };
-        let settings = Settings { may_tell: false, may_count, ..settings(12, limits) };
+            PlanSettings { ceiling_rate_per_second: 40.0, ceiling_burst_units: 60.0, ..plan(1000.0, 4000.0) };
+        let settings = Settings { peer_messages_allowed: false, counter_allowed, ..settings(12, limits) };
         let mut fleet = Fleet::new(settings, warm(40));
         let start = fleet.now;
         for step in 0..1000 {
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -12,7 +12,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use irishinge_admission::{CustomerId, Effect, Request, RequestId, Settings};
+use irishinge_admission::{CustomerId, Idempotency, Request, RequestId, Settings};
 use irishinge_settings::find;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -43,7 +43,7 @@
 /// Pause after a failed accept: out of descriptors, it would fail again at once.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Connections taken beyond the bound to refuse what comes over them, so that nobody is left without an answer.
-pub const FURTHER_MOST: usize = 8;
+pub(crate) const FURTHER_MOST: usize = 8;
 /// A usual client writes its first request as soon as it is connected: one that has said nothing for so long
 /// is the first to make room.
 const SILENT: Duration = Duration::from_millis(20);
@@ -152,7 +152,7 @@
 }
 
 /// All clients' connections.
-pub struct Clients {
+pub(crate) struct Clients {
     core: Rc<Core>,
     settings: Settings,
     /// Refusals may carry `Retry-After`.
@@ -174,7 +174,12 @@
 
 impl Clients {
     /// No connections yet.
-    pub fn new(core: Rc<Core>, settings: Settings, retry_after: bool, most_connections: usize) -> Rc<Self> {
+    pub(crate) fn new(
+        core: Rc<Core>,
+        settings: Settings,
+        retry_after: bool,
+        most_connections: usize,
+    ) -> Rc<Self> {
         Rc::new(Clients {
             core,
             settings,
@@ -190,7 +195,7 @@
     /// Accepts connections, for good. Beyond the bound one that carries no request makes room. Where all do,
     /// what comes over a few further ones is refused, and the rest are closed: left unaccepted they would
     /// wait for nothing.
-    pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
+    pub(crate) async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
@@ -218,19 +223,19 @@
 
     /// Tells connections to close once they have answered what they have taken. Those that are new, or come
     /// later, are told with their first answer.
-    pub fn drain(&self) {
+    pub(crate) fn drain(&self) {
         self.draining.set(true);
         let connections = self.connections.borrow();
         connections.values().filter(|c| c.stage.get() != Stage::New).for_each(|c| c.close.notify_one());
     }
 
     /// Tells all of them: none comes any more.
-    pub fn drain_all(&self) {
+    pub(crate) fn drain_all(&self) {
         self.connections.borrow().values().for_each(|c| c.close.notify_one());
     }
 
     /// Waits until no connection is left.
-    pub async fn all_ended(&self) {
+    pub(crate) async fn all_ended(&self) {
         while !self.connections.borrow().is_empty() {
             self.ended.notified().await;
         }
@@ -424,11 +429,11 @@
         let plan = header(headers, "x-contract").ok_or(bad("no X-Contract"))?;
         let plan = find(&names.plans, plan, "plan").map_err(|_| bad("unknown plan"))?;
         let settings = &self.settings.classes[class];
-        let repeatable = settings.effect == Effect::Repeatable;
+        let repeatable = settings.idempotency == Idempotency::Idempotent;
         if head.method != if repeatable { Method::GET } else { Method::POST } {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "not this class's method"));
         }
-        let keyed = matches!(settings.effect, Effect::Keyed { .. });
+        let keyed = matches!(settings.idempotency, Idempotency::IdempotencyKey { .. });
         if keyed && !headers.contains_key("idempotency-key") {
             return Err(bad("no Idempotency-Key"));
         }
@@ -466,7 +471,7 @@
             }
         }
         let s = &self.settings;
-        let units = units.filter(|u| *u > 0.0 && *u <= s.most_units)?;
+        let units = units.filter(|u| *u > 0.0 && *u <= s.max_units)?;
         let spread = spread.filter(|n| (1..=s.gateways).contains(n))?;
         Some((units, spread, first.filter(|n| *n < s.gateways)?))
     }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 /// The configuration, read and checked.
-pub struct Config {
+pub(crate) struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
     /// Discovery's address.
@@ -56,7 +56,7 @@
 
 impl Config {
     /// Reads the file that `LB_CONFIG` names.
-    pub fn load() -> Result<Self, String> {
+    pub(crate) fn load() -> Result<Self, String> {
         let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set".to_string())?;
         let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
         Self::read(&text).map_err(|e| format!("{path}: {e}"))
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hyper::Response;
 use irishinge_admission::{
-    Action, AttemptEnd, Event, Gateway, ListKind, Outcome, Request, RequestId, ServerId,
+    Action, AttemptEnd, EndpointId, Event, Gateway, ListKind, Outcome, Request, RequestId,
 };
 use irishinge_settings::Names;
 use std::cell::RefCell;
@@ -25,7 +25,7 @@
 const GUARD_MS: f64 = 5.0;
 
 /// The final answer to a request.
-pub enum Answer {
+pub(crate) enum Answer {
     /// Served with a host's answer.
     Served(Response<Bytes>),
     /// Refused: trying again is harmless.
@@ -48,7 +48,7 @@
 }
 
 struct Attempt {
-    server: ServerId,
+    endpoint: EndpointId,
     sent: Instant,
     task: AbortHandle,
 }
@@ -85,7 +85,7 @@
 }
 
 /// The gateway's core; all of it on one thread.
-pub struct Core {
+pub(crate) struct Core {
     state: RefCell<State>,
     rearm: Notify,
     clock: Clock,
@@ -97,7 +97,7 @@
 
 impl Core {
     /// A core that has been told nothing yet.
-    pub fn new(
+    pub(crate) fn new(
         gateway: Gateway,
         clock: Clock,
         names: Names,
@@ -124,23 +124,27 @@
     }
 
     /// The names of classes and plans.
-    pub fn names(&self) -> &Names {
+    pub(crate) fn names(&self) -> &Names {
         &self.names
     }
 
     /// The hosts.
-    pub fn hosts(&self) -> &Hosts {
+    pub(crate) fn hosts(&self) -> &Hosts {
         &self.hosts
     }
 
     /// The counter.
-    pub fn counter(&self) -> &Counter {
+    pub(crate) fn counter(&self) -> &Counter {
         &self.counter
     }
 
     /// Takes a request in. None where one of its id is still in work: the client is owed one answer, and
     /// sending the same call twice could have its effect twice.
-    pub fn on_request(self: &Rc<Self>, request: Request, call: Call) -> Option<oneshot::Receiver<Answer>> {
+    pub(crate) fn on_request(
+        self: &Rc<Self>,
+        request: Request,
+        call: Call,
+    ) -> Option<oneshot::Receiver<Answer>> {
         let (sender, receiver) = oneshot::channel();
         {
             let mut state = self.state.borrow_mut();
@@ -164,7 +168,7 @@
     }
 
     /// The client has gone; nothing happens where its request has been answered.
-    pub fn on_client_gone(self: &Rc<Self>, request: RequestId) {
+    pub(crate) fn on_client_gone(self: &Rc<Self>, request: RequestId) {
         let slot = self.state.borrow_mut().taken.get_mut(&request).and_then(|t| t.slot.take());
         if slot.is_some() {
             self.on_event(Event::ClientGone { request });
@@ -173,31 +177,31 @@
     }
 
     /// News of the list of hosts.
-    pub fn on_list(self: &Rc<Self>, kind: ListKind, list: List) {
+    pub(crate) fn on_list(self: &Rc<Self>, kind: ListKind, list: List) {
         let listed = list.hosts(&self.names, self.clock.now_ms());
         self.hosts.on_list(kind, &listed);
         let entries = listed.into_iter().map(|l| l.entry).collect();
-        self.on_event(Event::ServerList { kind, entries });
+        self.on_event(Event::EndpointList { kind, entries });
     }
 
     /// The list has not been heard of for too long.
-    pub fn on_list_expired(self: &Rc<Self>) {
-        self.on_event(Event::ServerList { kind: ListKind::Expired, entries: Vec::new() });
+    pub(crate) fn on_list_expired(self: &Rc<Self>) {
+        self.on_event(Event::EndpointList { kind: ListKind::Expired, entries: Vec::new() });
     }
 
     /// A message of a peer.
-    pub fn on_peer(self: &Rc<Self>, from: usize, body: String) {
+    pub(crate) fn on_peer(self: &Rc<Self>, from: usize, body: String) {
         self.on_event(Event::PeerMessage { from, body });
     }
 
     /// Gives every request that is still open its answer: the process is about to end.
-    pub fn answer_all(self: &Rc<Self>) {
+    pub(crate) fn answer_all(self: &Rc<Self>) {
         let open: Vec<RequestId> = self.state.borrow().taken.keys().copied().collect();
         open.into_iter().for_each(|request| self.give_up(request));
     }
 
     /// Fires timers when they are due, for good.
-    pub async fn run_timers(self: Rc<Self>) {
+    pub(crate) async fn run_timers(self: Rc<Self>) {
         loop {
             match self.fire_due() {
                 Some(at) => tokio::select! {
@@ -259,7 +263,7 @@
             let Some(attempt) = taken.attempts.get_mut(number).and_then(Option::take) else { return };
             let closed = ended.outcome == Outcome::Ok || taken.slot.is_none();
             let took_ms = attempt.sent.elapsed().as_secs_f64() * 1000.0;
-            let event = outcome(request, number, attempt.server, took_ms, closed, &ended);
+            let event = outcome(request, number, attempt.endpoint, took_ms, closed, &ended);
             if let (Outcome::Ok, Some(answer)) = (ended.outcome, ended.answer) {
                 if let Some(slot) = taken.slot.take() {
                     slot.give(Answer::Served(answer));
@@ -294,8 +298,8 @@
 
     fn carry_out(self: &Rc<Self>, state: &mut State, action: Action) {
         match action {
-            Action::Send { request, server, timeout_ms } => self.send(state, request, server, timeout_ms),
-            Action::Refuse { request, retry_after_ms } => {
+            Action::Send { request, endpoint, timeout_ms } => self.send(state, request, endpoint, timeout_ms),
+            Action::Reject { request, retry_after_ms } => {
                 self.answer(state, request, Answer::Refused { retry_after_ms });
             }
             Action::Fail { request } => self.answer(state, request, Answer::Failed),
@@ -306,28 +310,40 @@
                     // Ending the task drops its connection, which is how a host is told.
                     ended.task.abort();
                     let took_ms = ended.sent.elapsed().as_secs_f64() * 1000.0;
-                    self.ended_unanswered(state, request, number, ended.server, Outcome::Cancelled, took_ms);
+                    self.ended_unanswered(
+                        state,
+                        request,
+                        number,
+                        ended.endpoint,
+                        Outcome::Cancelled,
+                        took_ms,
+                    );
                 }
             }
             Action::SetTimer { at_ms, token } => {
                 let at = self.clock.instant(at_ms);
                 self.set_due(state, at, Due::Timer(token));
             }
-            Action::Tell { to, body } => self.peers.tell(to, &body),
-            Action::CloseIdle { server } => self.hosts.close_idle(server),
+            Action::SendPeerMessage { to, body } => self.peers.tell(to, &body),
+            Action::CloseIdle { endpoint } => self.hosts.close_idle(endpoint),
             Action::Log { line } => log::line(line),
             // The module asks for none today. Should it, it learns that it led to nothing.
-            Action::Probe { server } => {
+            Action::Probe { endpoint } => {
                 log::line("the module asked for a probe, which this gateway does not make");
-                let outcome = Outcome::Moot;
-                state.events.push_back(Event::ProbeDone { server, outcome, took_ms: 0.0, load: Vec::new() });
+                let outcome = Outcome::TooLate;
+                state.events.push_back(Event::ProbeDone {
+                    endpoint,
+                    outcome,
+                    took_ms: 0.0,
+                    load: Vec::new(),
+                });
             }
-            Action::Count { name, amount, ttl_ms } => {
+            Action::AddToCounter { name, amount, ttl_ms } => {
                 let (core, called) = (self.clone(), Instant::now());
                 spawn_local(async move {
                     let outcome = core.counter.call(name, amount, ttl_ms).await;
                     let took_ms = called.elapsed().as_secs_f64() * 1000.0;
-                    core.on_event(Event::Counted { name, outcome, took_ms });
+                    core.on_event(Event::CounterReply { name, outcome, took_ms });
                 });
             }
             // The list is always watched, so there is nothing to start or to fetch.
@@ -335,24 +351,24 @@
         }
     }
 
-    fn send(self: &Rc<Self>, state: &mut State, request: RequestId, server: ServerId, timeout_ms: f64) {
+    fn send(self: &Rc<Self>, state: &mut State, request: RequestId, endpoint: EndpointId, timeout_ms: f64) {
         let Some(taken) = state.taken.get_mut(&request) else {
             return log::line("the module sent a request that is over");
         };
         let number = taken.attempts.len();
         if taken.slot.is_none() {
             taken.attempts.push(None);
-            return self.ended_unanswered(state, request, number, server, Outcome::Moot, 0.0);
+            return self.ended_unanswered(state, request, number, endpoint, Outcome::TooLate, 0.0);
         }
         let sent = Instant::now();
         let until =
             if timeout_ms == 0.0 { taken.deadline } else { taken.deadline.min(sent + from_ms(timeout_ms)) };
         let (core, call) = (self.clone(), taken.call.clone());
         let task = spawn_local(async move {
-            let ended = core.hosts.attempt(server, &call, until, || core.is_owed(request)).await;
+            let ended = core.hosts.attempt(endpoint, &call, until, || core.is_owed(request)).await;
             core.on_attempt_end(request, number, ended);
         });
-        taken.attempts.push(Some(Attempt { server, sent, task: task.abort_handle() }));
+        taken.attempts.push(Some(Attempt { endpoint, sent, task: task.abort_handle() }));
     }
 
     fn ended_unanswered(
@@ -360,13 +376,13 @@
         state: &mut State,
         request: RequestId,
         number: usize,
-        server: ServerId,
+        endpoint: EndpointId,
         how: Outcome,
         took_ms: f64,
     ) {
         let closed = state.taken.get(&request).is_none_or(|t| t.slot.is_none());
         let ended = Ended::without_answer(how);
-        state.events.push_back(outcome(request, number, server, took_ms, closed, &ended));
+        state.events.push_back(outcome(request, number, endpoint, took_ms, closed, &ended));
     }
 
     fn answer(&self, state: &mut State, request: RequestId, answer: Answer) {
@@ -384,15 +400,15 @@
 fn outcome(
     request: RequestId,
     number: usize,
-    server: ServerId,
+    endpoint: EndpointId,
     took_ms: f64,
     closed: bool,
     ended: &Ended,
 ) -> Event {
-    Event::Outcome(AttemptEnd {
+    Event::AttemptEnded(AttemptEnd {
         request,
         attempt: number as u32,
-        server,
+        endpoint,
         outcome: ended.outcome,
         took_ms,
         closed,
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -5,7 +5,7 @@
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use irishinge_admission::CountOutcome;
+use irishinge_admission::CounterOutcome;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,7 +13,7 @@
 use tokio::time::{timeout_at, Instant};
 
 /// Connections at most: part of the descriptors that are neither clients' nor hosts'.
-pub const CONNECTIONS_MOST: usize = 8;
+pub(crate) const CONNECTIONS_MOST: usize = 8;
 /// The counter closes a connection that has stood idle for about 10 s or less.
 const IDLE: Duration = Duration::from_secs(3);
 /// An answer is a number.
@@ -35,7 +35,7 @@
 }
 
 /// The counter, where there is one.
-pub struct Counter {
+pub(crate) struct Counter {
     addr: Cell<Option<SocketAddr>>,
     limit: Duration,
     connections: Rc<Cell<usize>>,
@@ -44,7 +44,7 @@
 
 impl Counter {
     /// No connections yet; a call is given up after `limit_ms`.
-    pub fn new(addr: Option<SocketAddr>, limit_ms: f64) -> Self {
+    pub(crate) fn new(addr: Option<SocketAddr>, limit_ms: f64) -> Self {
         Counter {
             addr: Cell::new(addr),
             limit: from_ms(limit_ms),
@@ -54,40 +54,40 @@
     }
 
     /// Calls go to this address from now on; those that are out end where they are.
-    pub fn move_to(&self, addr: Option<SocketAddr>) {
+    pub(crate) fn move_to(&self, addr: Option<SocketAddr>) {
         if self.addr.replace(addr) != addr {
             self.idle.borrow_mut().clear();
         }
     }
 
     /// Closes connections that have stood idle for long.
-    pub fn reap(&self) {
+    pub(crate) fn reap(&self) {
         self.idle.borrow_mut().retain_mut(|i| i.since.elapsed() < IDLE && i.link.is_usable());
     }
 
     /// Adds an amount to a named number.
-    pub async fn call(&self, name: u64, amount: f64, ttl_ms: f64) -> CountOutcome {
+    pub(crate) async fn call(&self, name: u64, amount: f64, ttl_ms: f64) -> CounterOutcome {
         let until = Instant::now() + self.limit;
-        let Some(addr) = self.addr.get() else { return CountOutcome::Rejected };
+        let Some(addr) = self.addr.get() else { return CounterOutcome::Rejected };
         let path = format!("/counters/{name:016x}?by={amount:.6}&expire_ms={}", ttl_ms.max(1.0) as u64);
         let request = Request::post(path).header(HOST, addr.to_string()).body(Full::new(Bytes::new()));
-        let Ok(request) = request else { return CountOutcome::Rejected };
-        let Some((mut link, place)) = self.link(addr, until).await else { return CountOutcome::Rejected };
+        let Ok(request) = request else { return CounterOutcome::Rejected };
+        let Some((mut link, place)) = self.link(addr, until).await else { return CounterOutcome::Rejected };
         let written = link.written();
         let answer = timeout_at(until, link.exchange(request, BODY_MOST)).await;
         let Ok(Ok(answer)) = answer else {
             // What was written, if only in part, may have been added, or may yet be.
-            return if written.any() { CountOutcome::Unanswered } else { CountOutcome::Rejected };
+            return if written.any() { CounterOutcome::Unanswered } else { CounterOutcome::Rejected };
         };
         let total = std::str::from_utf8(answer.body()).ok().and_then(|t| t.trim().parse::<f64>().ok());
         let outcome = match (answer.status(), total.filter(|t| t.is_finite())) {
-            (StatusCode::OK, Some(total)) => CountOutcome::Total(total),
+            (StatusCode::OK, Some(total)) => CounterOutcome::Total(total),
             // Added, and nobody knows to what; the connection is of no further use.
-            (StatusCode::OK, None) => return CountOutcome::Unanswered,
+            (StatusCode::OK, None) => return CounterOutcome::Unanswered,
             (StatusCode::SERVICE_UNAVAILABLE | StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND, _) => {
-                CountOutcome::Rejected
+                CounterOutcome::Rejected
             }
-            _ => return CountOutcome::Unanswered,
+            _ => return CounterOutcome::Unanswered,
         };
         if self.addr.get() == Some(addr) && link.is_usable() {
             self.idle.borrow_mut().push(Idle { link, place, since: Instant::now() });
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -3,7 +3,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use self::pace::Pace;
+pub(crate) use self::pace::Pace;
 use self::pace::{Failure, Keeper};
 use crate::core::Core;
 use crate::link::Link;
@@ -12,7 +12,7 @@
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use irishinge_admission::{ListKind, ServerEntry, ServerId, ServerState};
+use irishinge_admission::{EndpointEntry, EndpointId, EndpointState, ListKind};
 use irishinge_settings::Names;
 use serde::Deserialize;
 use std::convert::Infallible;
@@ -29,7 +29,7 @@
 
 /// A list, or the changes to one, as discovery writes it.
 #[derive(Deserialize)]
-pub struct List {
+pub(crate) struct List {
     /// Its version.
     pub rev: u64,
     /// It is the whole list.
@@ -54,29 +54,29 @@
 }
 
 /// A host as the module and as the pool want it.
-pub struct Listed {
+pub(crate) struct Listed {
     /// For the module.
-    pub entry: ServerEntry,
+    pub entry: EndpointEntry,
     /// Where it listens.
     pub addr: SocketAddr,
 }
 
 /// A host's id must be the same at every gateway, whatever its address there, so it is a hash of the uid.
-fn server_id(uid: &str) -> ServerId {
+fn server_id(uid: &str) -> EndpointId {
     let mut hasher = fnv::FnvHasher::default();
     hasher.write(uid.as_bytes());
-    ServerId(hasher.finish())
+    EndpointId(hasher.finish())
 }
 
 impl List {
     /// Whether it names nobody.
-    pub fn is_empty(&self) -> bool {
+    pub(crate) fn is_empty(&self) -> bool {
         self.targets.is_empty()
     }
 
     /// The hosts of the list. An entry that cannot be read is logged and left out: in a whole list that
     /// takes the host for gone, which keeps the rules.
-    pub fn hosts(self, names: &Names, now_ms: f64) -> Vec<Listed> {
+    pub(crate) fn hosts(self, names: &Names, now_ms: f64) -> Vec<Listed> {
         let read = |value: serde_json::Value| {
             let listed = serde_json::from_value(value).map_err(|e| e.to_string());
             match listed.and_then(|t: Target| t.listed(names, now_ms)) {
@@ -97,13 +97,13 @@
         let index =
             |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(names.len());
         let state = match self.state.as_str() {
-            "up" => ServerState::Ready,
-            "draining" => ServerState::Draining,
-            "removed" => ServerState::Gone,
+            "up" => EndpointState::Ready,
+            "draining" => EndpointState::Draining,
+            "removed" => EndpointState::Gone,
             other => return Err(format!("unknown state: {other}")),
         };
         let booted = self.boot_ms.is_finite() && self.boot_ms > 0.0;
-        let entry = ServerEntry {
+        let entry = EndpointEntry {
             id: server_id(&self.uid),
             zone: index(&names.zones, &self.az),
             kind: index(&names.kinds, &self.model),
@@ -132,7 +132,7 @@
 /// what discovery has to write are changes. After an outage, at a new address, and on each new connection to an
 /// agent, it starts again with the whole list. Where lists are asked for, one that was not heard of again in time has
 /// expired: nothing is sent by it until discovery has answered.
-pub async fn watch(
+pub(crate) async fn watch(
     core: Rc<Core>,
     mut addr: watch::Receiver<SocketAddr>,
     known: Option<u64>,
--- a/crates/gateway/src/discovery/pace.rs
+++ b/crates/gateway/src/discovery/pace.rs
@@ -58,7 +58,7 @@
 
 /// How long to wait, to be patient and to pause, by how lists come.
 #[derive(Debug, Clone, Copy)]
-pub struct Pace {
+pub(crate) struct Pace {
     /// A watch waits so long for news at most.
     pub(super) wait: Duration,
     /// What has not answered so long after that is not waited for.
@@ -77,7 +77,7 @@
 
 impl Pace {
     /// The pace that the settings ask for, in a fleet of so many gateways.
-    pub fn new(settings: &SocketSettings, gateways: usize) -> Self {
+    pub(crate) fn new(settings: &SocketSettings, gateways: usize) -> Self {
         match settings.lists {
             Lists::Pushed => {
                 let grace = from_ms(settings.drain_grace_ms).clamp(GRACE_LEAST, GRACE_MOST);
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use hyper::header::{HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use irishinge_admission::{ListKind, Outcome, ServerId, ServerState};
+use irishinge_admission::{EndpointId, EndpointState, ListKind, Outcome};
 use irishinge_settings::SocketSettings;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -19,7 +19,7 @@
 use tokio::time::{timeout, timeout_at, Instant};
 
 /// Bodies, either way, hold this much at most.
-pub const BODY_MOST: usize = 64 * 1024;
+pub(crate) const BODY_MOST: usize = 64 * 1024;
 /// An idle connection is let go after this part of the time after which its host would close it: a request
 /// that crosses the host's closing ends as a reset, and may have run. Letting go sooner costs a large fleet a
 /// handshake each time: its gateways come to a host once in seconds.
@@ -30,10 +30,10 @@
 const WARY: Duration = Duration::from_secs(60);
 const REST: Duration = Duration::from_millis(15);
 /// How often idle connections are looked over.
-pub const REAP_EVERY: Duration = Duration::from_millis(1000);
+pub(crate) const REAP_EVERY: Duration = Duration::from_millis(1000);
 
 /// A client's call as it goes on to hosts.
-pub struct Call {
+pub(crate) struct Call {
     /// The method.
     pub method: Method,
     /// Path and query, unchanged.
@@ -51,7 +51,7 @@
 }
 
 /// How an attempt ended.
-pub struct Ended {
+pub(crate) struct Ended {
     /// The outcome.
     pub outcome: Outcome,
     /// The host's whole answer, where there is one.
@@ -60,18 +60,18 @@
 
 impl Ended {
     /// An end that brought no answer.
-    pub fn without_answer(outcome: Outcome) -> Self {
+    pub(crate) fn without_answer(outcome: Outcome) -> Self {
         Ended { outcome, answer: None }
     }
 
     /// The true units, where the answer tells them.
-    pub fn true_units(&self) -> Option<f64> {
+    pub(crate) fn true_units(&self) -> Option<f64> {
         let text = self.header("x-settled")?;
         text.trim().parse().ok().filter(|v: &f64| v.is_finite() && *v > 0.0)
     }
 
     /// The host's load report, where the answer carries one.
-    pub fn load(&self) -> Vec<(String, f64)> {
+    pub(crate) fn load(&self) -> Vec<(String, f64)> {
         let report = self.header("x-load-report").map(serde_json::from_str::<BTreeMap<String, f64>>);
         report.and_then(Result::ok).into_iter().flatten().collect()
     }
@@ -91,7 +91,7 @@
 
 struct Host {
     addr: SocketAddr,
-    state: ServerState,
+    state: EndpointState,
     /// The most recently used last.
     idle: Vec<Idle>,
 }
@@ -121,8 +121,8 @@
 }
 
 /// All hosts this gateway knows.
-pub struct Hosts {
-    table: RefCell<HashMap<ServerId, Host>>,
+pub(crate) struct Hosts {
+    table: RefCell<HashMap<EndpointId, Host>>,
     /// Nothing is sent by the list from then on.
     list_until: Cell<Option<Instant>>,
     connections: Rc<Cell<usize>>,
@@ -134,7 +134,7 @@
 
 impl Hosts {
     /// No hosts yet; `most_connections` bounds the connections to all of them.
-    pub fn new(settings: &SocketSettings, most_connections: usize) -> Self {
+    pub(crate) fn new(settings: &SocketSettings, most_connections: usize) -> Self {
         Hosts {
             table: RefCell::default(),
             list_until: Cell::default(),
@@ -147,18 +147,18 @@
     }
 
     /// Whether any host takes work.
-    pub fn any_ready(&self) -> bool {
-        self.table.borrow().values().any(|h| h.state == ServerState::Ready)
+    pub(crate) fn any_ready(&self) -> bool {
+        self.table.borrow().values().any(|h| h.state == EndpointState::Ready)
     }
 
     /// Takes news of the list in. Idle connections to hosts that take no more work are closed.
-    pub fn on_list(&self, kind: ListKind, listed: &[Listed]) {
+    pub(crate) fn on_list(&self, kind: ListKind, listed: &[Listed]) {
         let mut table = self.table.borrow_mut();
         if kind != ListKind::Changes {
             table.retain(|id, _| listed.iter().any(|l| l.entry.id == *id));
         }
         for Listed { entry, addr } in listed {
-            if entry.state == ServerState::Gone {
+            if entry.state == EndpointState::Gone {
                 table.remove(&entry.id);
                 continue;
             }
@@ -167,7 +167,7 @@
                 state: entry.state,
                 idle: Vec::new(),
             });
-            if entry.state != ServerState::Ready || host.addr != *addr {
+            if entry.state != EndpointState::Ready || host.addr != *addr {
                 host.idle.clear();
             }
             (host.addr, host.state) = (*addr, entry.state);
@@ -175,7 +175,7 @@
     }
 
     /// The list holds until then.
-    pub fn list_holds(&self, until: Instant) {
+    pub(crate) fn list_holds(&self, until: Instant) {
         self.list_until.set(Some(until));
     }
 
@@ -184,28 +184,28 @@
     }
 
     /// Closes the idle connections to a host.
-    pub fn close_idle(&self, server: ServerId) {
-        if let Some(host) = self.table.borrow_mut().get_mut(&server) {
+    pub(crate) fn close_idle(&self, endpoint: EndpointId) {
+        if let Some(host) = self.table.borrow_mut().get_mut(&endpoint) {
             host.idle.clear();
         }
     }
 
     /// Closes idle connections that have grown old or that their host has closed.
-    pub fn reap(&self) {
+    pub(crate) fn reap(&self) {
         for host in self.table.borrow_mut().values_mut() {
             host.idle.retain_mut(|i| i.since.elapsed() < self.idle_most && self.is_usable(&mut i.link));
         }
     }
 
     /// The address of a host that takes work.
-    fn ready_addr(&self, server: ServerId) -> Option<SocketAddr> {
+    fn ready_addr(&self, endpoint: EndpointId) -> Option<SocketAddr> {
         let table = self.table.borrow();
-        table.get(&server).filter(|h| h.state == ServerState::Ready).map(|h| h.addr)
+        table.get(&endpoint).filter(|h| h.state == EndpointState::Ready).map(|h| h.addr)
     }
 
-    fn take_idle(&self, server: ServerId) -> Option<(Link, Permit)> {
+    fn take_idle(&self, endpoint: EndpointId) -> Option<(Link, Permit)> {
         let mut table = self.table.borrow_mut();
-        let host = table.get_mut(&server)?;
+        let host = table.get_mut(&endpoint)?;
         loop {
             // The most recently used of those that have rested.
             let at = host.idle.iter().rposition(|i| self.wary.rested(i.since, Instant::now()))?;
@@ -226,9 +226,9 @@
     }
 
     /// Keeps a connection with nothing on it for the next request, where its host takes any.
-    fn keep(&self, server: ServerId, addr: SocketAddr, mut link: Link, permit: Permit) {
-        if let Some(host) = self.table.borrow_mut().get_mut(&server) {
-            if host.state == ServerState::Ready && host.addr == addr && self.is_usable(&mut link) {
+    fn keep(&self, endpoint: EndpointId, addr: SocketAddr, mut link: Link, permit: Permit) {
+        if let Some(host) = self.table.borrow_mut().get_mut(&endpoint) {
+            if host.state == EndpointState::Ready && host.addr == addr && self.is_usable(&mut link) {
                 host.idle.push(Idle { link, permit, since: Instant::now() });
             }
         }
@@ -247,15 +247,15 @@
 
     /// Makes one attempt, until `until` at the latest. When its connection is up, `wanted` is asked whether the request
     /// is still to be sent.
-    pub async fn attempt(
+    pub(crate) async fn attempt(
         &self,
-        server: ServerId,
+        endpoint: EndpointId,
         call: &Call,
         until: Instant,
         wanted: impl Fn() -> bool,
     ) -> Ended {
         let written = Cell::new(None);
-        match timeout_at(until, self.attempt_untimed(server, call, until, wanted, &written)).await {
+        match timeout_at(until, self.attempt_untimed(endpoint, call, until, wanted, &written)).await {
             Ok(ended) => ended,
             Err(_) => Ended::without_answer(match written.take().is_some_and(|w: Written| w.any()) {
                 true => Outcome::TimedOut,
@@ -266,15 +266,15 @@
 
     async fn attempt_untimed(
         &self,
-        server: ServerId,
+        endpoint: EndpointId,
         call: &Call,
         until: Instant,
         wanted: impl Fn() -> bool,
         written: &Cell<Option<Written>>,
     ) -> Ended {
         let never_ran = || Ended::without_answer(Outcome::ConnectFailed);
-        let Some(addr) = self.ready_addr(server) else { return never_ran() };
-        let (mut link, permit) = match self.take_idle(server) {
+        let Some(addr) = self.ready_addr(endpoint) else { return never_ran() };
+        let (mut link, permit) = match self.take_idle(endpoint) {
             Some(pooled) => pooled,
             None => {
                 let Some(permit) = self.permit() else { return never_ran() };
@@ -287,11 +287,11 @@
         // The list may have changed while the connection came up: nothing new goes to a host that drains. And the
         // client may have left, or have its answer from elsewhere, where attempts may not be called off.
         if self.list_expired() {
-            self.keep(server, addr, link, permit);
-            return Ended::without_answer(Outcome::Moot);
+            self.keep(endpoint, addr, link, permit);
+            return Ended::without_answer(Outcome::TooLate);
         }
-        if self.ready_addr(server) != Some(addr) || !wanted() {
-            self.keep(server, addr, link, permit);
+        if self.ready_addr(endpoint) != Some(addr) || !wanted() {
+            self.keep(endpoint, addr, link, permit);
             return never_ran();
         }
         written.set(Some(link.written()));
@@ -302,11 +302,11 @@
             // The host is up and has answered, if with nothing that can be read.
             Err(Broken::Spoilt) => return Ended::without_answer(Outcome::Error),
         };
-        self.keep(server, addr, link, permit);
+        self.keep(endpoint, addr, link, permit);
         let rejected = answer.headers().get("x-rejected").is_some_and(|v| v == "1");
         let outcome = match answer.status() {
             StatusCode::OK => Outcome::Ok,
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Full,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Overloaded,
             _ => Outcome::Error,
         };
         Ended { outcome, answer: Some(answer) }
--- a/crates/gateway/src/hosts/tests.rs
+++ b/crates/gateway/src/hosts/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use irishinge_admission::ServerEntry;
+use irishinge_admission::EndpointEntry;
 use std::io::{Read, Write};
 use tokio::net::TcpListener;
 
@@ -60,9 +60,9 @@
 #[tokio::test]
 async fn nothing_is_sent_by_a_list_that_has_expired() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let (hosts, addr, id) = (hosts(), listener.local_addr().expect("bound"), ServerId(1));
-    let state = ServerState::Ready;
-    let entry = ServerEntry { id, zone: 0, kind: 0, cell: 0, state, started_at_ms: None };
+    let (hosts, addr, id) = (hosts(), listener.local_addr().expect("bound"), EndpointId(1));
+    let state = EndpointState::Ready;
+    let entry = EndpointEntry { id, zone: 0, kind: 0, cell: 0, state, started_at_ms: None };
     hosts.on_list(ListKind::Whole, &[Listed { entry, addr }]);
     let value = || HeaderValue::from_static("a");
     let call = Call {
@@ -80,7 +80,7 @@
         hosts.list_holds(until);
         let attempt = hosts.attempt(id, &call, until, || true);
         hosts.list_holds(Instant::now());
-        assert_eq!(attempt.await.outcome, Outcome::Moot, "pooled: {pooled}");
+        assert_eq!(attempt.await.outcome, Outcome::TooLate, "pooled: {pooled}");
     }
     let (far, _) = listener.accept().await.expect("a connection");
     hosts.close_idle(id);
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -110,7 +110,7 @@
 
 /// Why an exchange brought no whole answer.
 #[derive(Debug)]
-pub enum Broken {
+pub(crate) enum Broken {
     /// The connection broke or ended.
     Connection,
     /// What came over it is not an answer, or not one within the bounds, and nothing but that ended it.
@@ -118,7 +118,7 @@
 }
 
 /// A connection that is up.
-pub struct Link {
+pub(crate) struct Link {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: Pin<Box<http1::Connection<TokioIo<Watched>, Full<Bytes>>>>,
     stream: Rc<RefCell<TcpStream>>,
@@ -127,18 +127,18 @@
 
 /// Tells whether a byte of a link's present request has been written; to be asked after the exchange was given
 /// up. A partly written request counts as written: when in doubt, it may have run.
-pub struct Written(Rc<Notes>);
+pub(crate) struct Written(Rc<Notes>);
 
 impl Written {
     /// Whether it has.
-    pub fn any(&self) -> bool {
+    pub(crate) fn any(&self) -> bool {
         self.0.wrote.get()
     }
 }
 
 impl Link {
     /// Connects.
-    pub async fn connect(addr: SocketAddr) -> io::Result<Self> {
+    pub(crate) async fn connect(addr: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
         let (stream, notes) = (Rc::new(RefCell::new(stream)), Rc::<Notes>::default());
@@ -149,14 +149,14 @@
     }
 
     /// What tells whether the present request was written.
-    pub fn written(&self) -> Written {
+    pub(crate) fn written(&self) -> Written {
         Written(self.notes.clone())
     }
 
     /// Whether the connection can carry another request: the far end may have closed it meanwhile, or sent
     /// more than belonged to its last answer, which would be taken for the next one. The runtime may not have
     /// noticed either yet, so the socket itself is asked too.
-    pub fn is_usable(&mut self) -> bool {
+    pub(crate) fn is_usable(&mut self) -> bool {
         let mut cx = Context::from_waker(Waker::noop());
         self.notes.began.set(false);
         let idle = self.driver.as_mut().poll(&mut cx).is_pending() && self.sender.is_ready();
@@ -168,12 +168,12 @@
     }
 
     /// Whether what made the connection unusable when that was last asked was more than belonged to its answer.
-    pub fn brought_more(&self) -> bool {
+    pub(crate) fn brought_more(&self) -> bool {
         self.notes.more.get()
     }
 
     /// Sends a request and waits for the whole answer. After an error the link is of no further use.
-    pub async fn exchange(
+    pub(crate) async fn exchange(
         &mut self,
         mut request: Request<Full<Bytes>>,
         most_body: usize,
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -11,7 +11,7 @@
 }
 
 /// Writes a line, unless this second has had its share of them.
-pub fn line(text: impl Display) {
+pub(crate) fn line(text: impl Display) {
     let (start, mut lines, mut dropped) = SECOND.get();
     let mut start = start.unwrap_or_else(Instant::now);
     if start.elapsed() >= Duration::from_secs(1) {
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -78,7 +78,8 @@
     let room = config.sockets - OTHER_DESCRIPTORS;
     let clients_most = (room as f64 * CLIENTS_PART) as usize;
     let hosts = Hosts::new(&config.socket_settings, room - clients_most);
-    let peers = Peers::bind(config.peer_listen, config.peers, settings.me, settings.peer_in_per_s).await;
+    let peers =
+        Peers::bind(config.peer_listen, config.peers, settings.me, settings.peer_messages_per_second).await;
     let peers = Rc::new(peers.map_err(|e| format!("cannot listen for peers: {e}"))?);
     let counter = Counter::new(config.counter, config.socket_settings.count_limit_ms);
     let core = Core::new(gateway, clock, config.names, hosts, peers.clone(), counter);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -42,7 +42,7 @@
 }
 
 /// The other gateways.
-pub struct Peers {
+pub(crate) struct Peers {
     socket: Option<UdpSocket>,
     addrs: Vec<SocketAddr>,
     me: usize,
@@ -51,7 +51,7 @@
 
 impl Peers {
     /// Binds the socket, where there is one to bind.
-    pub async fn bind(
+    pub(crate) async fn bind(
         listen: Option<SocketAddr>,
         addrs: Vec<SocketAddr>,
         me: usize,
@@ -66,12 +66,12 @@
     }
 
     /// Where messages arrive, where they do.
-    pub fn local_addr(&self) -> Option<SocketAddr> {
+    pub(crate) fn local_addr(&self) -> Option<SocketAddr> {
         self.socket.as_ref()?.local_addr().ok()
     }
 
     /// Sends a message to a peer, or to all. Like the network, it may lose it.
-    pub fn tell(&self, to: Option<usize>, body: &str) {
+    pub(crate) fn tell(&self, to: Option<usize>, body: &str) {
         let Some(socket) = &self.socket else { return log::line("a message, but no socket for peers") };
         if body.len() > DATAGRAM_MOST {
             return log::line(format_args!("a message of {} bytes is not sent", body.len()));
@@ -89,7 +89,7 @@
     }
 
     /// Takes messages in, for good. What a stranger sends, and what is no text, is ignored.
-    pub async fn listen(&self, core: Rc<Core>) {
+    pub(crate) async fn listen(&self, core: Rc<Core>) {
         let Some(socket) = &self.socket else { return };
         let mut buffer = [0; DATAGRAM_MOST + 1];
         loop {
--- a/crates/gateway/src/tests.rs
+++ b/crates/gateway/src/tests.rs
@@ -1,15 +1,15 @@
 use super::*;
-use irishinge_admission::{ClassSettings, Effect};
+use irishinge_admission::{ClassSettings, Idempotency};
 
 #[test]
 fn everything_is_answered_between_the_last_deadline_and_sigkill_whatever_the_classes() {
     for (deadlines, kill_ms) in [(&[1200.0][..], 1900), (&[200.0, 150.0], 900), (&[2500.0, 8000.0], 3700)] {
         let class = |deadline_ms: &f64| ClassSettings {
-            aim_ms: 100.0,
+            latency_objective_ms: 100.0,
             deadline_ms: *deadline_ms,
-            worth: 1.0,
-            late_share: 0.0,
-            effect: Effect::Once,
+            priority_weight: 1.0,
+            late_value_fraction: 0.0,
+            idempotency: Idempotency::NonIdempotent,
         };
         let settings = Settings { classes: deadlines.iter().map(class).collect(), ..Settings::default() };
         let (answer_by, write_by) = last_answers(&settings);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -12,35 +12,35 @@
 use std::time::Duration;
 
 /// Far beyond what anything here takes: a test that waits for so long has failed.
-pub const LONG: Duration = Duration::from_secs(30);
+pub(crate) const LONG: Duration = Duration::from_secs(30);
 
 static NUMBER: AtomicU64 = AtomicU64::new(1);
 
 /// A number that no other call in this process gives.
-pub fn unique() -> u64 {
+pub(crate) fn unique() -> u64 {
     NUMBER.fetch_add(1, Ordering::Relaxed)
 }
 
 /// A message read off a socket.
 #[derive(Debug, Clone)]
-pub struct Message {
+pub(crate) struct Message {
     pub start: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
 }
 
 impl Message {
-    pub fn header(&self, name: &str) -> Option<&str> {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|h| h.0 == name).map(|h| h.1.as_str())
     }
 
-    pub fn status(&self) -> u16 {
+    pub(crate) fn status(&self) -> u16 {
         self.start.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status line")
     }
 }
 
 /// Reads one message; none where the connection has ended before it.
-pub fn read_message(reader: &mut impl BufRead) -> Option<Message> {
+pub(crate) fn read_message(reader: &mut impl BufRead) -> Option<Message> {
     let mut line = || {
         let mut line = String::new();
         reader.read_line(&mut line).ok().filter(|n| *n > 0)?;
@@ -65,7 +65,7 @@
 
 /// What a host does with a request.
 #[derive(Clone)]
-pub enum Reply {
+pub(crate) enum Reply {
     /// Writes this answer.
     Answer(String),
     /// Writes it and then closes the connection, unasked.
@@ -76,13 +76,13 @@
     Silence,
 }
 
-pub fn answer(status: &str, headers: &str, body: &str) -> Reply {
+pub(crate) fn answer(status: &str, headers: &str, body: &str) -> Reply {
     Reply::Answer(format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()))
 }
 
 /// What a test is told of a host.
 #[derive(Debug)]
-pub enum Seen {
+pub(crate) enum Seen {
     /// A connection came.
     Opened,
     /// A request, on the connection of this number.
@@ -91,7 +91,7 @@
     Closed(usize),
 }
 
-pub struct Host {
+pub(crate) struct Host {
     pub addr: SocketAddr,
     pub seen: Receiver<Seen>,
     reply: Arc<Mutex<Reply>>,
@@ -99,7 +99,7 @@
 }
 
 impl Host {
-    pub fn start(reply: Reply) -> Host {
+    pub(crate) fn start(reply: Reply) -> Host {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
         let addr = listener.local_addr().expect("bound");
         let reply = Arc::new(Mutex::new(reply));
@@ -120,17 +120,17 @@
         Host { addr, seen, reply, streams }
     }
 
-    pub fn set(&self, reply: Reply) {
+    pub(crate) fn set(&self, reply: Reply) {
         *self.reply.lock().expect("a lock") = reply;
     }
 
     /// Writes unasked on the connection of this number.
-    pub fn write(&self, number: usize, text: &str) {
+    pub(crate) fn write(&self, number: usize, text: &str) {
         self.streams.lock().expect("a lock")[number].write_all(text.as_bytes()).expect("the gateway reads");
     }
 
     /// The next request.
-    pub fn request(&self) -> (usize, Message) {
+    pub(crate) fn request(&self) -> (usize, Message) {
         loop {
             match self.seen.recv_timeout(LONG).expect("a request") {
                 Seen::Request(number, message) => return (number, message),
@@ -140,7 +140,7 @@
     }
 
     /// Waits until a connection is closed.
-    pub fn closed(&self) -> usize {
+    pub(crate) fn closed(&self) -> usize {
         loop {
             match self.seen.recv_timeout(LONG).expect("a close") {
                 Seen::Closed(number) => return number,
@@ -174,7 +174,7 @@
 }
 
 /// Discovery: answers the watch with what the test pushes.
-pub struct Discovery {
+pub(crate) struct Discovery {
     pub addr: SocketAddr,
     /// The calls, as they came.
     pub calls: Receiver<String>,
@@ -183,7 +183,7 @@
 
 impl Discovery {
     /// Each call for the whole list takes the next of the pushed values too: the test says what comes when.
-    pub fn start() -> Discovery {
+    pub(crate) fn start() -> Discovery {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
         let addr = listener.local_addr().expect("bound");
         let (call, calls) = channel();
@@ -207,62 +207,62 @@
         Discovery { addr, calls, news }
     }
 
-    pub fn push(&self, list: Value) {
+    pub(crate) fn push(&self, list: Value) {
         self.news.send(Some(list)).expect("discovery runs");
     }
 
-    pub fn fail(&self) {
+    pub(crate) fn fail(&self) {
         self.news.send(None).expect("discovery runs");
     }
 
-    pub fn turn_away(&self) {
+    pub(crate) fn turn_away(&self) {
         self.push(Value::Null);
     }
 
-    pub fn call(&self) -> String {
+    pub(crate) fn call(&self) -> String {
         self.calls.recv_timeout(LONG).expect("a call")
     }
 }
 
 /// A call that an agent has got, and that the test answers, breaks off or leaves as it is.
-pub struct AgentCall {
+pub(crate) struct AgentCall {
     pub start: String,
     reply: Sender<Option<String>>,
 }
 
 impl AgentCall {
-    pub fn answer(&self, list: &Value) {
+    pub(crate) fn answer(&self, list: &Value) {
         let Reply::Answer(text) = answer("200 OK", "", &list.to_string()) else { return };
         self.write(&text);
     }
 
     /// Writes this and nothing more.
-    pub fn write(&self, text: &str) {
+    pub(crate) fn write(&self, text: &str) {
         self.reply.send(Some(text.to_string())).expect("the agent runs");
     }
 
     /// Ends the connection.
-    pub fn break_off(&self) {
+    pub(crate) fn break_off(&self) {
         self.reply.send(None).expect("the agent runs");
     }
 
-    pub fn is_whole(&self) -> bool {
+    pub(crate) fn is_whole(&self) -> bool {
         self.start == "GET /v1/servers HTTP/1.1"
     }
 }
 
 /// A discovery that takes any number of connections at once, so that one call may stay silent while the next comes.
-pub struct Agent {
+pub(crate) struct Agent {
     pub addr: SocketAddr,
     calls: Receiver<AgentCall>,
 }
 
 impl Agent {
-    pub fn start() -> Agent {
+    pub(crate) fn start() -> Agent {
         Agent::on(TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port"))
     }
 
-    pub fn on(listener: TcpListener) -> Agent {
+    pub(crate) fn on(listener: TcpListener) -> Agent {
         let addr = listener.local_addr().expect("bound");
         let (sender, calls) = channel();
         thread::spawn(move || {
@@ -289,19 +289,19 @@
         Agent { addr, calls }
     }
 
-    pub fn call(&self) -> AgentCall {
+    pub(crate) fn call(&self) -> AgentCall {
         self.calls.recv_timeout(LONG).expect("a call")
     }
 
     /// The next call, which must be for the whole list.
-    pub fn whole(&self) -> AgentCall {
+    pub(crate) fn whole(&self) -> AgentCall {
         let call = self.call();
         assert!(call.is_whole(), "{}", call.start);
         call
     }
 
     /// Answers the first call of a process that was started with a list, and returns the watch that follows.
-    pub fn tell_first(&self, list: &Value) -> AgentCall {
+    pub(crate) fn tell_first(&self, list: &Value) -> AgentCall {
         let call = self.call();
         assert!(!call.is_whole(), "{}", call.start);
         call.answer(list);
@@ -312,7 +312,7 @@
 
     /// Answers calls for the whole list until the watch that follows. There may be several: on a busy machine an
     /// answer may come after the gateway's patience is over.
-    pub fn tell(&self, list: &Value) -> AgentCall {
+    pub(crate) fn tell(&self, list: &Value) -> AgentCall {
         loop {
             let call = self.call();
             if !call.is_whole() {
@@ -324,17 +324,17 @@
     }
 }
 
-pub fn target(uid: &str, addr: SocketAddr, state: &str) -> Value {
+pub(crate) fn target(uid: &str, addr: SocketAddr, state: &str) -> Value {
     json!({"uid": uid, "endpoint": addr.to_string(), "az": "a", "model": "m", "pod_group": 0, "state": state,
         "capacity_hint": 1.0, "boot_ms": 0})
 }
 
-pub fn list(rev: u64, all: bool, targets: &[Value]) -> Value {
+pub(crate) fn list(rev: u64, all: bool, targets: &[Value]) -> Value {
     json!({"rev": rev, "all": all, "targets": targets})
 }
 
 /// A configuration that a test may change before the start.
-pub fn config(discovery: SocketAddr, known: &[Value]) -> Value {
+pub(crate) fn config(discovery: SocketAddr, known: &[Value]) -> Value {
     let class = |name: &str, repeat: &str| {
         json!({"name": name, "deadlineMs": 20000.0, "objectiveMs": 10000.0, "worth": 1.0, "lateShare": 0.0,
             "repeat": repeat, "dedupScope": "all", "windowMs": 4000.0})
@@ -359,7 +359,7 @@
 }
 
 /// A gateway process; ended with the test.
-pub struct Gateway {
+pub(crate) struct Gateway {
     child: Child,
     config: String,
     pub addr: SocketAddr,
@@ -370,7 +370,7 @@
     format!("{}/config-{}-{}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id(), unique())
 }
 
-pub fn spawn(config: &Value) -> Child {
+pub(crate) fn spawn(config: &Value) -> Child {
     spawn_at(&config_path(), config)
 }
 
@@ -386,7 +386,7 @@
 }
 
 impl Gateway {
-    pub fn start(config: &Value) -> Gateway {
+    pub(crate) fn start(config: &Value) -> Gateway {
         let path = config_path();
         let child = spawn_at(&path, config);
         Gateway::started(path, child)
@@ -394,7 +394,7 @@
 
     /// Starts one that can hold no more descriptors than `limits.sockets` says.
     #[allow(dead_code, reason = "not every test file asks for it")]
-    pub fn start_confined(config: &Value) -> Gateway {
+    pub(crate) fn start_confined(config: &Value) -> Gateway {
         let path = config_path();
         std::fs::write(&path, config.to_string()).expect("a file");
         let script = format!("ulimit -n {} && exec \"$0\"", config["limits"]["sockets"]);
@@ -427,24 +427,24 @@
         Gateway { child, config: path, addr, peer_addr }
     }
 
-    pub fn client(&self) -> Client {
+    pub(crate) fn client(&self) -> Client {
         let stream = TcpStream::connect(self.addr).expect("the gateway accepts");
         stream.set_read_timeout(Some(LONG)).expect("a time-out");
         Client { reader: BufReader::new(stream) }
     }
 
-    pub fn terminate(&self) {
+    pub(crate) fn terminate(&self) {
         self.signal("-TERM");
     }
 
     /// The process's number.
     #[allow(dead_code, reason = "not every test file asks for it")]
-    pub fn pid(&self) -> u32 {
+    pub(crate) fn pid(&self) -> u32 {
         self.child.id()
     }
 
     /// Replaces the configuration and sends SIGHUP.
-    pub fn reload(&self, config: &str) {
+    pub(crate) fn reload(&self, config: &str) {
         std::fs::write(&self.config, config).expect("a file");
         self.signal("-HUP");
     }
@@ -454,7 +454,7 @@
         assert!(kill.expect("kill runs").success());
     }
 
-    pub fn wait(&mut self) -> ExitStatus {
+    pub(crate) fn wait(&mut self) -> ExitStatus {
         self.child.wait().expect("the gateway ends")
     }
 }
@@ -466,21 +466,21 @@
     }
 }
 
-pub struct Client {
+pub(crate) struct Client {
     reader: BufReader<TcpStream>,
 }
 
 impl Client {
-    pub fn write(&mut self, text: &str) {
+    pub(crate) fn write(&mut self, text: &str) {
         self.reader.get_mut().write_all(text.as_bytes()).expect("the gateway reads");
     }
 
-    pub fn read(&mut self) -> Option<Message> {
+    pub(crate) fn read(&mut self) -> Option<Message> {
         read_message(&mut self.reader)
     }
 
     /// Whether the gateway closes the connection within this time, with nothing more to read.
-    pub fn closes_within(&mut self, time: Duration) -> bool {
+    pub(crate) fn closes_within(&mut self, time: Duration) -> bool {
         self.reader.get_mut().set_read_timeout(Some(time)).expect("a time-out");
         let closed = match self.reader.fill_buf() {
             Ok(rest) => rest.is_empty(),
@@ -490,14 +490,14 @@
         closed
     }
 
-    pub fn ask(&mut self, text: &str) -> Message {
+    pub(crate) fn ask(&mut self, text: &str) -> Message {
         self.write(text);
         self.read().expect("an answer")
     }
 }
 
 /// The head of a request, with what a test adds or leaves out.
-pub struct Ask {
+pub(crate) struct Ask {
     pub class: &'static str,
     pub budget: &'static str,
     pub id: String,
@@ -508,7 +508,7 @@
 }
 
 impl Ask {
-    pub fn new(class: &'static str) -> Ask {
+    pub(crate) fn new(class: &'static str) -> Ask {
         Ask {
             class,
             budget: "15.000",
@@ -520,7 +520,7 @@
         }
     }
 
-    pub fn text(&self) -> String {
+    pub(crate) fn text(&self) -> String {
         let method = if self.class == "read" { "GET" } else { "POST" };
         let length =
             if method == "GET" { String::new() } else { format!("Content-Length: {}\r\n", self.body.len()) };
--- a/crates/gateway/tests/listing.rs
+++ b/crates/gateway/tests/listing.rs
@@ -3,9 +3,9 @@
 
 use common::*;
 use irishinge_admission::{
-    Action, ClassSettings, CustomerId, Effect, Event, ListKind, PlanSettings, Request,
+    Action, ClassSettings, CustomerId, Event, Idempotency, ListKind, PlanSettings, Request,
 };
-use irishinge_admission::{RequestId, ServerEntry, ServerId, ServerState, Settings};
+use irishinge_admission::{EndpointEntry, EndpointId, EndpointState, RequestId, Settings};
 use serde_json::json;
 use socket2::{Domain, Socket, Type};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -145,20 +145,20 @@
 #[test]
 fn an_expired_list_holds_every_send_until_more_of_it_comes() {
     let class = ClassSettings {
-        aim_ms: 500.0,
+        latency_objective_ms: 500.0,
         deadline_ms: 2000.0,
-        worth: 1.0,
-        late_share: 0.0,
-        effect: Effect::Repeatable,
+        priority_weight: 1.0,
+        late_value_fraction: 0.0,
+        idempotency: Idempotency::Idempotent,
     };
     let plan = PlanSettings {
-        rate_per_s: 100.0,
+        rate_per_second: 100.0,
         burst_units: 100.0,
         open_limit: 0,
-        price: 1.0,
-        over_worth: 0.0,
-        over_cost: 1.0,
-        ceiling_rate_per_s: 0.0,
+        plan_weight: 1.0,
+        over_quota_value: 0.0,
+        over_quota_cost: 1.0,
+        ceiling_rate_per_second: 0.0,
         ceiling_burst_units: 0.0,
         ceiling_slack_units: 0.0,
     };
@@ -177,13 +177,13 @@
             gateway.on_event(now, event, &mut actions);
             actions
         };
-        let news = |kind, entries| Event::ServerList { kind, entries };
-        let entry = |id| ServerEntry {
-            id: ServerId(id),
+        let news = |kind, entries| Event::EndpointList { kind, entries };
+        let entry = |id| EndpointEntry {
+            id: EndpointId(id),
             zone: 0,
             kind: 0,
             cell: 0,
-            state: ServerState::Ready,
+            state: EndpointState::Ready,
             started_at_ms: None,
         };
         let request = |id| {
@@ -209,7 +209,7 @@
         let mut seen = at(5200.0, request(2));
         for now in 0..200 {
             assert!(!sends(&seen), "{gateways}: {seen:?}");
-            refused |= seen.iter().any(|a| matches!(a, Action::Refuse { request: RequestId(2), .. }));
+            refused |= seen.iter().any(|a| matches!(a, Action::Reject { request: RequestId(2), .. }));
             seen = at(5200.0 + 5.0 * f64::from(now), Event::Timer { token: 0 });
         }
         assert!(refused, "{gateways}: it is given up in time");
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,7 +2,7 @@
 //! one reading of it for both programs. Keys that are not known are skipped.
 #![warn(missing_docs)]
 
-use irishinge_admission::{ClassSettings, DedupGroup, Effect, PlanSettings, Settings};
+use irishinge_admission::{ClassSettings, DedupGroup, Idempotency, PlanSettings, Settings};
 use serde::Deserialize;
 
 /// The settings as they are written.
@@ -177,18 +177,18 @@
             classes,
             plans: self.tiers_of_service.into_iter().map(Plan::translate).collect(),
             max_attempts: self.ceilings.max_attempts,
-            second_copies: self.ceilings.second_copies,
-            may_cancel: self.ceilings.cancel,
-            may_tell: self.ceilings.peer_messages,
-            may_count: self.family_info.may_count,
-            peer_in_per_s: self.family_info.peer_in_per_s,
+            hedging_allowed: self.ceilings.second_copies,
+            cancel_allowed: self.ceilings.cancel,
+            peer_messages_allowed: self.ceilings.peer_messages,
+            counter_allowed: self.family_info.may_count,
+            peer_messages_per_second: self.family_info.peer_in_per_s,
             max_retry_after_ms: self.ceilings.max_retry_after_ms,
-            most_units: self.family_info.most_units,
+            max_units: self.family_info.most_units,
             drain_grace_ms: self.rules.stop_sending_within_ms,
-            cold_share: self.rules.cold_share,
+            cold_start_fraction: self.rules.cold_share,
             warm_up_ms: self.rules.warm_up_ms,
-            fall_multiple: self.rules.fall_multiple,
-            fall_window_ms: self.rules.tip_after_ms,
+            overload_multiple: self.rules.fall_multiple,
+            overload_window_ms: self.rules.tip_after_ms,
         };
         Ok((settings, names))
     }
@@ -196,10 +196,10 @@
 
 impl Class {
     fn translate(self) -> Result<ClassSettings, String> {
-        let effect = match self.repeat.as_str() {
-            "repeatable" => Effect::Repeatable,
-            "once" => Effect::Once,
-            "by_key" => Effect::Keyed {
+        let idempotency = match self.repeat.as_str() {
+            "repeatable" => Idempotency::Idempotent,
+            "once" => Idempotency::NonIdempotent,
+            "by_key" => Idempotency::IdempotencyKey {
                 group: match self.dedup_scope.as_deref() {
                     Some("all") => DedupGroup::All,
                     Some("zone") => DedupGroup::Zone,
@@ -211,11 +211,11 @@
             other => return Err(format!("unknown repeat: {other}")),
         };
         Ok(ClassSettings {
-            aim_ms: self.objective_ms,
+            latency_objective_ms: self.objective_ms,
             deadline_ms: self.deadline_ms,
-            worth: self.worth,
-            late_share: self.late_share,
-            effect,
+            priority_weight: self.worth,
+            late_value_fraction: self.late_share,
+            idempotency,
         })
     }
 }
@@ -223,13 +223,13 @@
 impl Plan {
     fn translate(self) -> PlanSettings {
         PlanSettings {
-            rate_per_s: self.refill,
+            rate_per_second: self.refill,
             burst_units: self.peak_units,
             open_limit: self.open,
-            price: self.value_factor,
-            over_worth: self.over_worth,
-            over_cost: self.beyond_costs,
-            ceiling_rate_per_s: self.never_over_rate,
+            plan_weight: self.value_factor,
+            over_quota_value: self.over_worth,
+            over_quota_cost: self.beyond_costs,
+            ceiling_rate_per_second: self.never_over_rate,
             ceiling_burst_units: self.cap_depth,
             ceiling_slack_units: self.hard_slack,
         }
--- a/crates/simulator-adapter/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -1,7 +1,7 @@
 //! The wire's messages as they stand, and their translation to and from the library's terms.
 use irishinge_admission::{
-    Action, AttemptEnd, CountOutcome, CustomerId, Event, ListKind, Outcome, Request, RequestId, ServerEntry,
-    ServerId, ServerState,
+    Action, AttemptEnd, CounterOutcome, CustomerId, EndpointEntry, EndpointId, EndpointState, Event,
+    ListKind, Outcome, Request, RequestId,
 };
 use irishinge_settings::{find, Conf, Names};
 use serde::{Deserialize, Serialize};
@@ -11,34 +11,34 @@
 /// A line of input: the clock, and what came in at each gateway.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-pub struct Batch {
+pub(crate) struct Batch {
     pub clock_ms: f64,
     pub parts: Vec<BatchPart>,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-pub struct BatchPart {
+pub(crate) struct BatchPart {
     pub gateway_id: String,
     pub arrivals: Vec<Arrival>,
 }
 
 /// A line of output.
 #[derive(Serialize, Default)]
-pub struct Reply {
+pub(crate) struct Reply {
     pub parts: Vec<ReplyPart>,
 }
 
 #[derive(Serialize)]
 #[serde(rename_all = "camelCase")]
-pub struct ReplyPart {
+pub(crate) struct ReplyPart {
     pub gateway_id: String,
     pub outbox: Vec<Out>,
 }
 
 #[derive(Deserialize)]
 #[serde(tag = "msg", rename_all_fields = "camelCase")]
-pub enum Arrival {
+pub(crate) enum Arrival {
     Start {
         rng_seed: u64,
         conf: Box<Conf>,
@@ -104,7 +104,7 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-pub struct Host {
+pub(crate) struct Host {
     host: String,
     area: String,
     family_type: String,
@@ -115,7 +115,7 @@
 
 #[derive(Serialize, Debug, PartialEq)]
 #[serde(tag = "msg", rename_all_fields = "camelCase")]
-pub enum Out {
+pub(crate) enum Out {
     Route {
         job: String,
         try_for_ms: f64,
@@ -172,16 +172,16 @@
     format!("{:016x}", id.0)
 }
 
-fn server_id(text: &str) -> Result<ServerId, String> {
+fn server_id(text: &str) -> Result<EndpointId, String> {
     let bad = || format!("not a host: {text}");
     let addr: SocketAddrV4 = text.parse().map_err(|_| bad())?;
     if addr.to_string() != text {
         return Err(bad());
     }
-    Ok(ServerId(u64::from(u32::from(*addr.ip())) << 16 | u64::from(addr.port())))
+    Ok(EndpointId(u64::from(u32::from(*addr.ip())) << 16 | u64::from(addr.port())))
 }
 
-fn server_name(id: ServerId) -> String {
+fn server_name(id: EndpointId) -> String {
     let port = (id.0 & 0xffff) as u16;
     SocketAddrV4::new(Ipv4Addr::from((id.0 >> 16) as u32), port).to_string()
 }
@@ -190,12 +190,12 @@
     Ok(match verdict {
         "OK" => Outcome::Ok,
         "INTERNAL" => Outcome::Error,
-        "RESOURCE_EXHAUSTED" => Outcome::Full,
+        "RESOURCE_EXHAUSTED" => Outcome::Overloaded,
         "DEADLINE_EXCEEDED" => Outcome::TimedOut,
         "UNAVAILABLE" => Outcome::ConnectFailed,
         "ABORTED" => Outcome::Reset,
         "CANCELLED" => Outcome::Cancelled,
-        "TOO_LATE" => Outcome::Moot,
+        "TOO_LATE" => Outcome::TooLate,
         _ => return Err(format!("unknown verdict: {verdict}")),
     })
 }
@@ -210,10 +210,10 @@
 
 impl Arrival {
     /// An event in the library's terms. `Start` and `CrashNow` are the host's own and are not among them.
-    pub fn event(self, names: &Names) -> Result<Event, String> {
+    pub(crate) fn event(self, names: &Names) -> Result<Event, String> {
         Ok(match self {
             Arrival::Start { .. } | Arrival::CrashNow => return Err("not an event of the module".into()),
-            Arrival::Targets { kind, hosts } => Event::ServerList {
+            Arrival::Targets { kind, hosts } => Event::EndpointList {
                 kind: match kind.as_str() {
                     "patch" => ListKind::Changes,
                     "whole" => ListKind::Whole,
@@ -247,18 +247,18 @@
                 write,
             }),
             Arrival::Bell { name } => Event::Timer { token: name },
-            Arrival::CounterReply { book, total, time_taken_ms, verdict } => Event::Counted {
+            Arrival::CounterReply { book, total, time_taken_ms, verdict } => Event::CounterReply {
                 name: book,
                 outcome: match verdict.as_str() {
-                    "OK" => CountOutcome::Total(total.ok_or("counter reply without total")?),
-                    "RESOURCE_EXHAUSTED" | "UNAVAILABLE" => CountOutcome::Rejected,
-                    "DEADLINE_EXCEEDED" => CountOutcome::Unanswered,
+                    "OK" => CounterOutcome::Total(total.ok_or("counter reply without total")?),
+                    "RESOURCE_EXHAUSTED" | "UNAVAILABLE" => CounterOutcome::Rejected,
+                    "DEADLINE_EXCEEDED" => CounterOutcome::Unanswered,
                     _ => return Err(format!("unknown verdict: {verdict}")),
                 },
                 took_ms: time_taken_ms,
             },
             Arrival::Echo { host, verdict, time_taken_ms, load } => Event::ProbeDone {
-                server: server_id(&host)?,
+                endpoint: server_id(&host)?,
                 outcome: outcome(&verdict)?,
                 took_ms: time_taken_ms,
                 load: pairs(load),
@@ -275,10 +275,10 @@
                 metered,
                 send_no,
                 load,
-            } => Event::Outcome(AttemptEnd {
+            } => Event::AttemptEnded(AttemptEnd {
                 request: RequestId(hex(&job)?),
                 attempt: send_no,
-                server: server_id(&host)?,
+                endpoint: server_id(&host)?,
                 outcome: outcome(&verdict)?,
                 took_ms: time_taken_ms,
                 closed,
@@ -289,23 +289,23 @@
             Arrival::Opened { job, send_no, host } => Event::StreamOpened {
                 request: RequestId(hex(&job)?),
                 attempt: send_no,
-                server: server_id(&host)?,
+                endpoint: server_id(&host)?,
             },
         })
     }
 }
 
 impl Host {
-    fn entry(self, names: &Names) -> Result<ServerEntry, String> {
-        Ok(ServerEntry {
+    fn entry(self, names: &Names) -> Result<EndpointEntry, String> {
+        Ok(EndpointEntry {
             id: server_id(&self.host)?,
             zone: find(&names.zones, &self.area, "area")?,
             kind: find(&names.kinds, &self.family_type, "familyType")?,
             cell: self.stripe,
             state: match self.health.as_str() {
-                "IN" => ServerState::Ready,
-                "LAME" => ServerState::Draining,
-                "OUT" => ServerState::Gone,
+                "IN" => EndpointState::Ready,
+                "LAME" => EndpointState::Draining,
+                "OUT" => EndpointState::Gone,
                 other => return Err(format!("unknown health: {other}")),
             },
             started_at_ms: some_above_zero(self.born_ms),
@@ -316,23 +316,25 @@
 impl From<Action> for Out {
     fn from(action: Action) -> Self {
         match action {
-            Action::Send { request, server, timeout_ms } => {
-                Out::Route { job: request_name(request), try_for_ms: timeout_ms, host: server_name(server) }
+            Action::Send { request, endpoint, timeout_ms } => {
+                Out::Route { job: request_name(request), try_for_ms: timeout_ms, host: server_name(endpoint) }
             }
-            Action::Refuse { request, retry_after_ms } => {
+            Action::Reject { request, retry_after_ms } => {
                 Out::Decline { job: request_name(request), retry_after_ms }
             }
             Action::Fail { request } => Out::Error { job: request_name(request) },
             Action::Cancel { request, attempt } => {
                 Out::Recall { job: request_name(request), send_no: attempt }
             }
-            Action::Probe { server } => Out::Test { host: server_name(server) },
-            Action::CloseIdle { server } => Out::LetGo { host: server_name(server) },
-            Action::Tell { to, body } => {
+            Action::Probe { endpoint } => Out::Test { host: server_name(endpoint) },
+            Action::CloseIdle { endpoint } => Out::LetGo { host: server_name(endpoint) },
+            Action::SendPeerMessage { to, body } => {
                 Out::Announce { target: to.map_or(-1, |t| i64::try_from(t).unwrap_or(i64::MAX)), data: body }
             }
             Action::SetTimer { at_ms, token } => Out::WakeMe { moment_ms: at_ms, name: token },
-            Action::Count { name, amount, ttl_ms } => Out::PostAmount { book: name, n: amount, ttl_ms },
+            Action::AddToCounter { name, amount, ttl_ms } => {
+                Out::PostAmount { book: name, n: amount, ttl_ms }
+            }
             Action::Subscribe { active } => Out::Follow { active },
             Action::FetchList => Out::Refresh,
             Action::Log { line } => Out::Emit { line },
@@ -347,18 +349,18 @@
     #[test]
     fn every_action_is_written_in_the_wires_words() {
         let request = RequestId(0xb0da_aa49_5d3a_91c4);
-        let server = server_id("10.144.17.242:7044").expect("a host");
+        let endpoint = server_id("10.144.17.242:7044").expect("a host");
         let cases = [
             (
-                Action::Send { request, server, timeout_ms: 80.0 },
+                Action::Send { request, endpoint, timeout_ms: 80.0 },
                 r#"{"msg":"Route","job":"b0daaa495d3a91c4","tryForMs":80.0,"host":"10.144.17.242:7044"}"#,
             ),
             (
-                Action::Refuse { request, retry_after_ms: Some(250.0) },
+                Action::Reject { request, retry_after_ms: Some(250.0) },
                 r#"{"msg":"Decline","job":"b0daaa495d3a91c4","retryAfterMs":250.0}"#,
             ),
             (
-                Action::Refuse { request, retry_after_ms: None },
+                Action::Reject { request, retry_after_ms: None },
                 r#"{"msg":"Decline","job":"b0daaa495d3a91c4"}"#,
             ),
             (Action::Fail { request }, r#"{"msg":"Error","job":"b0daaa495d3a91c4"}"#),
@@ -366,24 +368,27 @@
                 Action::Cancel { request, attempt: 0 },
                 r#"{"msg":"Recall","job":"b0daaa495d3a91c4","sendNo":0}"#,
             ),
-            (Action::Probe { server }, r#"{"msg":"Test","host":"10.144.17.242:7044"}"#),
-            (Action::CloseIdle { server }, r#"{"msg":"LetGo","host":"10.144.17.242:7044"}"#),
+            (Action::Probe { endpoint }, r#"{"msg":"Test","host":"10.144.17.242:7044"}"#),
+            (Action::CloseIdle { endpoint }, r#"{"msg":"LetGo","host":"10.144.17.242:7044"}"#),
             (
-                Action::Tell { to: None, body: "hi 7".into() },
+                Action::SendPeerMessage { to: None, body: "hi 7".into() },
                 r#"{"msg":"Announce","target":-1,"data":"hi 7"}"#,
             ),
-            (Action::Tell { to: Some(2), body: "hi".into() }, r#"{"msg":"Announce","target":2,"data":"hi"}"#),
+            (
+                Action::SendPeerMessage { to: Some(2), body: "hi".into() },
+                r#"{"msg":"Announce","target":2,"data":"hi"}"#,
+            ),
             (
                 Action::SetTimer { at_ms: 8912.25, token: 77 },
                 r#"{"msg":"WakeMe","momentMs":8912.25,"name":77}"#,
             ),
             (
-                Action::Count { name: 9_041_552, amount: 4.0, ttl_ms: 3000.0 },
+                Action::AddToCounter { name: 9_041_552, amount: 4.0, ttl_ms: 3000.0 },
                 r#"{"msg":"PostAmount","book":9041552,"n":4.0,"ttlMs":3000.0}"#,
             ),
             (Action::Subscribe { active: true }, r#"{"msg":"Follow","active":true}"#),
             (Action::FetchList, r#"{"msg":"Refresh"}"#),
-            (Action::Log { line: "two servers".into() }, r#"{"msg":"Emit","line":"two servers"}"#),
+            (Action::Log { line: "two endpoints".into() }, r#"{"msg":"Emit","line":"two endpoints"}"#),
         ];
         for (action, expected) in cases {
             assert_eq!(serde_json::to_string(&Out::from(action)).expect("plain data"), expected);
