--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -109,8 +109,8 @@
         self.close(id, actions);
     }
 
-    /// When to come back to a gateway that had no room in time: after the longest wait that clients heed.
-    /// Try on try would come too late as well, and each is weighed and asked about anew.
+    /// When to come back to a gateway that had no room in time: after the longest wait that clients heed. Try
+    /// on try would come too late as well, and each is weighed and asked about anew.
     pub(crate) fn overload_retry_after(&self) -> Option<f64> {
         Some(self.settings.max_retry_after_ms).filter(|ms| *ms > 0.0)
     }
--- a/crates/admission/src/policy/in_flight_band.rs
+++ b/crates/admission/src/policy/in_flight_band.rs
@@ -45,9 +45,8 @@
 pub(crate) const SATURATED_FILL: f64 = 0.5;
 
 /// Part of the band's middle under which a wide fleet sends freely. Above it each gateway sends at its even
-/// part
-/// of the rate that keeps the band filled, more or less as the stock is under or over: gossip is late, and a
-/// gate that opens or shuts for everyone at once swings.
+/// part of the rate that keeps the band filled, more or less as the stock is under or over: gossip is late,
+/// and a gate that opens or shuts for everyone at once swings.
 pub(crate) const UNGATED_FILL: f64 = 0.6;
 pub(crate) const MAX_REFILL_FACTOR: f64 = 3.0;
 pub(crate) const MIN_REFILL_FACTOR: f64 = 0.3;
--- a/crates/admission/src/policy/outlier_detection.rs
+++ b/crates/admission/src/policy/outlier_detection.rs
@@ -76,8 +76,8 @@
             && self.clock.now_ms - endpoint.last_response_ms > long_ms
     }
 
-    /// Judged by symptoms: backing off after failures, gone with work out, or silent with work out for
-    /// longer than chance explains (a hung machine, a cut link, a pause).
+    /// Judged by symptoms: backing off after failures, gone with work out, or silent with work out for longer
+    /// than chance explains (a hung machine, a cut link, a pause).
     pub(crate) fn is_outlier(&self, endpoint: &Endpoint) -> bool {
         endpoint.state == EndpointState::Gone
             || self.clock.now_ms < endpoint.ejected_until_ms
--- a/crates/admission/src/policy/retry.rs
+++ b/crates/admission/src/policy/retry.rs
@@ -62,8 +62,8 @@
         true
     }
 
-    /// Work stuck on an ailing endpoint gets a second copy, or where copies are not allowed is called off
-    /// and tried again. Guards against hung machines and lost zones, whatever the cause.
+    /// Work stuck on an ailing endpoint gets a second copy, or where copies are not allowed is called off and
+    /// tried again. Guards against hung machines and lost zones, whatever the cause.
     pub(crate) fn rescue_stalled(&mut self, actions: &mut Vec<Action>) {
         if self.outliers.correlated_failure {
             return;
