--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -3,9 +3,9 @@
 use crate::event::Request;
 use crate::gateway::{Gateway, UPKEEP_MS};
 use crate::id::RequestId;
-use crate::policy::dispatch::Gate;
 use crate::state::customer::customer_tag;
 use crate::state::request::ActiveRequest;
+use crate::state::request::Gate;
 
 /// For so long after its start a gateway spends only its part of each burst: peers may not have told theirs.
 pub(crate) const STARTUP_MS: f64 = 1000.0;
--- a/crates/admission/src/policy/dispatch.rs
+++ b/crates/admission/src/policy/dispatch.rs
@@ -3,20 +3,12 @@
 use crate::gateway::Gateway;
 use crate::id::RequestId;
 use crate::settings::PlanSettings;
-use crate::state::request::QuotaState;
+use crate::state::request::{Gate, QuotaState};
 
 /// Time-out of an attempt, in aims. Past the aim an answer earns little, but while the endpoint may still
 /// work on it the attempt belongs in the stock: forgetting it sooner let in more than the endpoints could do.
 pub(crate) const ATTEMPT_TIMEOUT_OBJECTIVES: f64 = 2.0;
 
-/// Whether a held request's customer lets it go now.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) enum Gate {
-    Go,
-    Wait,
-    Beyond,
-}
-
 impl Gateway {
     /// Under the lower bound the smallest virtual finish leaves, first come first within a customer.
     pub(crate) fn dispatch(&mut self, actions: &mut Vec<Action>) {
--- a/crates/admission/src/state/request.rs
+++ b/crates/admission/src/state/request.rs
@@ -143,3 +143,11 @@
         }
     }
 }
+
+/// Whether a held request's customer lets it go now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Gate {
+    Go,
+    Wait,
+    Beyond,
+}
