Settle the fleet's way of coordination once, as an enum built from the settings

Whether a gateway broadcasts its counts or goes by gossip was worked out anew at each of its nineteen uses, and gossip mode stood for three different fleets. `Coordination` names the four ways (broadcast, gossip, counter, isolated) and is settled when the gateway starts.

--- a/crates/admission/src/coordination/gossip.rs
+++ b/crates/admission/src/coordination/gossip.rs
@@ -70,7 +70,7 @@
         let rate = self.gossip.answer_rate.now(self.clock.now_ms, QUOTA_RATE_SPAN_S);
         self.gossip.mean_answer_rate +=
             (1.0 - (-MEAN_GAIN_PER_SECOND * seconds).exp()) * (rate - self.gossip.mean_answer_rate);
-        if !self.settings.peer_messages_allowed {
+        if !self.coordination.exchanges_gossip() {
             // Nobody tells: the own part of the fleet stands for the others'.
             (self.gossip.received_stock, self.gossip.received_answer_rate) =
                 (self.gossip.mean_stock, self.gossip.mean_answer_rate);
--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -1,10 +1,11 @@
 //! The gateway: takes an event and calls the parts in order.
 use crate::action::Action;
 use crate::coordination::gossip::Gossip;
+use crate::coordination::Coordination;
 use crate::event::Event;
 use crate::mechanism::splitmix64::mix;
 use crate::mechanism::virtual_finish_queue::VirtualFinishQueue;
-use crate::policy::coordination::{MAX_REPORT_INTERVAL_MS, MIN_REPORT_INTERVAL_MS, PEER_MESSAGE_FRACTION};
+use crate::policy::coordination::{MIN_REPORT_INTERVAL_MS, PEER_MESSAGE_FRACTION};
 use crate::policy::in_flight_band::{
     GOSSIP_AGE_WEIGHT, GOSSIP_BAND_FACTOR, GOSSIP_LATENCY_EASE, INITIAL_WATERMARK, MAX_REFILL_FACTOR,
     MAX_WATERMARK, MAX_WATERMARK_RISE, MIN_REFILL_FACTOR, PROMPT_FRACTION, SATURATED_FILL, SLUGGISH_FRACTION,
@@ -29,6 +30,8 @@
 #[derive(Debug, Default)]
 pub struct Gateway {
     pub(crate) settings: Settings,
+    /// The way in which this fleet agrees on quotas and attempts in flight.
+    pub(crate) coordination: Coordination,
     pub(crate) clock: EventClock,
     /// Tells this start of the gateway from earlier ones.
     pub(crate) incarnation: u32,
@@ -91,10 +94,11 @@
             retries: RetryBudget { tokens: MAX_RETRY_TOKENS / 2.0 },
             peers: PeerTable { by_index: peers, message_tokens: 10.0, ..PeerTable::default() },
             quota_counter: QuotaCounter { sampling_fraction: 1.0, ..QuotaCounter::default() },
+            coordination: Coordination::from_settings(&settings),
             settings,
             ..Gateway::default()
         };
-        if gateway.gossip_mode() {
+        if !gateway.coordination.is_broadcast() {
             gateway.band.watermark *= GOSSIP_BAND_FACTOR;
         }
         Ok(gateway)
@@ -111,14 +115,14 @@
             Event::EndpointList { kind, entries } => self.on_list(kind, entries),
             Event::Request(request) => self.on_request(request, actions),
             Event::Timer { .. }
-                if !self.gossip_mode() || self.clock.now_ms >= self.clock.next_tick_ms - 0.5 =>
+                if self.coordination.is_broadcast() || self.clock.now_ms >= self.clock.next_tick_ms - 0.5 =>
             {
                 self.upkeep(actions)
             }
             Event::Timer { .. } => {}
             Event::AttemptEnded(end) => self.on_attempt_end(&end, actions),
             Event::ClientGone { request } => self.close(request, actions),
-            Event::PeerMessage { from, body } if self.gossip_mode() => {
+            Event::PeerMessage { from, body } if !self.coordination.is_broadcast() => {
                 self.on_gossip_message(from, &body, actions)
             }
             Event::PeerMessage { from, body } => self.on_counts_message(from, &body),
@@ -138,7 +142,7 @@
     }
 
     pub(crate) fn upkeep(&mut self, actions: &mut Vec<Action>) {
-        let wide = self.gossip_mode();
+        let wide = !self.coordination.is_broadcast();
         self.schedule_tick(
             if wide && self.requests.active.is_empty() { IDLE_UPKEEP_MS } else { UPKEEP_MS },
             actions,
@@ -194,9 +198,8 @@
             / (PEER_MESSAGE_FRACTION * self.settings.peer_messages_per_second).max(0.1))
         .max(MIN_REPORT_INTERVAL_MS);
         if self.clock.now_ms - self.peers.reported_ms >= gap
-            && self.settings.peer_messages_allowed
             && peers > 0.0
-            && !self.gossip_mode()
+            && self.coordination.is_broadcast()
         {
             self.peers.reported_ms = self.clock.now_ms;
             self.broadcast_counts(actions);
@@ -212,13 +215,6 @@
         (self.random >> 11) as f64 / (1u64 << 53) as f64
     }
 
-    /// Whether the gateways are more than could each be heard often enough for the band's silence.
-    pub(crate) fn gossip_mode(&self) -> bool {
-        let told =
-            if self.settings.peer_messages_allowed { self.settings.peer_messages_per_second } else { 0.0 };
-        self.settings.gateways as f64 - 1.0 > PEER_MESSAGE_FRACTION * told * MAX_REPORT_INTERVAL_MS / 1000.0
-    }
-
     /// Upkeep of a wide fleet's gateway.
     pub(crate) fn gossip_upkeep(&mut self, actions: &mut Vec<Action>) {
         if self.clock.now_ms - self.gossip.measured_ms >= IDLE_UPKEEP_MS {
--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -36,7 +36,7 @@
         }
         let now = self.clock.now_ms;
         let plan = s.plans[request.plan].clone();
-        let wide = self.gossip_mode();
+        let wide = !self.coordination.is_broadcast();
         let tag = if wide { request.customer.0 } else { u64::from(customer_tag(request.customer)) };
         let aim = s.classes[request.class].latency_objective_ms;
         let aim = aim - self.already_waited_ms(request.class, request.time_left_ms);
--- a/crates/admission/src/policy/coordination.rs
+++ b/crates/admission/src/policy/coordination.rs
@@ -1,4 +1,5 @@
 //! Figures of the messages between gateways.
+use crate::settings::Settings;
 
 /// A peer's told stock counts for this long (the design's two seconds).
 pub(crate) const PEER_TIMEOUT_MS: f64 = 2000.0;
@@ -26,3 +27,9 @@
 
 /// Weight of each told mean in what the band goes by: own attempts, few and jumpy, stay out of it.
 pub(crate) const RECEIVED_MEAN_GAIN: f64 = 0.15;
+
+/// Whether gateways are few enough to send their counts to every other often enough.
+pub(crate) fn broadcast_reaches_all(settings: &Settings) -> bool {
+    let received = if settings.peer_messages_allowed { settings.peer_messages_per_second } else { 0.0 };
+    settings.gateways as f64 - 1.0 <= PEER_MESSAGE_FRACTION * received * MAX_REPORT_INTERVAL_MS / 1000.0
+}
--- a/crates/admission/src/policy/dispatch.rs
+++ b/crates/admission/src/policy/dispatch.rs
@@ -13,7 +13,7 @@
     /// Under the lower bound the smallest virtual finish leaves, first come first within a customer.
     pub(crate) fn dispatch(&mut self, actions: &mut Vec<Action>) {
         self.band.blocked = false;
-        let wide = self.gossip_mode();
+        let wide = !self.coordination.is_broadcast();
         while self.queue.len > 0 {
             let mut best: Option<(f64, u64, RequestId)> = None;
             let heads: Vec<(u64, RequestId, f64)> = self
--- a/crates/admission/src/policy/endpoint_selection.rs
+++ b/crates/admission/src/policy/endpoint_selection.rs
@@ -30,8 +30,8 @@
     /// by seeded chance, the likelier the cheaper: gateways that have little out each and hear the same would
     /// else all choose the same one, and all gateways together would pass a cold endpoint's budget in step.
     pub(crate) fn select_endpoint(&mut self, id: RequestId) -> Option<EndpointId> {
-        let (wide, draw) =
-            (self.gossip_mode(), if self.gossip_mode() { self.random_fraction() } else { 0.0 });
+        let wide = !self.coordination.is_broadcast();
+        let draw = if wide { self.random_fraction() } else { 0.0 };
         if self.endpoints.list_expired {
             return None;
         }
--- a/crates/admission/src/policy/in_flight_band.rs
+++ b/crates/admission/src/policy/in_flight_band.rs
@@ -69,7 +69,7 @@
                 .iter()
                 .any(|(c, m)| matches!(c, EjectionScope::Class(_)) && self.clock.now_ms < m.0);
             // What is out at the clearly slow swells the stock as if the rest were full.
-            let slow = self.gossip_mode() && self.kind_deviation(endpoint).1 > CLEARLY_SLOW;
+            let slow = !self.coordination.is_broadcast() && self.kind_deviation(endpoint).1 > CLEARLY_SLOW;
             let failed = endpoint.state == EndpointState::Gone
                 || backing_off
                 || marked
@@ -102,7 +102,7 @@
     /// than its even part of the band counts as under it whatever the stock: guards against being locked out
     /// by peers that see a wider band, or by totals that are wrong.
     pub(crate) fn under_band(&self, id: RequestId) -> (bool, bool) {
-        if self.gossip_mode() {
+        if !self.coordination.is_broadcast() {
             let go = self.band.dispatch_credit >= self.credit_required(id)
                 || self.band_fill(self.band.ready_capacity) < UNGATED_FILL;
             return (go, go);
@@ -124,6 +124,6 @@
 
     /// The least that the band lets each endpoint have.
     pub(crate) fn watermark_floor(&self) -> f64 {
-        MIN_WATERMARK * if self.gossip_mode() { GOSSIP_BAND_FACTOR } else { 1.0 }
+        MIN_WATERMARK * if self.coordination.is_broadcast() { 1.0 } else { GOSSIP_BAND_FACTOR }
     }
 }
--- a/crates/admission/src/policy/outlier_detection.rs
+++ b/crates/admission/src/policy/outlier_detection.rs
@@ -55,7 +55,7 @@
             0 => 0.5 * usual,
             n => s.in_flight.iter().map(|o| self.clock.now_ms - o.0).sum::<f64>() / n as f64,
         };
-        if !self.gossip_mode() {
+        if self.coordination.is_broadcast() {
             let mut ages: Vec<f64> = self.endpoints.by_id.values().map(age).collect();
             ages.sort_by(f64::total_cmp);
             self.latency.typical_age_ms = ages.get(ages.len() * 2 / 5).copied().unwrap_or(0.0);
@@ -71,7 +71,7 @@
         let each = self.outliers.observation_rate.now(self.clock.now_ms, OBSERVATION_SPAN_S)
             / self.endpoints.by_id.len().max(1) as f64;
         let long_ms = (1000.0 * UNRESPONSIVE_OBSERVATIONS / each.max(1e-3)).min(MAX_UNRESPONSIVE_MS);
-        self.gossip_mode()
+        !self.coordination.is_broadcast()
             && endpoint.missed_responses >= MIN_MISSED_RESPONSES
             && self.clock.now_ms - endpoint.last_response_ms > long_ms
     }
@@ -96,7 +96,7 @@
 
     /// Learns speed and health from how an attempt ended.
     pub(crate) fn record_attempt_end(&mut self, end: &AttemptEnd, class: usize, plan: usize) {
-        if self.gossip_mode() {
+        if !self.coordination.is_broadcast() {
             self.observe_attempt(end, class, plan);
         }
         let took_ms = end.took_ms;
@@ -106,7 +106,7 @@
         let usual = self.latency.mean_by_class_ms[class].max(1.0);
         // A long silence is a endpoint's own fault only where attempts elsewhere are not out as long.
         let long = 3.0 * usual.max(1.5 * self.latency.typical_age_ms);
-        let wide = self.gossip_mode();
+        let wide = !self.coordination.is_broadcast();
         let Some(endpoint) = self.endpoints.by_id.get_mut(&end.endpoint) else { return };
         endpoint.in_flight.retain(|o| (o.1, o.2) != (end.request, end.attempt));
         let cold = endpoint.started_ms.is_some_and(|s| now - s < self.settings.warm_up_ms);
--- a/crates/admission/src/policy/quota_counter.rs
+++ b/crates/admission/src/policy/quota_counter.rs
@@ -1,5 +1,6 @@
 //! Quotas held through the shared counter, where gateways may not send each other messages.
 use crate::action::Action;
+use crate::coordination::Coordination;
 use crate::event::CounterOutcome;
 use crate::gateway::Gateway;
 use crate::id::RequestId;
@@ -44,14 +45,15 @@
     /// Puts a held request's question to whoever can tell of its quota: the keeper, the counter, or where
     /// neither may be asked nobody, and each gateway grants what it would alone.
     pub(crate) fn check_quota(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        if self.settings.peer_messages_allowed {
-            self.request_quota(id, 0, actions);
-        } else if self.settings.counter_allowed {
-            self.request_from_counter(id, actions);
-        } else if let Some(active) = self.requests.active.get_mut(&id) {
-            active.within_quota = true;
-            let (tag, r) = (active.tag, active.request.clone());
-            self.customer_entry(tag, r.plan, r.first, r.spread.clamp(1, self.settings.gateways));
+        match self.coordination {
+            Coordination::Gossip => self.request_quota(id, 0, actions),
+            Coordination::Counter => self.request_from_counter(id, actions),
+            Coordination::Broadcast | Coordination::Isolated => {
+                let Some(active) = self.requests.active.get_mut(&id) else { return };
+                active.within_quota = true;
+                let (tag, r) = (active.tag, active.request.clone());
+                self.customer_entry(tag, r.plan, r.first, r.spread.clamp(1, self.settings.gateways));
+            }
         }
     }
 
@@ -85,39 +87,6 @@
         self.call_counter(tag, actions);
     }
 
-    /// Makes a customer's next call. It has one out at a time, so that each answer belongs to one question.
-    pub(crate) fn call_counter(&mut self, tag: u64, actions: &mut Vec<Action>) {
-        let (name, _) = count_now(tag, self.clock.now_ms);
-        let Some(customer) = self.customers.by_tag.get_mut(&tag) else { return };
-        let count = &mut customer.count;
-        while count.calling.is_none() {
-            let call = match count.queue.pop_front() {
-                // Its client has gone, or its time is over.
-                Some(Call::Ask { id, .. })
-                    if !self
-                        .requests
-                        .active
-                        .get(&id)
-                        .is_some_and(|o| !o.answered && o.quota == QuotaState::Counting) =>
-                {
-                    continue
-                }
-                Some(call) => call,
-                None if count.owed != 0.0 => Call::Settle,
-                None => return,
-            };
-            let more = match call {
-                Call::Ask { takes, .. } => takes,
-                Call::Raise { by, .. } => by,
-                Call::Settle => 0.0,
-            };
-            let owed = std::mem::take(&mut count.owed);
-            count.calling = Some((call, owed));
-            self.quota_counter.calls.insert(name, tag);
-            actions.push(Action::AddToCounter { name, amount: more + owed, ttl_ms: COUNT_EPOCH_MS });
-        }
-    }
-
     /// Takes the counter's answer to a customer's call.
     pub(crate) fn on_counter_reply(&mut self, name: u64, outcome: CounterOutcome, actions: &mut Vec<Action>) {
         let Some(tag) = self.quota_counter.calls.remove(&name) else { return };
--- a/crates/admission/src/policy/retry.rs
+++ b/crates/admission/src/policy/retry.rs
@@ -68,8 +68,10 @@
         if self.outliers.correlated_failure {
             return;
         }
-        let mut stuck = if self.gossip_mode() { self.stalled_attempts() } else { Vec::new() };
-        for endpoint in self.endpoints.by_id.values().filter(|s| !self.gossip_mode() && self.is_outlier(s)) {
+        let mut stuck = if self.coordination.is_broadcast() { Vec::new() } else { self.stalled_attempts() };
+        for endpoint in
+            self.endpoints.by_id.values().filter(|s| self.coordination.is_broadcast() && self.is_outlier(s))
+        {
             stuck.extend(endpoint.in_flight.iter().map(|o| (o.1, o.2)));
         }
         for (id, attempt) in stuck {
--- a/crates/admission/src/state/customer.rs
+++ b/crates/admission/src/state/customer.rs
@@ -195,7 +195,7 @@
             let own = mix(tag ^ mix(s.me as u64));
             self.rendezvous_ranking(tag, first, spread).filter(|(rank, _)| *rank < own).count()
         };
-        let part = match (self.gossip_mode() && self.settings.peer_messages_allowed, spread) {
+        let part = match (self.coordination.exchanges_gossip(), spread) {
             (false, _) | (_, 1) => 1.0 / spread as f64,
             _ if known => 0.0,
             _ => match before() {
@@ -223,7 +223,7 @@
     /// Forgets customers whose store is full again, so that one-off customers leave nothing behind.
     pub(crate) fn evict_idle_customers(&mut self) {
         let (now, crowded) = (self.clock.now_ms, self.customers.by_tag.len() > MAX_CUSTOMERS);
-        if self.gossip_mode() {
+        if !self.coordination.is_broadcast() {
             // Nobody is told of these.
             self.customers.unreported.clear();
         }
--- a/crates/admission/src/state/endpoint.rs
+++ b/crates/admission/src/state/endpoint.rs
@@ -180,7 +180,7 @@
     pub(crate) fn send_fraction(&self, endpoint: &Endpoint) -> f64 {
         let warm = self.warm_fraction(endpoint);
         match warm < 1.0 {
-            true if self.gossip_mode() => WARM_UP_WEIGHT * warm,
+            true if !self.coordination.is_broadcast() => WARM_UP_WEIGHT * warm,
             true => WARM_UP_BUDGET_FRACTION * warm,
             false => 1.0,
         }
