--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -2,7 +2,7 @@
 use crate::clock::from_ms;
 use crate::core::{Answer, Core};
 use crate::hosts::{Call, BODY_MOST};
-use crate::log;
+use crate::logging::target;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -211,7 +211,11 @@
                     }
                 }
                 Err(error) => {
-                    log::line(format_args!("cannot accept: {error}"));
+                    tracing::warn!(
+                        target: target::DOWNSTREAM,
+                        %error,
+                        "cannot accept a connection; an idle one is closed to make room"
+                    );
                     self.make_room();
                     sleep(ACCEPT_PAUSE).await;
                 }
@@ -259,7 +263,7 @@
 
     fn serve(self: &Rc<Self>, stream: TcpStream, refused: bool) {
         if let Err(error) = stream.set_nodelay(true) {
-            log::line(format_args!("cannot set TCP_NODELAY: {error}"));
+            tracing::warn!(target: target::DOWNSTREAM, %error, "cannot set TCP_NODELAY; responses may be delayed");
         }
         let number = self.next.get();
         self.next.set(number + 1);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -4,7 +4,7 @@
 use crate::counter::Counter;
 use crate::discovery::List;
 use crate::hosts::{Call, Ended, Hosts};
-use crate::log;
+use crate::logging::target;
 use crate::peers::Peers;
 use bytes::Bytes;
 use hyper::Response;
@@ -326,10 +326,14 @@
             }
             Action::SendPeerMessage { to, body } => self.peers.tell(to, &body),
             Action::CloseIdle { endpoint } => self.hosts.close_idle(endpoint),
-            Action::Log { line } => log::line(line),
+            Action::Log { line } => tracing::warn!(target: target::DISPATCHER, "{line}"),
             // The module asks for none today. Should it, it learns that it led to nothing.
             Action::Probe { endpoint } => {
-                log::line("the module asked for a probe, which this gateway does not make");
+                tracing::error!(
+                    target: target::DISPATCHER,
+                    endpoint = %format_args!("{:016x}", endpoint.0),
+                    "probe asked for, which this gateway does not make"
+                );
                 let outcome = Outcome::TooLate;
                 state.events.push_back(Event::ProbeDone {
                     endpoint,
@@ -353,7 +357,12 @@
 
     fn send(self: &Rc<Self>, state: &mut State, request: RequestId, endpoint: EndpointId, timeout_ms: f64) {
         let Some(taken) = state.taken.get_mut(&request) else {
-            return log::line("the module sent a request that is over");
+            return tracing::error!(
+                target: target::DISPATCHER,
+                request = %format_args!("{:016x}", request.0),
+                endpoint = %format_args!("{:016x}", endpoint.0),
+                "attempt asked for after the request was over"
+            );
         };
         let number = taken.attempts.len();
         if taken.slot.is_none() {
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -7,7 +7,7 @@
 use self::pace::{Failure, Keeper};
 use crate::core::Core;
 use crate::link::Link;
-use crate::log;
+use crate::logging::target;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HOST;
@@ -82,7 +82,7 @@
             match listed.and_then(|t: Target| t.listed(names, now_ms)) {
                 Ok(listed) => Some(listed),
                 Err(message) => {
-                    log::line(format_args!("an entry of the list is left out: {message}"));
+                    tracing::warn!(target: target::DISCOVERY, reason = %message, "endpoint entry ignored: it cannot be read");
                     None
                 }
             }
@@ -146,7 +146,10 @@
     if watch.keeper.until().is_some() {
         let core = watch.core.clone();
         spawn_local(expire(holds, move || {
-            log::line("discovery: the list has expired; nothing is sent by it");
+            tracing::error!(
+                target: target::DISCOVERY,
+                "endpoint list expired; nothing is sent until discovery answers"
+            );
             core.on_list_expired();
         }));
     }
@@ -192,7 +195,12 @@
             self.rev = None;
         }
         if std::mem::take(&mut self.well) {
-            log::line(format_args!("discovery: {failure}; the list is kept"));
+            tracing::warn!(
+                target: target::DISCOVERY,
+                discovery = %addr,
+                reason = %failure,
+                "discovery failed; the last endpoint list is kept"
+            );
         }
         let pause = self.keeper.failed(&failure, Instant::now());
         self.tell_until();
@@ -232,7 +240,7 @@
             self.keeper.listed(late, Instant::now());
             self.tell_until();
             if !std::mem::replace(&mut self.well, true) {
-                log::line("discovery: the list is here again");
+                tracing::info!(target: target::DISCOVERY, discovery = %addr, "discovery answers again; endpoint list current");
             }
             self.core.on_list(if list.all { ListKind::Whole } else { ListKind::Changes }, list);
             (list, late) = self.call(&mut link, addr, false, Instant::now()).await?;
--- /dev/null
+++ b/crates/gateway/src/logging/tests.rs
@@ -0,0 +1,98 @@
+use super::*;
+use std::cell::Cell;
+
+/// A writer that keeps what is written.
+#[derive(Clone, Default)]
+struct Kept(Arc<Mutex<Vec<u8>>>);
+
+impl io::Write for Kept {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("a lock").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Kept {
+    fn text(&self) -> String {
+        String::from_utf8(self.0.lock().expect("a lock").clone()).expect("text")
+    }
+}
+
+/// Counts how often it is formatted.
+struct Counted<'a>(&'a Cell<u32>);
+
+impl fmt::Display for Counted<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.set(self.0.get() + 1);
+        formatter.write_str("counted")
+    }
+}
+
+#[test]
+fn a_line_names_level_target_message_and_fields() {
+    let kept = Kept::default();
+    let writer = kept.clone();
+    tracing::subscriber::with_default(limited_subscriber(move || writer.clone()), || {
+        tracing::warn!(target: target::PEERS, peer = 3, reason = %"too long", "message not sent");
+        tracing::info!(target: target::LIFECYCLE, "listening on {} {}", "127.0.0.1:1", "127.0.0.1:2");
+        tracing::debug!("not written");
+    });
+    assert_eq!(
+        kept.text(),
+        "irishinge: WARN peers: message not sent peer=3 reason=too long\n\
+         irishinge: INFO lifecycle: listening on 127.0.0.1:1 127.0.0.1:2\n"
+    );
+}
+
+#[test]
+fn lines_over_the_limit_are_dropped_without_being_formatted() {
+    let kept = Kept::default();
+    let (writer, formatted) = (kept.clone(), Cell::new(0));
+    tracing::subscriber::with_default(limited_subscriber(move || writer.clone()), || {
+        for _ in 0..MAX_LINES_PER_SECOND + 90 {
+            tracing::warn!(field = %Counted(&formatted), "line {}", Counted(&formatted));
+        }
+    });
+    let lines = kept.text().lines().count() as u32;
+    // A machine that stands still for a second may begin another period, whose first line tells of the dropped ones.
+    let periods = lines.div_ceil(MAX_LINES_PER_SECOND + 1);
+    assert!(lines <= periods * (MAX_LINES_PER_SECOND + 1) && periods <= 2, "{lines} lines");
+    assert_eq!(formatted.get(), 2 * kept.text().matches("field=counted").count() as u32);
+}
+
+#[test]
+fn the_next_line_is_preceded_by_the_number_dropped() {
+    let kept = Kept::default();
+    let limit = Arc::new(Mutex::new(LineLimit::new(Instant::now())));
+    let writer = kept.clone();
+    let layer = tracing_subscriber::fmt::layer()
+        .event_format(LineFormat { limit: limit.clone() })
+        .with_writer(move || writer.clone());
+    limit.lock().expect("a lock").dropped = 5;
+    tracing::subscriber::with_default(Registry::default().with(layer), || {
+        tracing::warn!(target: target::PEERS, "first");
+        tracing::warn!(target: target::PEERS, "second");
+    });
+    assert_eq!(
+        kept.text(),
+        "irishinge: WARN logging: lines dropped over the limit count=5\n\
+         irishinge: WARN peers: first\nirishinge: WARN peers: second\n"
+    );
+}
+
+#[test]
+fn each_second_has_its_own_limit() {
+    let start = Instant::now();
+    let mut limit = LineLimit::new(start);
+    let admitted = |limit: &mut LineLimit, now| (0..25).filter(|_| limit.admit(now)).count();
+    assert_eq!(admitted(&mut limit, start), 10);
+    assert_eq!(admitted(&mut limit, start + Duration::from_millis(999)), 0);
+    assert_eq!(limit.take_dropped(), 40);
+    assert_eq!(admitted(&mut limit, start + Duration::from_millis(1000)), 10);
+    assert_eq!(limit.take_dropped(), 15);
+    assert_eq!(limit.take_dropped(), 0);
+}
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -8,7 +8,7 @@
 mod discovery;
 mod hosts;
 mod link;
-mod log;
+mod logging;
 mod peers;
 
 use crate::clients::Clients;
@@ -18,6 +18,7 @@
 use crate::counter::Counter;
 use crate::discovery::Pace;
 use crate::hosts::{Hosts, REAP_EVERY};
+use crate::logging::target;
 use crate::peers::Peers;
 use irishinge_admission::{Gateway, ListKind, Settings};
 use std::net::SocketAddr;
@@ -96,8 +97,8 @@
 
     let bound = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
     match peers.local_addr() {
-        Some(peer_addr) => log::line(format_args!("listening on {bound} {peer_addr}")),
-        None => log::line(format_args!("listening on {bound}")),
+        Some(peer_addr) => tracing::info!(target: target::LIFECYCLE, "listening on {bound} {peer_addr}"),
+        None => tracing::info!(target: target::LIFECYCLE, "listening on {bound}"),
     }
 
     spawn_local(core.clone().run_timers());
@@ -131,12 +132,14 @@
     while hangup.recv().await.is_some() {
         match Config::load() {
             Ok(config) => {
-                log::line(format_args!("configuration reloaded; discovery at {}", config.discovery));
+                tracing::info!(target: target::LIFECYCLE, discovery = %config.discovery, "configuration reloaded");
                 core.counter().move_to(config.counter);
                 discovery
                     .send_if_modified(|addr| std::mem::replace(addr, config.discovery) != config.discovery);
             }
-            Err(message) => log::line(format_args!("the old configuration stays: {message}")),
+            Err(message) => {
+                tracing::error!(target: target::LIFECYCLE, reason = %message, "configuration not reloaded; the previous one stays in force")
+            }
         }
     }
 }
@@ -152,8 +155,9 @@
 }
 
 fn main() -> ExitCode {
+    let logging = logging::init().map_err(|e| format!("no log: {e}"));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("no runtime: {e}"));
+    let runtime = logging.and_then(|()| runtime.map_err(|e| format!("no runtime: {e}")));
     match runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, run())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,6 +1,6 @@
 //! Datagrams between gateways.
 use crate::core::Core;
-use crate::log;
+use crate::logging::target;
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
@@ -72,18 +72,29 @@
 
     /// Sends a message to a peer, or to all. Like the network, it may lose it.
     pub(crate) fn tell(&self, to: Option<usize>, body: &str) {
-        let Some(socket) = &self.socket else { return log::line("a message, but no socket for peers") };
+        let Some(socket) = &self.socket else {
+            return tracing::warn!(
+                target: target::PEERS,
+                reason = "no peer_listen address",
+                "message not sent"
+            );
+        };
         if body.len() > DATAGRAM_MOST {
-            return log::line(format_args!("a message of {} bytes is not sent", body.len()));
+            return tracing::error!(
+                target: target::PEERS,
+                bytes = body.len(),
+                reason = "longer than a datagram may be",
+                "message not sent"
+            );
         }
         let all = 0..self.addrs.len();
         for peer in all.filter(|p| *p != self.me && to.is_none_or(|t| t == *p)) {
             if !self.allowance.borrow_mut().spend(Instant::now()) {
-                log::line(format_args!("no message to gateway {peer}: more than a gateway takes in"));
+                tracing::warn!(target: target::PEERS, peer, reason = "send rate limit", "message not sent");
                 continue;
             }
             if let Err(error) = socket.try_send_to(body.as_bytes(), self.addrs[peer]) {
-                log::line(format_args!("no message to gateway {peer}: {error}"));
+                tracing::warn!(target: target::PEERS, peer, %error, "message not sent");
             }
         }
     }
@@ -97,7 +108,7 @@
                 Ok(received) => received,
                 Err(error) => {
                     // A peer that is down makes an earlier send come back as an error here.
-                    log::line(format_args!("no message from peers: {error}"));
+                    tracing::warn!(target: target::PEERS, %error, "cannot receive from peers");
                     sleep(PAUSE).await;
                     continue;
                 }
@@ -105,7 +116,13 @@
             let from = self.addrs.iter().position(|a| *a == sender).filter(|p| *p != self.me);
             match (from, std::str::from_utf8(&buffer[..length])) {
                 (Some(from), Ok(body)) if length <= DATAGRAM_MOST => core.on_peer(from, body.to_string()),
-                _ => log::line(format_args!("a datagram of {length} bytes from {sender} is ignored")),
+                _ => tracing::warn!(
+                    target: target::PEERS,
+                    %sender,
+                    bytes = length,
+                    reason = "not from a configured peer, not text, or too long",
+                    "datagram ignored"
+                ),
             }
         }
     }
