Rename the gateway's modules and types by the field's terms, and move inline tests to files

The gateway's types had names of a house style (Core, Hosts, Link, Taken, Ended, Wary) that a newcomer cannot look up. Modules are moved with their history (core -> dispatcher, hosts -> upstream, link -> http_connection, counter -> quota_counter), and types follow: Dispatcher, ActiveCall, Responder, FinalResponse, UpstreamPool, UpstreamRequest, AttemptResult, ReuseDelay, HttpConnection, ExchangeError, ExchangeState, ObservedStream, DiscoveredEndpoint, QuotaCounter. Nothing but names and places changes.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -1,8 +1,8 @@
 //! Clients' connections: reads requests, refuses what is malformed, and writes answers.
-use crate::clock::from_ms;
-use crate::core::{Answer, Core};
-use crate::hosts::{Call, BODY_MOST};
+use crate::clock::duration_from_ms;
+use crate::dispatcher::{Dispatcher, FinalResponse};
 use crate::logging::target;
+use crate::upstream::{UpstreamRequest, MAX_BODY_BYTES};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -153,7 +153,7 @@
 
 /// All clients' connections.
 pub(crate) struct Clients {
-    core: Rc<Core>,
+    core: Rc<Dispatcher>,
     settings: Settings,
     /// Refusals may carry `Retry-After`.
     retry_after: bool,
@@ -175,7 +175,7 @@
 impl Clients {
     /// No connections yet.
     pub(crate) fn new(
-        core: Rc<Core>,
+        core: Rc<Dispatcher>,
         settings: Settings,
         retry_after: bool,
         most_connections: usize,
@@ -337,14 +337,14 @@
         }
         let mut request = self.read_head(&head)?;
         if connection.refused {
-            return Ok(self.write(Answer::Refused { retry_after_ms: None }));
+            return Ok(self.write(FinalResponse::Rejected { retry_after_ms: None }));
         }
         let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
         let body = if body.is_end_stream() {
             Bytes::new()
         } else {
             // A body whose told length is too large is not waited for.
-            if body.size_hint().lower() > BODY_MOST as u64 {
+            if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
                 return Err(too_large);
             }
             if head.method == Method::GET {
@@ -354,8 +354,8 @@
                 Stage::New => connection.accepted + FIRST_TIMEOUT,
                 _ => came + BODY_TIMEOUT,
             };
-            let until = until.min(came + from_ms(request.time_left_ms));
-            let body = timeout_at(until, Limited::new(body, BODY_MOST).collect()).await;
+            let until = until.min(came + duration_from_ms(request.time_left_ms));
+            let body = timeout_at(until, Limited::new(body, MAX_BODY_BYTES).collect()).await;
             let body = body.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))?;
             body.map_err(|e| match e.is::<LengthLimitError>() {
                 true => too_large,
@@ -379,12 +379,12 @@
             () = connection.left() => connection.end().await,
         };
         watch.request = None;
-        Ok(self.write(answer.unwrap_or(Answer::Failed)))
+        Ok(self.write(answer.unwrap_or(FinalResponse::Failed)))
     }
 
-    fn write(&self, answer: Answer) -> Response<Full<Bytes>> {
+    fn write(&self, answer: FinalResponse) -> Response<Full<Bytes>> {
         match answer {
-            Answer::Served(answer) => {
+            FinalResponse::Served(answer) => {
                 let (mut head, body) = answer.into_parts();
                 let mut response = Response::new(Full::new(body));
                 if let Some(kind) = head.headers.remove(CONTENT_TYPE) {
@@ -392,7 +392,7 @@
                 }
                 response
             }
-            Answer::Refused { retry_after_ms } => {
+            FinalResponse::Rejected { retry_after_ms } => {
                 // The module advises a wait where a quota is used up.
                 let status = match retry_after_ms {
                     Some(_) => StatusCode::TOO_MANY_REQUESTS,
@@ -407,7 +407,7 @@
                 }
                 response
             }
-            Answer::Failed => text(StatusCode::BAD_GATEWAY, "failed"),
+            FinalResponse::Failed => text(StatusCode::BAD_GATEWAY, "failed"),
         }
     }
 
@@ -518,7 +518,7 @@
 
 /// Tells the core when the answer is no longer waited for.
 struct HangUp<'a> {
-    core: &'a Rc<Core>,
+    core: &'a Rc<Dispatcher>,
     request: Option<RequestId>,
 }
 
@@ -530,9 +530,9 @@
     }
 }
 
-fn call(mut head: Parts, body: Bytes) -> Result<Call, Malformed> {
+fn call(mut head: Parts, body: Bytes) -> Result<UpstreamRequest, Malformed> {
     let headers = &mut head.headers;
-    Ok(Call {
+    Ok(UpstreamRequest {
         host: headers.remove(HOST).ok_or(bad("no Host"))?,
         call_id: headers.remove("x-call-id").ok_or(bad("no X-Call-Id"))?,
         idempotency_key: headers.remove("idempotency-key"),
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -24,28 +24,14 @@
 
     /// The instant of a time in milliseconds; one before the start is the start.
     pub(crate) fn instant(&self, at_ms: f64) -> Instant {
-        self.start + from_ms(at_ms - self.start_ms)
+        self.start + duration_from_ms(at_ms - self.start_ms)
     }
 }
 
 /// A duration of milliseconds: none where negative or no number, a day at most.
-pub(crate) fn from_ms(ms: f64) -> Duration {
+pub(crate) fn duration_from_ms(ms: f64) -> Duration {
     Duration::from_secs_f64((ms / 1000.0).clamp(0.0, 86_400.0).max(0.0))
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_clock_converts_both_ways_and_takes_odd_figures() {
-        let clock = Clock::start();
-        let now = clock.now_ms();
-        assert!(clock.now_ms() >= now);
-        let later = clock.instant(now + 1500.0) - clock.instant(now);
-        assert!((later.as_secs_f64() - 1.5).abs() < 0.001);
-        assert_eq!(clock.instant(0.0), clock.start);
-        assert_eq!(from_ms(f64::NAN), Duration::ZERO);
-        assert_eq!(from_ms(-1.0), Duration::ZERO);
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/clock/tests.rs
@@ -0,0 +1,13 @@
+use super::*;
+
+#[test]
+fn the_clock_converts_both_ways_and_takes_odd_figures() {
+    let clock = Clock::start();
+    let now = clock.now_ms();
+    assert!(clock.now_ms() >= now);
+    let later = clock.instant(now + 1500.0) - clock.instant(now);
+    assert!((later.as_secs_f64() - 1.5).abs() < 0.001);
+    assert_eq!(clock.instant(0.0), clock.start);
+    assert_eq!(duration_from_ms(f64::NAN), Duration::ZERO);
+    assert_eq!(duration_from_ms(-1.0), Duration::ZERO);
+}
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -5,8 +5,8 @@
 
 pub(crate) use self::pace::Pace;
 use self::pace::{Failure, Keeper};
-use crate::core::Core;
-use crate::link::Link;
+use crate::dispatcher::Dispatcher;
+use crate::http_connection::HttpConnection;
 use crate::logging::target;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -54,7 +54,7 @@
 }
 
 /// A host as the module and as the pool want it.
-pub(crate) struct Listed {
+pub(crate) struct DiscoveredEndpoint {
     /// For the module.
     pub entry: EndpointEntry,
     /// Where it listens.
@@ -76,7 +76,7 @@
 
     /// The hosts of the list. An entry that cannot be read is logged and left out: in a whole list that
     /// takes the host for gone, which keeps the rules.
-    pub(crate) fn hosts(self, names: &Names, now_ms: f64) -> Vec<Listed> {
+    pub(crate) fn hosts(self, names: &Names, now_ms: f64) -> Vec<DiscoveredEndpoint> {
         let read = |value: serde_json::Value| {
             let listed = serde_json::from_value(value).map_err(|e| e.to_string());
             match listed.and_then(|t: Target| t.listed(names, now_ms)) {
@@ -92,7 +92,7 @@
 }
 
 impl Target {
-    fn listed(self, names: &Names, now_ms: f64) -> Result<Listed, String> {
+    fn listed(self, names: &Names, now_ms: f64) -> Result<DiscoveredEndpoint, String> {
         // A zone or kind that the settings do not name is one of its own.
         let index =
             |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(names.len());
@@ -112,13 +112,13 @@
             // A start in the future would be a cold host with less than no capacity.
             started_at_ms: booted.then(|| self.boot_ms.min(now_ms)),
         };
-        Ok(Listed { entry, addr: self.endpoint })
+        Ok(DiscoveredEndpoint { entry, addr: self.endpoint })
     }
 }
 
 /// What a gateway knows of its watch.
 struct Watch {
-    core: Rc<Core>,
+    core: Rc<Dispatcher>,
     /// The version to go on from; none where the whole list is wanted.
     rev: Option<u64>,
     keeper: Keeper,
@@ -133,7 +133,7 @@
 /// agent, it starts again with the whole list. Where lists are asked for, one that was not heard of again in time has
 /// expired: nothing is sent by it until discovery has answered.
 pub(crate) async fn watch(
-    core: Rc<Core>,
+    core: Rc<Dispatcher>,
     mut addr: watch::Receiver<SocketAddr>,
     known: Option<u64>,
     pace: Pace,
@@ -221,7 +221,7 @@
             self.rev = None;
         }
         let begun = Instant::now();
-        let connect = timeout(pace.connect_patience, Link::connect(addr)).await;
+        let connect = timeout(pace.connect_patience, HttpConnection::connect(addr)).await;
         let connect = connect.map_err(|_| Failure::Unreachable { begun, why: "no connection in time" })?;
         let mut link = connect.map_err(|_| Failure::Unreachable { begun, why: "no connection" })?;
         // Where lists are pushed, the connection and the first call over it share one patience.
@@ -250,7 +250,7 @@
     /// One call, for what is newer than a version or for the whole list; its patience has run since `begun`.
     async fn call(
         &self,
-        link: &mut Link,
+        link: &mut HttpConnection,
         addr: SocketAddr,
         first: bool,
         begun: Instant,
--- a/crates/gateway/src/discovery/pace.rs
+++ b/crates/gateway/src/discovery/pace.rs
@@ -1,5 +1,5 @@
 //! When to call discovery, and until when the list that is known holds.
-use crate::clock::from_ms;
+use crate::clock::duration_from_ms;
 use irishinge_settings::{Lists, SocketSettings};
 use std::fmt;
 use std::time::Duration;
@@ -80,7 +80,7 @@
     pub(crate) fn new(settings: &SocketSettings, gateways: usize) -> Self {
         match settings.lists {
             Lists::Pushed => {
-                let grace = from_ms(settings.drain_grace_ms).clamp(GRACE_LEAST, GRACE_MOST);
+                let grace = duration_from_ms(settings.drain_grace_ms).clamp(GRACE_LEAST, GRACE_MOST);
                 let patience = grace.mul_f64(PUSHED_PATIENCE);
                 let most = grace.mul_f64(PUSHED_PAUSE);
                 Pace {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -1,11 +1,11 @@
 //! The only owner of the decision module. It feeds it events with a clock, carries out its actions in order,
 //! and holds the requests, their attempts and the right to answer them.
-use crate::clock::{from_ms, Clock};
-use crate::counter::Counter;
+use crate::clock::{duration_from_ms, Clock};
 use crate::discovery::List;
-use crate::hosts::{Call, Ended, Hosts};
 use crate::logging::target;
 use crate::peers::Peers;
+use crate::quota_counter::QuotaCounter;
+use crate::upstream::{AttemptResult, UpstreamPool, UpstreamRequest};
 use bytes::Bytes;
 use hyper::Response;
 use irishinge_admission::{
@@ -25,11 +25,11 @@
 const GUARD_MS: f64 = 5.0;
 
 /// The final answer to a request.
-pub(crate) enum Answer {
+pub(crate) enum FinalResponse {
     /// Served with a host's answer.
     Served(Response<Bytes>),
     /// Refused: trying again is harmless.
-    Refused {
+    Rejected {
         /// When to come back.
         retry_after_ms: Option<f64>,
     },
@@ -38,10 +38,10 @@
 }
 
 /// The right to give a request its final answer. Giving it takes the slot, so there can be no second one.
-struct AnswerSlot(oneshot::Sender<Answer>);
+struct Responder(oneshot::Sender<FinalResponse>);
 
-impl AnswerSlot {
-    fn give(self, answer: Answer) {
+impl Responder {
+    fn give(self, answer: FinalResponse) {
         // A client that has gone does not take it, and is reported by its connection.
         let _ = self.0.send(answer);
     }
@@ -54,15 +54,15 @@
 }
 
 /// A request that is not answered, or that has attempts out.
-struct Taken {
-    slot: Option<AnswerSlot>,
-    call: Rc<Call>,
+struct ActiveCall {
+    slot: Option<Responder>,
+    call: Rc<UpstreamRequest>,
     deadline: Instant,
     /// By number; none where the attempt has ended.
     attempts: Vec<Option<Attempt>>,
 }
 
-impl Taken {
+impl ActiveCall {
     /// Answered, and nothing out.
     fn is_over(&self) -> bool {
         self.slot.is_none() && self.attempts.iter().all(Option::is_none)
@@ -78,32 +78,32 @@
 struct State {
     gateway: Gateway,
     events: VecDeque<Event>,
-    taken: HashMap<RequestId, Taken>,
+    taken: HashMap<RequestId, ActiveCall>,
     due: BinaryHeap<Reverse<(Instant, Due)>>,
     /// What the timer task sleeps for.
     armed: Option<Instant>,
 }
 
 /// The gateway's core; all of it on one thread.
-pub(crate) struct Core {
+pub(crate) struct Dispatcher {
     state: RefCell<State>,
     rearm: Notify,
     clock: Clock,
     names: Names,
-    hosts: Hosts,
+    hosts: UpstreamPool,
     peers: Rc<Peers>,
-    counter: Counter,
+    counter: QuotaCounter,
 }
 
-impl Core {
+impl Dispatcher {
     /// A core that has been told nothing yet.
     pub(crate) fn new(
         gateway: Gateway,
         clock: Clock,
         names: Names,
-        hosts: Hosts,
+        hosts: UpstreamPool,
         peers: Rc<Peers>,
-        counter: Counter,
+        counter: QuotaCounter,
     ) -> Rc<Self> {
         let state = State {
             gateway,
@@ -112,7 +112,7 @@
             due: BinaryHeap::new(),
             armed: None,
         };
-        Rc::new(Core {
+        Rc::new(Dispatcher {
             state: RefCell::new(state),
             rearm: Notify::new(),
             clock,
@@ -129,12 +129,12 @@
     }
 
     /// The hosts.
-    pub(crate) fn hosts(&self) -> &Hosts {
+    pub(crate) fn hosts(&self) -> &UpstreamPool {
         &self.hosts
     }
 
     /// The counter.
-    pub(crate) fn counter(&self) -> &Counter {
+    pub(crate) fn counter(&self) -> &QuotaCounter {
         &self.counter
     }
 
@@ -143,18 +143,22 @@
     pub(crate) fn on_request(
         self: &Rc<Self>,
         request: Request,
-        call: Call,
-    ) -> Option<oneshot::Receiver<Answer>> {
+        call: UpstreamRequest,
+    ) -> Option<oneshot::Receiver<FinalResponse>> {
         let (sender, receiver) = oneshot::channel();
         {
             let mut state = self.state.borrow_mut();
             if state.taken.contains_key(&request.id) {
                 return None;
             }
-            let deadline = Instant::now() + from_ms(request.time_left_ms);
-            let guard = Instant::now() + from_ms(request.time_left_ms - GUARD_MS);
-            let taken =
-                Taken { slot: Some(AnswerSlot(sender)), call: Rc::new(call), deadline, attempts: Vec::new() };
+            let deadline = Instant::now() + duration_from_ms(request.time_left_ms);
+            let guard = Instant::now() + duration_from_ms(request.time_left_ms - GUARD_MS);
+            let taken = ActiveCall {
+                slot: Some(Responder(sender)),
+                call: Rc::new(call),
+                deadline,
+                attempts: Vec::new(),
+            };
             state.taken.insert(request.id, taken);
             self.set_due(&mut state, guard, Due::Deadline(request.id));
         }
@@ -251,12 +255,16 @@
             taken.slot.take().map(|slot| (slot, unsent))
         };
         let Some((slot, unsent)) = slot else { return };
-        slot.give(if unsent { Answer::Refused { retry_after_ms: None } } else { Answer::Failed });
+        slot.give(if unsent {
+            FinalResponse::Rejected { retry_after_ms: None }
+        } else {
+            FinalResponse::Failed
+        });
         self.on_event(Event::ClientGone { request });
         self.forget(request);
     }
 
-    fn on_attempt_end(self: &Rc<Self>, request: RequestId, number: usize, ended: Ended) {
+    fn on_attempt_end(self: &Rc<Self>, request: RequestId, number: usize, ended: AttemptResult) {
         let event = {
             let mut state = self.state.borrow_mut();
             let Some(taken) = state.taken.get_mut(&request) else { return };
@@ -266,7 +274,7 @@
             let event = outcome(request, number, attempt.endpoint, took_ms, closed, &ended);
             if let (Outcome::Ok, Some(answer)) = (ended.outcome, ended.answer) {
                 if let Some(slot) = taken.slot.take() {
-                    slot.give(Answer::Served(answer));
+                    slot.give(FinalResponse::Served(answer));
                 }
             }
             event
@@ -278,7 +286,7 @@
     /// Drops what is kept of a request once it is answered and has nothing out.
     fn forget(&self, request: RequestId) {
         let mut state = self.state.borrow_mut();
-        if state.taken.get(&request).is_some_and(Taken::is_over) {
+        if state.taken.get(&request).is_some_and(ActiveCall::is_over) {
             state.taken.remove(&request);
         }
     }
@@ -300,9 +308,9 @@
         match action {
             Action::Send { request, endpoint, timeout_ms } => self.send(state, request, endpoint, timeout_ms),
             Action::Reject { request, retry_after_ms } => {
-                self.answer(state, request, Answer::Refused { retry_after_ms });
+                self.answer(state, request, FinalResponse::Rejected { retry_after_ms });
             }
-            Action::Fail { request } => self.answer(state, request, Answer::Failed),
+            Action::Fail { request } => self.answer(state, request, FinalResponse::Failed),
             Action::Cancel { request, attempt } => {
                 let number = attempt as usize;
                 let ended = state.taken.get_mut(&request).and_then(|t| t.attempts.get_mut(number)?.take());
@@ -370,8 +378,11 @@
             return self.ended_unanswered(state, request, number, endpoint, Outcome::TooLate, 0.0);
         }
         let sent = Instant::now();
-        let until =
-            if timeout_ms == 0.0 { taken.deadline } else { taken.deadline.min(sent + from_ms(timeout_ms)) };
+        let until = if timeout_ms == 0.0 {
+            taken.deadline
+        } else {
+            taken.deadline.min(sent + duration_from_ms(timeout_ms))
+        };
         let (core, call) = (self.clone(), taken.call.clone());
         let task = spawn_local(async move {
             let ended = core.hosts.attempt(endpoint, &call, until, || core.is_owed(request)).await;
@@ -390,11 +401,11 @@
         took_ms: f64,
     ) {
         let closed = state.taken.get(&request).is_none_or(|t| t.slot.is_none());
-        let ended = Ended::without_answer(how);
+        let ended = AttemptResult::without_answer(how);
         state.events.push_back(outcome(request, number, endpoint, took_ms, closed, &ended));
     }
 
-    fn answer(&self, state: &mut State, request: RequestId, answer: Answer) {
+    fn answer(&self, state: &mut State, request: RequestId, answer: FinalResponse) {
         let Some(taken) = state.taken.get_mut(&request) else { return };
         if let Some(slot) = taken.slot.take() {
             slot.give(answer);
@@ -412,7 +423,7 @@
     endpoint: EndpointId,
     took_ms: f64,
     closed: bool,
-    ended: &Ended,
+    ended: &AttemptResult,
 ) -> Event {
     Event::AttemptEnded(AttemptEnd {
         request,
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/http_connection.rs
@@ -32,7 +32,7 @@
 
 /// What is known of a connection's present exchange besides its answer.
 #[derive(Default)]
-struct Notes {
+struct ExchangeState {
     /// A byte of the request was written.
     wrote: Cell<bool>,
     /// A byte of the answer has come.
@@ -46,12 +46,12 @@
 }
 
 /// A socket that takes notes. The socket is shared so that its link can look at it while hyper owns the rest.
-struct Watched {
+struct ObservedStream {
     stream: Rc<RefCell<TcpStream>>,
-    notes: Rc<Notes>,
+    notes: Rc<ExchangeState>,
 }
 
-impl Watched {
+impl ObservedStream {
     fn stream<T>(&self, call: impl FnOnce(Pin<&mut TcpStream>) -> T) -> T {
         call(Pin::new(&mut *self.stream.borrow_mut()))
     }
@@ -65,7 +65,7 @@
     }
 }
 
-impl AsyncRead for Watched {
+impl AsyncRead for ObservedStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let result = self.stream(|s| s.poll_read(cx, buf));
@@ -78,7 +78,7 @@
     }
 }
 
-impl AsyncWrite for Watched {
+impl AsyncWrite for ObservedStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let result = self.stream(|s| s.poll_write(cx, buf));
         self.note(&result);
@@ -110,47 +110,47 @@
 
 /// Why an exchange brought no whole answer.
 #[derive(Debug)]
-pub(crate) enum Broken {
+pub(crate) enum ExchangeError {
     /// The connection broke or ended.
-    Connection,
+    ConnectionLost,
     /// What came over it is not an answer, or not one within the bounds, and nothing but that ended it.
-    Spoilt,
+    InvalidResponse,
 }
 
 /// A connection that is up.
-pub(crate) struct Link {
+pub(crate) struct HttpConnection {
     sender: http1::SendRequest<Full<Bytes>>,
-    driver: Pin<Box<http1::Connection<TokioIo<Watched>, Full<Bytes>>>>,
+    driver: Pin<Box<http1::Connection<TokioIo<ObservedStream>, Full<Bytes>>>>,
     stream: Rc<RefCell<TcpStream>>,
-    notes: Rc<Notes>,
+    notes: Rc<ExchangeState>,
 }
 
 /// Tells whether a byte of a link's present request has been written; to be asked after the exchange was given
 /// up. A partly written request counts as written: when in doubt, it may have run.
-pub(crate) struct Written(Rc<Notes>);
+pub(crate) struct WriteStatus(Rc<ExchangeState>);
 
-impl Written {
+impl WriteStatus {
     /// Whether it has.
     pub(crate) fn any(&self) -> bool {
         self.0.wrote.get()
     }
 }
 
-impl Link {
+impl HttpConnection {
     /// Connects.
     pub(crate) async fn connect(addr: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
-        let (stream, notes) = (Rc::new(RefCell::new(stream)), Rc::<Notes>::default());
-        let io = TokioIo::new(Watched { stream: stream.clone(), notes: notes.clone() });
+        let (stream, notes) = (Rc::new(RefCell::new(stream)), Rc::<ExchangeState>::default());
+        let io = TokioIo::new(ObservedStream { stream: stream.clone(), notes: notes.clone() });
         let handshake = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(io).await;
         let (sender, driver) = handshake.map_err(io::Error::other)?;
-        Ok(Link { sender, driver: Box::pin(driver), stream, notes })
+        Ok(HttpConnection { sender, driver: Box::pin(driver), stream, notes })
     }
 
     /// What tells whether the present request was written.
-    pub(crate) fn written(&self) -> Written {
-        Written(self.notes.clone())
+    pub(crate) fn written(&self) -> WriteStatus {
+        WriteStatus(self.notes.clone())
     }
 
     /// Whether the connection can carry another request: the far end may have closed it meanwhile, or sent
@@ -177,7 +177,7 @@
         &mut self,
         mut request: Request<Full<Bytes>>,
         most_body: usize,
-    ) -> Result<Response<Bytes>, Broken> {
+    ) -> Result<Response<Bytes>, ExchangeError> {
         self.notes.wrote.set(false);
         self.notes.began.set(false);
         self.notes.interim.store(0, Relaxed);
@@ -196,7 +196,8 @@
             Ok(Response::from_parts(head, body.to_bytes()))
         });
         let (driver, notes) = (&mut self.driver, &self.notes);
-        let broken = || if notes.ended.get() { Broken::Connection } else { Broken::Spoilt };
+        let broken =
+            || if notes.ended.get() { ExchangeError::ConnectionLost } else { ExchangeError::InvalidResponse };
         let (mut ended, mut seen) = (false, 0);
         let mut overdue = None;
         poll_fn(|cx| {
@@ -221,13 +222,13 @@
                 notes.began.set(false);
             }
             if interim > INTERIM_MOST {
-                return Poll::Ready(Err(Broken::Spoilt));
+                return Poll::Ready(Err(ExchangeError::InvalidResponse));
             }
             if !notes.began.get() {
                 return Poll::Pending;
             }
             let overdue = overdue.get_or_insert_with(|| Box::pin(sleep(ANSWER_WITHIN)));
-            overdue.as_mut().poll(cx).map(|()| Err(Broken::Spoilt))
+            overdue.as_mut().poll(cx).map(|()| Err(ExchangeError::InvalidResponse))
         })
         .await
     }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -3,23 +3,23 @@
 mod clients;
 mod clock;
 mod config;
-mod core;
-mod counter;
 mod discovery;
-mod hosts;
-mod link;
+mod dispatcher;
+mod http_connection;
 mod logging;
 mod peers;
+mod quota_counter;
+mod upstream;
 
 use crate::clients::Clients;
-use crate::clock::{from_ms, Clock};
+use crate::clock::{duration_from_ms, Clock};
 use crate::config::Config;
-use crate::core::Core;
-use crate::counter::Counter;
 use crate::discovery::Pace;
-use crate::hosts::{Hosts, REAP_EVERY};
+use crate::dispatcher::Dispatcher;
 use crate::logging::target;
 use crate::peers::Peers;
+use crate::quota_counter::QuotaCounter;
+use crate::upstream::{UpstreamPool, REAP_INTERVAL};
 use irishinge_admission::{Gateway, ListKind, Settings};
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -47,7 +47,7 @@
     + DISCOVERY
     + CONFIGURATION
     + SHED
-    + counter::CONNECTIONS_MOST
+    + quota_counter::MAX_CONNECTIONS
     + clients::FURTHER_MOST;
 /// Part of the rest that is for clients.
 const CLIENTS_PART: f64 = 0.6;
@@ -64,7 +64,7 @@
 /// How long after SIGTERM the answers must be given and written, with these classes.
 fn last_answers(settings: &Settings) -> (Duration, Duration) {
     let longest = settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
-    let kill = from_ms(longest).min(DEADLINE_MOST) + KILL_AFTER;
+    let kill = duration_from_ms(longest).min(DEADLINE_MOST) + KILL_AFTER;
     (kill - ANSWER_BEFORE, kill - WRITE_BEFORE)
 }
 
@@ -78,12 +78,12 @@
     let gateway = Gateway::new(settings.clone(), config.seed, clock.now_ms()).map_err(|e| e.to_string())?;
     let room = config.sockets - OTHER_DESCRIPTORS;
     let clients_most = (room as f64 * CLIENTS_PART) as usize;
-    let hosts = Hosts::new(&config.socket_settings, room - clients_most);
+    let hosts = UpstreamPool::new(&config.socket_settings, room - clients_most);
     let peers =
         Peers::bind(config.peer_listen, config.peers, settings.me, settings.peer_messages_per_second).await;
     let peers = Rc::new(peers.map_err(|e| format!("cannot listen for peers: {e}"))?);
-    let counter = Counter::new(config.counter, config.socket_settings.count_limit_ms);
-    let core = Core::new(gateway, clock, config.names, hosts, peers.clone(), counter);
+    let counter = QuotaCounter::new(config.counter, config.socket_settings.count_limit_ms);
+    let core = Dispatcher::new(gateway, clock, config.names, hosts, peers.clone(), counter);
     // A list with nobody on it is not worth going on from.
     let known = config.known.as_ref().filter(|list| !list.is_empty()).map(|list| list.rev);
     if let Some(known) = config.known {
@@ -128,7 +128,7 @@
 
 /// On each SIGHUP reads the configuration anew. Discovery's address and the counter's are all in it that can change
 /// while the process runs; a file that cannot be read changes nothing.
-async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, core: Rc<Core>) {
+async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, core: Rc<Dispatcher>) {
     while hangup.recv().await.is_some() {
         match Config::load() {
             Ok(config) => {
@@ -144,8 +144,8 @@
     }
 }
 
-async fn reap(core: Rc<Core>) {
-    let mut ticks = interval(REAP_EVERY);
+async fn reap(core: Rc<Dispatcher>) {
+    let mut ticks = interval(REAP_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/quota_counter.rs
@@ -1,6 +1,6 @@
 //! Calls to the counter: a few connections, each with one call at a time.
-use crate::clock::from_ms;
-use crate::link::Link;
+use crate::clock::duration_from_ms;
+use crate::http_connection::HttpConnection;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HOST;
@@ -13,14 +13,14 @@
 use tokio::time::{timeout_at, Instant};
 
 /// Connections at most: part of the descriptors that are neither clients' nor hosts'.
-pub(crate) const CONNECTIONS_MOST: usize = 8;
+pub(crate) const MAX_CONNECTIONS: usize = 8;
 /// The counter closes a connection that has stood idle for about 10 s or less.
 const IDLE: Duration = Duration::from_secs(3);
 /// An answer is a number.
-const BODY_MOST: usize = 256;
+const MAX_BODY_BYTES: usize = 256;
 
 struct Idle {
-    link: Link,
+    link: HttpConnection,
     place: Place,
     since: Instant,
 }
@@ -35,19 +35,19 @@
 }
 
 /// The counter, where there is one.
-pub(crate) struct Counter {
+pub(crate) struct QuotaCounter {
     addr: Cell<Option<SocketAddr>>,
     limit: Duration,
     connections: Rc<Cell<usize>>,
     idle: RefCell<Vec<Idle>>,
 }
 
-impl Counter {
+impl QuotaCounter {
     /// No connections yet; a call is given up after `limit_ms`.
     pub(crate) fn new(addr: Option<SocketAddr>, limit_ms: f64) -> Self {
-        Counter {
+        QuotaCounter {
             addr: Cell::new(addr),
-            limit: from_ms(limit_ms),
+            limit: duration_from_ms(limit_ms),
             connections: Rc::default(),
             idle: RefCell::default(),
         }
@@ -74,7 +74,7 @@
         let Ok(request) = request else { return CounterOutcome::Rejected };
         let Some((mut link, place)) = self.link(addr, until).await else { return CounterOutcome::Rejected };
         let written = link.written();
-        let answer = timeout_at(until, link.exchange(request, BODY_MOST)).await;
+        let answer = timeout_at(until, link.exchange(request, MAX_BODY_BYTES)).await;
         let Ok(Ok(answer)) = answer else {
             // What was written, if only in part, may have been added, or may yet be.
             return if written.any() { CounterOutcome::Unanswered } else { CounterOutcome::Rejected };
@@ -96,18 +96,18 @@
     }
 
     /// A connection with no call on it; none where there is none in time.
-    async fn link(&self, addr: SocketAddr, until: Instant) -> Option<(Link, Place)> {
+    async fn link(&self, addr: SocketAddr, until: Instant) -> Option<(HttpConnection, Place)> {
         while let Some(mut idle) = { self.idle.borrow_mut().pop() } {
             if idle.since.elapsed() < IDLE && idle.link.is_usable() {
                 return Some((idle.link, idle.place));
             }
         }
-        if self.connections.get() >= CONNECTIONS_MOST {
+        if self.connections.get() >= MAX_CONNECTIONS {
             return None;
         }
         self.connections.set(self.connections.get() + 1);
         let place = Place(self.connections.clone());
-        let link = timeout_at(until, Link::connect(addr)).await.ok()?.ok()?;
+        let link = timeout_at(until, HttpConnection::connect(addr)).await.ok()?.ok()?;
         Some((link, place))
     }
 }
--- a/crates/gateway/src/tests.rs
+++ b/crates/gateway/src/tests.rs
@@ -28,7 +28,7 @@
         let clients = clients_most + clients::FURTHER_MOST;
         let hosts = room - clients_most;
         let own = STANDARD + RUNTIME + LISTENING + DISCOVERY + CONFIGURATION + SHED;
-        assert_eq!(clients + hosts + counter::CONNECTIONS_MOST + own, sockets);
+        assert_eq!(clients + hosts + quota_counter::MAX_CONNECTIONS + own, sockets);
         assert!(hosts >= 13, "a minimum of connections to hosts");
     }
 }
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/upstream.rs
@@ -2,9 +2,9 @@
 #[cfg(test)]
 mod tests;
 
-use crate::clock::from_ms;
-use crate::discovery::Listed;
-use crate::link::{Broken, Link, Written};
+use crate::clock::duration_from_ms;
+use crate::discovery::DiscoveredEndpoint;
+use crate::http_connection::{ExchangeError, HttpConnection, WriteStatus};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderValue, CONTENT_TYPE, HOST};
@@ -19,7 +19,7 @@
 use tokio::time::{timeout, timeout_at, Instant};
 
 /// Bodies, either way, hold this much at most.
-pub(crate) const BODY_MOST: usize = 64 * 1024;
+pub(crate) const MAX_BODY_BYTES: usize = 64 * 1024;
 /// An idle connection is let go after this part of the time after which its host would close it: a request
 /// that crosses the host's closing ends as a reset, and may have run. Letting go sooner costs a large fleet a
 /// handshake each time: its gateways come to a host once in seconds.
@@ -30,10 +30,10 @@
 const WARY: Duration = Duration::from_secs(60);
 const REST: Duration = Duration::from_millis(15);
 /// How often idle connections are looked over.
-pub(crate) const REAP_EVERY: Duration = Duration::from_millis(1000);
+pub(crate) const REAP_INTERVAL: Duration = Duration::from_millis(1000);
 
 /// A client's call as it goes on to hosts.
-pub(crate) struct Call {
+pub(crate) struct UpstreamRequest {
     /// The method.
     pub method: Method,
     /// Path and query, unchanged.
@@ -51,17 +51,17 @@
 }
 
 /// How an attempt ended.
-pub(crate) struct Ended {
+pub(crate) struct AttemptResult {
     /// The outcome.
     pub outcome: Outcome,
     /// The host's whole answer, where there is one.
     pub answer: Option<Response<Bytes>>,
 }
 
-impl Ended {
+impl AttemptResult {
     /// An end that brought no answer.
     pub(crate) fn without_answer(outcome: Outcome) -> Self {
-        Ended { outcome, answer: None }
+        AttemptResult { outcome, answer: None }
     }
 
     /// The true units, where the answer tells them.
@@ -84,7 +84,7 @@
 }
 
 struct Idle {
-    link: Link,
+    link: HttpConnection,
     permit: Permit,
     since: Instant,
 }
@@ -107,9 +107,9 @@
 
 /// Until when hosts' answers are not trusted to be all that comes.
 #[derive(Default)]
-struct Wary(Cell<Option<Instant>>);
+struct ReuseDelay(Cell<Option<Instant>>);
 
-impl Wary {
+impl ReuseDelay {
     fn begin(&self, now: Instant) {
         self.0.set(Some(now + WARY));
     }
@@ -121,7 +121,7 @@
 }
 
 /// All hosts this gateway knows.
-pub(crate) struct Hosts {
+pub(crate) struct UpstreamPool {
     table: RefCell<HashMap<EndpointId, Host>>,
     /// Nothing is sent by the list from then on.
     list_until: Cell<Option<Instant>>,
@@ -129,20 +129,20 @@
     most_connections: usize,
     connect_timeout: Duration,
     idle_most: Duration,
-    wary: Wary,
+    wary: ReuseDelay,
 }
 
-impl Hosts {
+impl UpstreamPool {
     /// No hosts yet; `most_connections` bounds the connections to all of them.
     pub(crate) fn new(settings: &SocketSettings, most_connections: usize) -> Self {
-        Hosts {
+        UpstreamPool {
             table: RefCell::default(),
             list_until: Cell::default(),
             connections: Rc::default(),
             most_connections,
-            connect_timeout: from_ms(settings.connect_timeout_ms),
-            idle_most: from_ms(settings.conn_idle_ms * IDLE_PART),
-            wary: Wary::default(),
+            connect_timeout: duration_from_ms(settings.connect_timeout_ms),
+            idle_most: duration_from_ms(settings.conn_idle_ms * IDLE_PART),
+            wary: ReuseDelay::default(),
         }
     }
 
@@ -152,12 +152,12 @@
     }
 
     /// Takes news of the list in. Idle connections to hosts that take no more work are closed.
-    pub(crate) fn on_list(&self, kind: ListKind, listed: &[Listed]) {
+    pub(crate) fn on_list(&self, kind: ListKind, listed: &[DiscoveredEndpoint]) {
         let mut table = self.table.borrow_mut();
         if kind != ListKind::Changes {
             table.retain(|id, _| listed.iter().any(|l| l.entry.id == *id));
         }
-        for Listed { entry, addr } in listed {
+        for DiscoveredEndpoint { entry, addr } in listed {
             if entry.state == EndpointState::Gone {
                 table.remove(&entry.id);
                 continue;
@@ -203,7 +203,7 @@
         table.get(&endpoint).filter(|h| h.state == EndpointState::Ready).map(|h| h.addr)
     }
 
-    fn take_idle(&self, endpoint: EndpointId) -> Option<(Link, Permit)> {
+    fn take_idle(&self, endpoint: EndpointId) -> Option<(HttpConnection, Permit)> {
         let mut table = self.table.borrow_mut();
         let host = table.get_mut(&endpoint)?;
         loop {
@@ -217,7 +217,7 @@
     }
 
     /// Whether a connection may carry another request, now or once it has rested.
-    fn is_usable(&self, link: &mut Link) -> bool {
+    fn is_usable(&self, link: &mut HttpConnection) -> bool {
         let usable = link.is_usable();
         if link.brought_more() {
             self.wary.begin(Instant::now());
@@ -226,7 +226,7 @@
     }
 
     /// Keeps a connection with nothing on it for the next request, where its host takes any.
-    fn keep(&self, endpoint: EndpointId, addr: SocketAddr, mut link: Link, permit: Permit) {
+    fn keep(&self, endpoint: EndpointId, addr: SocketAddr, mut link: HttpConnection, permit: Permit) {
         if let Some(host) = self.table.borrow_mut().get_mut(&endpoint) {
             if host.state == EndpointState::Ready && host.addr == addr && self.is_usable(&mut link) {
                 host.idle.push(Idle { link, permit, since: Instant::now() });
@@ -250,35 +250,37 @@
     pub(crate) async fn attempt(
         &self,
         endpoint: EndpointId,
-        call: &Call,
+        call: &UpstreamRequest,
         until: Instant,
         wanted: impl Fn() -> bool,
-    ) -> Ended {
+    ) -> AttemptResult {
         let written = Cell::new(None);
         match timeout_at(until, self.attempt_untimed(endpoint, call, until, wanted, &written)).await {
             Ok(ended) => ended,
-            Err(_) => Ended::without_answer(match written.take().is_some_and(|w: Written| w.any()) {
-                true => Outcome::TimedOut,
-                false => Outcome::ConnectFailed,
-            }),
+            Err(_) => {
+                AttemptResult::without_answer(match written.take().is_some_and(|w: WriteStatus| w.any()) {
+                    true => Outcome::TimedOut,
+                    false => Outcome::ConnectFailed,
+                })
+            }
         }
     }
 
     async fn attempt_untimed(
         &self,
         endpoint: EndpointId,
-        call: &Call,
+        call: &UpstreamRequest,
         until: Instant,
         wanted: impl Fn() -> bool,
-        written: &Cell<Option<Written>>,
-    ) -> Ended {
-        let never_ran = || Ended::without_answer(Outcome::ConnectFailed);
+        written: &Cell<Option<WriteStatus>>,
+    ) -> AttemptResult {
+        let never_ran = || AttemptResult::without_answer(Outcome::ConnectFailed);
         let Some(addr) = self.ready_addr(endpoint) else { return never_ran() };
         let (mut link, permit) = match self.take_idle(endpoint) {
             Some(pooled) => pooled,
             None => {
                 let Some(permit) = self.permit() else { return never_ran() };
-                match timeout(self.connect_timeout, Link::connect(addr)).await {
+                match timeout(self.connect_timeout, HttpConnection::connect(addr)).await {
                     Ok(Ok(link)) => (link, permit),
                     _ => return never_ran(),
                 }
@@ -288,19 +290,19 @@
         // client may have left, or have its answer from elsewhere, where attempts may not be called off.
         if self.list_expired() {
             self.keep(endpoint, addr, link, permit);
-            return Ended::without_answer(Outcome::TooLate);
+            return AttemptResult::without_answer(Outcome::TooLate);
         }
         if self.ready_addr(endpoint) != Some(addr) || !wanted() {
             self.keep(endpoint, addr, link, permit);
             return never_ran();
         }
         written.set(Some(link.written()));
-        let answer = match link.exchange(call.request(until), BODY_MOST).await {
+        let answer = match link.exchange(call.request(until), MAX_BODY_BYTES).await {
             Ok(answer) => answer,
             Err(_) if !link.written().any() => return never_ran(),
-            Err(Broken::Connection) => return Ended::without_answer(Outcome::Reset),
+            Err(ExchangeError::ConnectionLost) => return AttemptResult::without_answer(Outcome::Reset),
             // The host is up and has answered, if with nothing that can be read.
-            Err(Broken::Spoilt) => return Ended::without_answer(Outcome::Error),
+            Err(ExchangeError::InvalidResponse) => return AttemptResult::without_answer(Outcome::Error),
         };
         self.keep(endpoint, addr, link, permit);
         let rejected = answer.headers().get("x-rejected").is_some_and(|v| v == "1");
@@ -309,11 +311,11 @@
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Overloaded,
             _ => Outcome::Error,
         };
-        Ended { outcome, answer: Some(answer) }
+        AttemptResult { outcome, answer: Some(answer) }
     }
 }
 
-impl Call {
+impl UpstreamRequest {
     fn request(&self, until: Instant) -> Request<Full<Bytes>> {
         let left = until.saturating_duration_since(Instant::now()).as_secs_f64();
         let mut request = Request::new(Full::new(self.body.clone()));
--- a/crates/gateway/src/hosts/tests.rs
+++ b/crates/gateway/src/upstream/tests.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Write};
 use tokio::net::TcpListener;
 
-fn hosts() -> Hosts {
+fn hosts() -> UpstreamPool {
     let settings = SocketSettings {
         conn_idle_ms: 60_000.0,
         connect_timeout_ms: 60_000.0,
@@ -12,12 +12,12 @@
         lists: irishinge_settings::Lists::Pushed,
         drain_grace_ms: 2000.0,
     };
-    Hosts::new(&settings, 10)
+    UpstreamPool::new(&settings, 10)
 }
 
 #[test]
 fn once_more_came_than_an_answer_connections_rest_for_a_while_and_else_they_do_not() {
-    let (wary, now) = (Wary::default(), Instant::now());
+    let (wary, now) = (ReuseDelay::default(), Instant::now());
     assert!(wary.rested(now, now), "nothing has happened");
     wary.begin(now);
     let answered = now + Duration::from_secs(1);
@@ -35,7 +35,7 @@
         let hosts = hosts();
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("bound");
-        let (link, accepted) = tokio::join!(Link::connect(addr), listener.accept());
+        let (link, accepted) = tokio::join!(HttpConnection::connect(addr), listener.accept());
         let (mut link, (far, _)) = (link.expect("a connection"), accepted.expect("a connection"));
         let mut far = far.into_std().expect("a socket");
         far.set_nonblocking(false).expect("a socket");
@@ -63,9 +63,9 @@
     let (hosts, addr, id) = (hosts(), listener.local_addr().expect("bound"), EndpointId(1));
     let state = EndpointState::Ready;
     let entry = EndpointEntry { id, zone: 0, kind: 0, cell: 0, state, started_at_ms: None };
-    hosts.on_list(ListKind::Whole, &[Listed { entry, addr }]);
+    hosts.on_list(ListKind::Whole, &[DiscoveredEndpoint { entry, addr }]);
     let value = || HeaderValue::from_static("a");
-    let call = Call {
+    let call = UpstreamRequest {
         method: Method::GET,
         uri: Uri::from_static("/"),
         host: value(),
