--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,6 +1,6 @@
 //! Datagrams between gateways.
-use crate::core::Core;
-use crate::log;
+use crate::dispatcher::Dispatcher;
+use crate::logging::target;
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
@@ -72,24 +72,35 @@
 
     /// Sends a message to a peer, or to all. Like the network, it may lose it.
     pub(crate) fn tell(&self, to: Option<usize>, body: &str) {
-        let Some(socket) = &self.socket else { return log::line("a message, but no socket for peers") };
+        let Some(socket) = &self.socket else {
+            return tracing::warn!(
+                target: target::PEERS,
+                reason = "no peer_listen address",
+                "message not sent"
+            );
+        };
         if body.len() > DATAGRAM_MOST {
-            return log::line(format_args!("a message of {} bytes is not sent", body.len()));
+            return tracing::error!(
+                target: target::PEERS,
+                bytes = body.len(),
+                reason = "longer than a datagram may be",
+                "message not sent"
+            );
         }
         let all = 0..self.addrs.len();
         for peer in all.filter(|p| *p != self.me && to.is_none_or(|t| t == *p)) {
             if !self.allowance.borrow_mut().spend(Instant::now()) {
-                log::line(format_args!("no message to gateway {peer}: more than a gateway takes in"));
+                tracing::warn!(target: target::PEERS, peer, reason = "send rate limit", "message not sent");
                 continue;
             }
             if let Err(error) = socket.try_send_to(body.as_bytes(), self.addrs[peer]) {
-                log::line(format_args!("no message to gateway {peer}: {error}"));
+                tracing::warn!(target: target::PEERS, peer, %error, "message not sent");
             }
         }
     }
 
     /// Takes messages in, for good. What a stranger sends, and what is no text, is ignored.
-    pub(crate) async fn listen(&self, core: Rc<Core>) {
+    pub(crate) async fn listen(&self, core: Rc<Dispatcher>) {
         let Some(socket) = &self.socket else { return };
         let mut buffer = [0; DATAGRAM_MOST + 1];
         loop {
@@ -97,7 +108,7 @@
                 Ok(received) => received,
                 Err(error) => {
                     // A peer that is down makes an earlier send come back as an error here.
-                    log::line(format_args!("no message from peers: {error}"));
+                    tracing::warn!(target: target::PEERS, %error, "cannot receive from peers");
                     sleep(PAUSE).await;
                     continue;
                 }
@@ -105,45 +116,17 @@
             let from = self.addrs.iter().position(|a| *a == sender).filter(|p| *p != self.me);
             match (from, std::str::from_utf8(&buffer[..length])) {
                 (Some(from), Ok(body)) if length <= DATAGRAM_MOST => core.on_peer(from, body.to_string()),
-                _ => log::line(format_args!("a datagram of {length} bytes from {sender} is ignored")),
+                _ => tracing::warn!(
+                    target: target::PEERS,
+                    %sender,
+                    bytes = length,
+                    reason = "not from a configured peer, not text, or too long",
+                    "datagram ignored"
+                ),
             }
         }
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn one_peer_of_many_may_be_told_as_much_as_all_together_and_no_more() {
-        let start = Instant::now();
-        let mut allowance = Allowance::full(40.0, start);
-        // A second's worth at once, all of it to whoever the gateway has something to say to.
-        assert_eq!((0..100).filter(|_| allowance.spend(start)).count(), 40);
-        let later = start + Duration::from_millis(500);
-        assert_eq!((0..100).filter(|_| allowance.spend(later)).count(), 20);
-        // An hour of silence saves up no more than a second's worth.
-        let much_later = start + Duration::from_secs(3600);
-        assert_eq!((0..100).filter(|_| allowance.spend(much_later)).count(), 40);
-    }
-
-    #[tokio::test]
-    async fn a_gateway_of_a_hundred_hears_ten_messages_in_a_row_from_another() {
-        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
-        let hearer = std::net::UdpSocket::bind(loopback).expect("a socket");
-        hearer.set_read_timeout(Some(Duration::from_secs(10))).expect("a time-out");
-        let addrs = vec![hearer.local_addr().expect("an address"); 100];
-        let peers = Peers::bind(Some(loopback), addrs, 0, 40.0).await.expect("a socket");
-        // A new socket may be sent on once the runtime has looked at it.
-        peers.socket.as_ref().expect("a socket").writable().await.expect("a sound socket");
-        for number in 0..10 {
-            peers.tell(Some(1), &format!("message {number}"));
-        }
-        for number in 0..10 {
-            let mut buffer = [0; DATAGRAM_MOST];
-            let length = hearer.recv(&mut buffer).expect("a message");
-            assert_eq!(&buffer[..length], format!("message {number}").as_bytes());
-        }
-    }
-}
+mod tests;
