Give the virtual-finish queue private state and name the quota check's results

Callers changed the queue's flows, length and virtual time each for themselves, and dispatch mixed the choice of a request with the handling of those over their quota. QuotaState and QuotaDecision (was Gate) name their variants by the field's terms. Giving the final answer moves from the policy to lifecycle.rs, since it decides nothing.

--- a/crates/admission/src/coordination/quota_protocol.rs
+++ b/crates/admission/src/coordination/quota_protocol.rs
@@ -44,18 +44,17 @@
             return;
         };
         let mine = match active.quota {
-            QuotaState::Asked { keeper, number, .. } | QuotaState::Queued { keeper, number } => {
-                keeper == from && number == answer.number
-            }
+            QuotaState::AwaitingOwner { keeper, number, .. }
+            | QuotaState::QueuedAtOwner { keeper, number } => keeper == from && number == answer.number,
             _ => false,
         };
         if !mine {
             return;
         }
         active.quota = match answer.verdict {
-            GRANTED | EASY => QuotaState::Granted { keeper: from, number: answer.number },
-            QUEUED => QuotaState::Queued { keeper: from, number: answer.number },
-            verdict => QuotaState::Beyond { ceiling: verdict == SOFT },
+            GRANTED | EASY => QuotaState::GrantedByOwner { keeper: from, number: answer.number },
+            QUEUED => QuotaState::QueuedAtOwner { keeper: from, number: answer.number },
+            verdict => QuotaState::OverQuota { within_ceiling: verdict == SOFT },
         };
         active.within_quota = matches!(answer.verdict, GRANTED | EASY);
         active.ample = answer.verdict == EASY;
--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -244,7 +244,7 @@
         let now = self.clock.now_ms;
         let mut late = Vec::new();
         for id in self.quota_owner.pending.values() {
-            if let Some(QuotaState::Asked { keeper, at_ms, tries, .. }) =
+            if let Some(QuotaState::AwaitingOwner { keeper, at_ms, tries, .. }) =
                 self.requests.active.get(id).map(|o| o.quota)
             {
                 if now - at_ms > patience {
--- a/crates/admission/src/lifecycle.rs
+++ b/crates/admission/src/lifecycle.rs
@@ -39,7 +39,7 @@
             may_have_run: false,
         });
         let plan = &self.settings.plans[active.request.plan];
-        let own = matches!(active.quota, QuotaState::Own | QuotaState::Counted { .. });
+        let own = matches!(active.quota, QuotaState::LocalBucket | QuotaState::AdmittedByCounter { .. });
         if first {
             self.retries.tokens = (self.retries.tokens + RETRY_TOKENS_PER_REQUEST).min(MAX_RETRY_TOKENS);
         }
@@ -47,7 +47,10 @@
             customer.in_flight += 1;
             if first {
                 customer.ceiling_tokens -= active.request.units;
-                if active.within_quota && plan.rate_per_second > 0.0 && active.quota == QuotaState::Own {
+                if active.within_quota
+                    && plan.rate_per_second > 0.0
+                    && active.quota == QuotaState::LocalBucket
+                {
                     customer.tokens -= active.request.units;
                     customer.consumed += active.request.units;
                 }
@@ -61,6 +64,20 @@
         actions.push(Action::Send { request: id, endpoint: endpoint_id, timeout_ms });
     }
 
+    /// Takes in how an attempt ended: closes the request, tries again, or gives the final answer.
+    pub(crate) fn on_attempt_end(&mut self, end: &AttemptEnd, actions: &mut Vec<Action>) {
+        let (id, outcome) = (end.request, end.outcome);
+        let Some((class, plan)) = self.settle_attempt(end) else { return };
+        self.record_attempt_end(end, class, plan);
+        let Some(active) = self.requests.active.get_mut(&id) else { return };
+        let waits = active.attempts.iter().any(|a| a.pending);
+        if end.closed || outcome == Outcome::Ok || active.answered {
+            self.close(id, actions);
+        } else if !waits && (outcome == Outcome::TooLate || !self.retry(id, actions)) {
+            self.finish(id, None, actions);
+        }
+    }
+
     /// Enters an attempt's end: its true units, its active slot, and whether it may have run. Gives the
     /// request's class and plan; `None` where no such attempt is out.
     pub(crate) fn settle_attempt(&mut self, end: &AttemptEnd) -> Option<(usize, usize)> {
@@ -75,11 +92,11 @@
         // A figure that no request can count is a spoilt one.
         let told = end.true_units.filter(|t| counted && *t <= self.settings.max_units);
         let settled = told.map_or(0.0, |t| t - active.request.units);
-        let own = active.quota == QuotaState::Own;
+        let own = active.quota == QuotaState::LocalBucket;
         if !own {
             active.settled_units += settled;
         }
-        if !own && !matches!(active.quota, QuotaState::Counted { .. }) {
+        if !own && !matches!(active.quota, QuotaState::AdmittedByCounter { .. }) {
             return Some((class, plan));
         }
         if let Some(customer) = self.customers.by_tag.get_mut(&active.tag) {
@@ -97,6 +114,17 @@
         Some((class, plan))
     }
 
+    /// Gives the final answer: a rejection, or a failure where the request may have run.
+    pub(crate) fn finish(&mut self, id: RequestId, retry_after_ms: Option<f64>, actions: &mut Vec<Action>) {
+        let Some(active) = self.requests.active.get(&id).filter(|o| !o.answered) else { return };
+        actions.push(if self.may_reject(active) {
+            Action::Reject { request: id, retry_after_ms }
+        } else {
+            Action::Fail { request: id }
+        });
+        self.close(id, actions);
+    }
+
     /// The request is answered or its client gone: calls off once what is still out, and forgets it when
     /// all its attempts have ended.
     pub(crate) fn close(&mut self, id: RequestId, actions: &mut Vec<Action>) {
@@ -108,7 +136,7 @@
         }
         (active.answered, active.closed) = (true, true);
         let tag = active.tag;
-        self.remove_queued(tag, id);
+        self.queue.remove(tag, id);
         if pending.is_empty() {
             if let Some(active) = self.requests.active.remove(&id) {
                 self.report_request_end(&active, actions);
@@ -118,20 +146,21 @@
 
     /// Tells the keeper what a granted request took in the end, where that matters to its count.
     pub(crate) fn report_request_end(&mut self, active: &ActiveRequest, actions: &mut Vec<Action>) {
-        if active.quota == (QuotaState::Counted { asked: true }) {
+        if active.quota == (QuotaState::AdmittedByCounter { asked: true }) {
             return self.settle_counted(active, actions);
         }
         let plan = &self.settings.plans[active.request.plan];
         let (keeper, number, owed) = match active.quota {
-            QuotaState::Granted { keeper, number } if active.attempts.is_empty() => {
+            QuotaState::GrantedByOwner { keeper, number } if active.attempts.is_empty() => {
                 (keeper, number, -active.request.units)
             }
-            QuotaState::Granted { keeper, number }
+            QuotaState::GrantedByOwner { keeper, number }
                 if plan.open_limit > 0 || active.settled_units != 0.0 && !active.ample =>
             {
                 (keeper, number, active.settled_units)
             }
-            QuotaState::Queued { keeper, number } | QuotaState::Asked { keeper, number, .. } => {
+            QuotaState::QueuedAtOwner { keeper, number }
+            | QuotaState::AwaitingOwner { keeper, number, .. } => {
                 self.quota_owner.pending.remove(&number);
                 (keeper, number, -active.request.units)
             }
--- a/crates/admission/src/mechanism/virtual_finish_queue.rs
+++ b/crates/admission/src/mechanism/virtual_finish_queue.rs
@@ -1,19 +1,101 @@
-//! A weighted fair queue ordered by virtual finish time.
+//! A weighted fair queue: one flow per customer, ordered by virtual finish time.
+//!
+//! Each queued request gets a virtual finish time: its size over its flow's weight, after the later of the
+//! flow's last finish and the queue's virtual time. The caller looks at the heads of all flows and releases
+//! one of them, which moves the virtual time to that request's finish.
 use crate::id::RequestId;
 use std::collections::{BTreeMap, VecDeque};
 
-/// A customer's held requests, first come first.
+/// A request in the queue.
+#[derive(Debug, Clone, Copy)]
+struct QueuedRequest {
+    id: RequestId,
+    virtual_finish: f64,
+    /// Its size, as given when it was enqueued.
+    size: f64,
+}
+
+/// One customer's queued requests, in order of arrival.
 #[derive(Debug, Default)]
-pub(crate) struct Flow {
-    pub(crate) queue: VecDeque<(RequestId, f64)>,
-    pub(crate) last_finish: f64,
-    pub(crate) units: f64,
+struct Flow {
+    requests: VecDeque<QueuedRequest>,
+    last_finish: f64,
+    /// Sum of the sizes of its requests.
+    size: f64,
+}
+
+/// The oldest request of a flow.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct FlowHead {
+    /// The customer's tag, which names the flow.
+    pub(crate) tag: u64,
+    /// The request.
+    pub(crate) id: RequestId,
+    /// Its virtual finish time: the smallest leaves first.
+    pub(crate) virtual_finish: f64,
 }
 
-/// Queued requests: one flow a customer, ordered by virtual finish time.
+/// Queued requests: one flow per customer, ordered by virtual finish time.
 #[derive(Debug, Default)]
 pub(crate) struct VirtualFinishQueue {
-    pub(crate) flows: BTreeMap<u64, Flow>,
-    pub(crate) len: usize,
-    pub(crate) virtual_time: f64,
+    flows: BTreeMap<u64, Flow>,
+    len: usize,
+    virtual_time: f64,
+}
+
+impl VirtualFinishQueue {
+    /// The number of queued requests.
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether no request is queued.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// The sum of the sizes of a customer's queued requests.
+    pub(crate) fn queued_size(&self, tag: u64) -> f64 {
+        self.flows.get(&tag).map_or(0.0, |flow| flow.size)
+    }
+
+    /// Adds a request to the end of its customer's flow. `weight` is the flow's part of the service: twice
+    /// the weight, twice the size released in the same virtual time.
+    pub(crate) fn enqueue(&mut self, tag: u64, id: RequestId, size: f64, weight: f64) {
+        let flow = self.flows.entry(tag).or_default();
+        let virtual_finish = self.virtual_time.max(flow.last_finish) + size / weight;
+        flow.last_finish = virtual_finish;
+        flow.size += size;
+        flow.requests.push_back(QueuedRequest { id, virtual_finish, size });
+        self.len += 1;
+    }
+
+    /// The oldest request of each flow, ordered by customer tag.
+    pub(crate) fn heads(&self) -> Vec<FlowHead> {
+        let head = |(tag, flow): (&u64, &Flow)| {
+            let first = flow.requests.front()?;
+            Some(FlowHead { tag: *tag, id: first.id, virtual_finish: first.virtual_finish })
+        };
+        self.flows.iter().filter_map(head).collect()
+    }
+
+    /// Takes a request out, wherever it stands in its flow. A flow without requests is forgotten, and its
+    /// last finish with it.
+    pub(crate) fn remove(&mut self, tag: u64, id: RequestId) {
+        let Some(flow) = self.flows.get_mut(&tag) else { return };
+        let position = flow.requests.iter().position(|queued| queued.id == id);
+        if let Some(removed) = position.and_then(|at| flow.requests.remove(at)) {
+            self.len -= 1;
+            flow.size -= removed.size;
+        }
+        if flow.requests.is_empty() {
+            self.flows.remove(&tag);
+        }
+    }
+
+    /// Takes out a head that is to be sent and moves the virtual time to its finish.
+    pub(crate) fn release(&mut self, head: FlowHead) {
+        self.virtual_time = head.virtual_finish;
+        self.remove(head.tag, head.id);
+    }
 }
--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -2,10 +2,9 @@
 use crate::action::Action;
 use crate::event::Request;
 use crate::gateway::{Gateway, UPKEEP_MS};
-use crate::id::RequestId;
 use crate::state::customer::customer_tag;
 use crate::state::request::ActiveRequest;
-use crate::state::request::Gate;
+use crate::state::request::QuotaDecision;
 
 /// For so long after its start a gateway spends only its part of each burst: peers may not have told theirs.
 pub(crate) const STARTUP_MS: f64 = 1000.0;
@@ -48,14 +47,14 @@
             let active = ActiveRequest::new(request, tag, now, aim, false);
             let hopeless = self.cannot_meet_deadline(&active);
             self.requests.active.insert(id, active);
-            if hopeless || self.queue.len >= MAX_QUEUED {
+            if hopeless || self.queue.len() >= MAX_QUEUED {
                 return self.finish(id, self.overload_retry_after(), actions);
             }
             let worth = self.settings.classes[class].priority_weight.max(0.01);
-            self.enqueue(id, tag, &plan, units / worth);
+            self.queue.enqueue(tag, id, units / worth, self.flow_weight(&plan));
             return self.check_quota(id, actions);
         }
-        let reserved = self.queue.flows.get(&tag).map_or(0.0, |f| f.units);
+        let reserved = self.queue.queued_size(tag);
         let customer = self.customer_entry(tag, request.plan, first, spread);
         let withheld = if newcomer { plan.burst_units * (1.0 - 1.0 / spread as f64) } else { 0.0 };
         let room = customer.tokens - reserved - withheld;
@@ -73,15 +72,18 @@
         let (under_lower, under_upper) = self.under_band(id);
         // Beyond the quota only what earns more than it costs goes on, and only with nothing held.
         let earns = plan.over_quota_value > plan.over_quota_cost && ceiling_ok && plan.open_limit == 0;
-        let may_go =
-            if inside { under_upper && self.quota_gate(id) == Gate::Go } else { under_lower && earns };
+        let may_go = if inside {
+            under_upper && self.quota_decision(id) == QuotaDecision::Admit
+        } else {
+            under_lower && earns
+        };
         if may_go && !self.band.blocked {
             if let Some(endpoint) = self.select_endpoint(id) {
                 return self.send(id, endpoint, actions);
             }
         }
-        if inside && self.queue.len < MAX_QUEUED {
-            self.enqueue(id, tag, &plan, units);
+        if inside && self.queue.len() < MAX_QUEUED {
+            self.queue.enqueue(tag, id, units, self.flow_weight(&plan));
         } else {
             let wait = Some(1000.0 * short / plan.rate_per_second).filter(|w| w.is_finite());
             self.finish(id, wait, actions);
@@ -98,17 +100,6 @@
         end - self.clock.now_ms < wanted
     }
 
-    /// Gives the final answer: a refusal where that promise can be kept.
-    pub(crate) fn finish(&mut self, id: RequestId, retry_after_ms: Option<f64>, actions: &mut Vec<Action>) {
-        let Some(active) = self.requests.active.get(&id).filter(|o| !o.answered) else { return };
-        actions.push(if self.may_reject(active) {
-            Action::Reject { request: id, retry_after_ms }
-        } else {
-            Action::Fail { request: id }
-        });
-        self.close(id, actions);
-    }
-
     /// When to come back to a gateway that had no room in time: after the longest wait that clients heed. Try
     /// on try would come too late as well, and each is weighed and asked about anew.
     pub(crate) fn overload_retry_after(&self) -> Option<f64> {
--- a/crates/admission/src/policy/quota_counter.rs
+++ b/crates/admission/src/policy/quota_counter.rs
@@ -37,7 +37,7 @@
     let soft = plan.over_quota_value > plan.over_quota_cost
         && plan.open_limit == 0
         && plan.ceiling_rate_per_second <= 0.0;
-    QuotaState::Beyond { ceiling: soft }
+    QuotaState::OverQuota { within_ceiling: soft }
 }
 
 impl Gateway {
@@ -79,8 +79,8 @@
         (active.within_quota, active.ample) = (!short, true);
         active.quota = match (short, asks) {
             (true, _) => beyond(&plan),
-            (_, true) => QuotaState::Counting,
-            _ => QuotaState::Counted { asked: false },
+            (_, true) => QuotaState::AwaitingCounter,
+            _ => QuotaState::AdmittedByCounter { asked: false },
         };
         self.call_counter(tag, actions);
     }
@@ -98,7 +98,7 @@
                         .requests
                         .active
                         .get(&id)
-                        .is_some_and(|o| !o.answered && o.quota == QuotaState::Counting) =>
+                        .is_some_and(|o| !o.answered && o.quota == QuotaState::AwaitingCounter) =>
                 {
                     continue
                 }
@@ -186,13 +186,16 @@
     ) {
         let (now, granted) = (self.clock.now_ms, level >= units);
         let back = self.refund(units);
-        let active =
-            self.requests.active.get_mut(&id).filter(|o| !o.answered && o.quota == QuotaState::Counting);
+        let active = self
+            .requests
+            .active
+            .get_mut(&id)
+            .filter(|o| !o.answered && o.quota == QuotaState::AwaitingCounter);
         let taken = granted && active.is_some();
         if let Some(active) = active {
             active.within_quota = granted;
             active.ample = level > AMPLE_FRACTION * plan.burst_units;
-            active.quota = if granted { QuotaState::Counted { asked: true } } else { beyond(plan) };
+            active.quota = if granted { QuotaState::AdmittedByCounter { asked: true } } else { beyond(plan) };
         }
         if let Some(customer) = self.customers.by_tag.get_mut(&tag) {
             customer.count.level = Some((level - if taken { takes } else { takes - units }, now));
--- a/crates/admission/src/policy/quota_owner.rs
+++ b/crates/admission/src/policy/quota_owner.rs
@@ -52,8 +52,8 @@
         let keeper = line.min().map_or(self.settings.me, |(_, k)| k);
         // The same keeper gets the same number again: had its answer been lost, it would else draw twice.
         let number = match self.requests.active.get(&id).map(|o| o.quota) {
-            Some(QuotaState::Asked { keeper: last, number, .. }) if last == keeper => number,
-            Some(QuotaState::Asked { number, .. }) => {
+            Some(QuotaState::AwaitingOwner { keeper: last, number, .. }) if last == keeper => number,
+            Some(QuotaState::AwaitingOwner { number, .. }) => {
                 self.quota_owner.pending.remove(&number);
                 self.quota_owner.next_number
             }
@@ -84,7 +84,7 @@
         } else {
             self.quota_owner.next_number
         };
-        active.quota = QuotaState::Asked { keeper, number, at_ms: now, tries };
+        active.quota = QuotaState::AwaitingOwner { keeper, number, at_ms: now, tries };
         self.quota_owner.pending.insert(number, id);
         self.send_gossip(keeper, GossipMessage { requests: vec![ask], ..GossipMessage::default() }, actions);
     }
@@ -97,7 +97,8 @@
         let room = self.band_fill(self.band.ready_capacity) < UNGATED_FILL;
         let Some(active) = self.requests.active.get_mut(&id) else { return };
         let own = likely && room && self.settings.plans[active.request.plan].ceiling_rate_per_second <= 0.0;
-        active.quota = if own { QuotaState::Own } else { QuotaState::Beyond { ceiling: false } };
+        active.quota =
+            if own { QuotaState::LocalBucket } else { QuotaState::OverQuota { within_ceiling: false } };
         active.within_quota = own;
     }
 
--- a/crates/admission/src/policy/retry.rs
+++ b/crates/admission/src/policy/retry.rs
@@ -1,6 +1,5 @@
 //! Further attempts: idempotency, retry budget, hedging.
 use crate::action::Action;
-use crate::event::{AttemptEnd, Outcome};
 use crate::gateway::{Gateway, UPKEEP_MS};
 use crate::id::RequestId;
 use crate::messages::gossip::{SEEN_CLASS, SEEN_FAILED};
@@ -116,17 +115,4 @@
         marks.iter().for_each(|m| self.record_observation(m.0, m.1));
         stuck
     }
-
-    pub(crate) fn on_attempt_end(&mut self, end: &AttemptEnd, actions: &mut Vec<Action>) {
-        let (id, outcome) = (end.request, end.outcome);
-        let Some((class, plan)) = self.settle_attempt(end) else { return };
-        self.record_attempt_end(end, class, plan);
-        let Some(active) = self.requests.active.get_mut(&id) else { return };
-        let waits = active.attempts.iter().any(|a| a.pending);
-        if end.closed || outcome == Outcome::Ok || active.answered {
-            self.close(id, actions);
-        } else if !waits && (outcome == Outcome::TooLate || !self.retry(id, actions)) {
-            self.finish(id, None, actions);
-        }
-    }
 }
--- a/crates/admission/src/state/request.rs
+++ b/crates/admission/src/state/request.rs
@@ -6,36 +6,24 @@
 use crate::settings::{DedupGroup, Idempotency};
 use std::collections::BTreeMap;
 
-/// Where a request stands with its customer's keeper.
+/// Who decides whether a request is within its customer's quota, and what was decided.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub(crate) enum QuotaState {
-    /// Nobody needs to be asked.
+    /// This gateway's own token bucket decides; nobody is asked.
     #[default]
-    Own,
-    Asked {
-        keeper: usize,
-        number: u32,
-        at_ms: f64,
-        tries: u32,
-    },
-    /// The keeper holds the question until a slot is free.
-    Queued {
-        keeper: usize,
-        number: u32,
-    },
-    Granted {
-        keeper: usize,
-        number: u32,
-    },
-    Beyond {
-        ceiling: bool,
-    },
-    /// The counter is asked.
-    Counting,
-    /// It may go, by the counter or since that was not asked about it.
-    Counted {
-        asked: bool,
-    },
+    LocalBucket,
+    /// The quota's owner was asked and has not answered.
+    AwaitingOwner { keeper: usize, number: u32, at_ms: f64, tries: u32 },
+    /// The owner keeps the request waiting until the customer has a free slot.
+    QueuedAtOwner { keeper: usize, number: u32 },
+    /// The owner granted it.
+    GrantedByOwner { keeper: usize, number: u32 },
+    /// It is over the quota. Within the ceiling it may still be sent while there is room.
+    OverQuota { within_ceiling: bool },
+    /// The quota counter was asked and has not answered.
+    AwaitingCounter,
+    /// It may be sent: the counter said so, or was not asked about it.
+    AdmittedByCounter { asked: bool },
 }
 
 #[derive(Debug, Clone)]
@@ -78,7 +66,7 @@
             answered: false,
             closed: false,
             within_quota: inside,
-            quota: QuotaState::Own,
+            quota: QuotaState::LocalBucket,
             settled_units: 0.0,
             ample: false,
             request,
@@ -130,24 +118,15 @@
             0.0
         }
     }
-
-    pub(crate) fn remove_queued(&mut self, tag: u64, id: RequestId) {
-        let Some(flow) = self.queue.flows.get_mut(&tag) else { return };
-        if let Some(at) = flow.queue.iter().position(|h| h.0 == id) {
-            flow.queue.remove(at);
-            self.queue.len -= 1;
-            flow.units -= self.requests.active.get(&id).map_or(0.0, |o| o.request.units);
-        }
-        if flow.queue.is_empty() {
-            self.queue.flows.remove(&tag);
-        }
-    }
 }
 
-/// Whether a held request's customer lets it go now.
+/// Whether a request may be sent as far as its customer's quota goes.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) enum Gate {
-    Go,
+pub(crate) enum QuotaDecision {
+    /// It may be sent now.
+    Admit,
+    /// It stays queued: an answer, a slot or a part of the ceiling is still to come.
     Wait,
-    Beyond,
+    /// It is over the quota, so it leaves the queue.
+    OverQuota,
 }
