Give back-off, smoothing, random numbers and observation codes types of their own

The exponential back-off stood three times, smoothing and half-life decay were written out at each use, the gateway's random state was a bare number, and what was observed of an endpoint travelled inside as a code with arithmetic on it. mechanism/ now has exponential_backoff_ms, smooth, decay_towards and SplitMix64; messages/observation.rs has the enum ObservationKind, which alone knows the wire's numbers. The arithmetic keeps its order of operations, and the wire's numbers are the same.

--- a/crates/admission/src/coordination/gossip.rs
+++ b/crates/admission/src/coordination/gossip.rs
@@ -2,7 +2,8 @@
 use crate::action::Action;
 use crate::gateway::Gateway;
 use crate::mechanism::decaying_rate::DecayingRate;
-use crate::messages::gossip::{GossipMessage, Observation};
+use crate::messages::gossip::GossipMessage;
+use crate::messages::observation::Observation;
 use crate::policy::coordination::{MEAN_GAIN_PER_SECOND, RECEIVED_MEAN_GAIN};
 use crate::policy::in_flight_band::MAX_WATERMARK;
 use crate::policy::outlier_detection::MAX_OBSERVATIONS;
--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -2,7 +2,7 @@
 use crate::action::Action;
 use crate::coordination::gossip::Gossip;
 use crate::event::Event;
-use crate::mechanism::splitmix64::mix;
+use crate::mechanism::splitmix64::{mix, SplitMix64};
 use crate::mechanism::virtual_finish_queue::VirtualFinishQueue;
 use crate::policy::coordination::{MAX_REPORT_INTERVAL_MS, MIN_REPORT_INTERVAL_MS, PEER_MESSAGE_FRACTION};
 use crate::policy::in_flight_band::{
@@ -32,7 +32,7 @@
     pub(crate) clock: EventClock,
     /// Tells this start of the gateway from earlier ones.
     pub(crate) incarnation: u32,
-    pub(crate) random: u64,
+    pub(crate) random: SplitMix64,
     pub(crate) endpoints: EndpointTable,
     pub(crate) requests: RequestTable,
     pub(crate) customers: CustomerTable,
@@ -76,7 +76,7 @@
         let mut gateway = Gateway {
             clock: EventClock { now_ms, started_ms: now_ms, ..EventClock::default() },
             incarnation: (mix(seed) & 0x3_ffff) as u32,
-            random: seed,
+            random: SplitMix64::new(seed),
             band: InFlightBand {
                 watermark: INITIAL_WATERMARK,
                 dispatch_credit: 1.0,
@@ -207,11 +207,6 @@
         }
     }
 
-    pub(crate) fn random_fraction(&mut self) -> f64 {
-        self.random = mix(self.random);
-        (self.random >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     /// Whether the gateways are more than could each be heard often enough for the band's silence.
     pub(crate) fn gossip_mode(&self) -> bool {
         let told =
--- a/crates/admission/src/messages/gossip.rs
+++ b/crates/admission/src/messages/gossip.rs
@@ -1,14 +1,6 @@
 //! The gossip message, with quota requests, responses and releases.
 use crate::messages::base64_digits::{put, put_long, take, take_long};
-
-/// What a gateway saw of a endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Observation {
-    /// The endpoint's tag, 24 bits.
-    pub endpoint: u32,
-    /// What was observations, below 4096: `rules.rs` gives it its meaning.
-    pub what: u32,
-}
+use crate::messages::observation::Observation;
 
 /// A question to a customer's keeper: may a request go on?
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -69,7 +61,7 @@
     pub responses: Vec<QuotaResponse>,
     /// Granted requests that have ended.
     pub releases: Vec<QuotaRelease>,
-    /// What was observations of endpoints.
+    /// What the sender observed of endpoints.
     pub observations: Vec<Observation>,
 }
 
@@ -106,10 +98,9 @@
             put(&mut text, e.number & 0xfff, 2);
             put(&mut text, (e.quarters.clamp(-2048, 2047) + 2048) as u32, 2);
         }
-        for s in &self.observations {
+        for observation in &self.observations {
             text.push('s');
-            put(&mut text, s.endpoint, 4);
-            put(&mut text, s.what.min(4095), 2);
+            observation.encode(&mut text);
         }
         text
     }
@@ -148,9 +139,7 @@
                     number: take(&mut bytes, 2)?,
                     quarters: take(&mut bytes, 2)? as i32 - 2048,
                 }),
-                b's' => note
-                    .observations
-                    .push(Observation { endpoint: take(&mut bytes, 4)?, what: take(&mut bytes, 2)? }),
+                b's' => note.observations.push(Observation::decode(&mut bytes)?),
                 _ => return None,
             }
         }
@@ -158,12 +147,6 @@
     }
 }
 
-/// Codes of what was observations of a endpoint: the class times this, and how slow it was or that it failed;
-/// above all classes, the plan that it turned away.
-pub(crate) const SEEN_CLASS: u32 = 64;
-pub(crate) const SEEN_FAILED: u32 = 63;
-pub(crate) const SEEN_PLAN: u32 = 4000;
-
 /// Verdicts of a keeper: inside the quota; waits for a slot; beyond it; beyond it, but the plan and its
 /// ceiling let it go where there is room.
 pub(crate) const GRANTED: u32 = 0;
@@ -173,13 +156,3 @@
 
 /// Inside the quota, with so much in the store that the true units need not be told.
 pub(crate) const EASY: u32 = 4;
-
-/// The code of an answer of a class that took this part of its aim.
-pub(crate) fn seen_answer(class: usize, part: f64) -> u32 {
-    SEEN_CLASS * class as u32 + ((part.max(1e-3).log2() + 6.0) * 5.0).round().clamp(0.0, 60.0) as u32
-}
-
-/// The part of the aim that such a code stands for.
-pub(crate) fn seen_part(code: u32) -> f64 {
-    2f64.powf(f64::from(code % SEEN_CLASS) / 5.0 - 6.0)
-}
--- a/crates/admission/src/messages/mod.rs
+++ b/crates/admission/src/messages/mod.rs
@@ -2,3 +2,4 @@
 pub(crate) mod base64_digits;
 pub(crate) mod counts;
 pub(crate) mod gossip;
+pub(crate) mod observation;
--- /dev/null
+++ b/crates/admission/src/messages/observation.rs
@@ -0,0 +1,102 @@
+//! What a gateway observed of an endpoint, as gossip carries it.
+use crate::messages::base64_digits::{put, take};
+
+/// Codes of one class: its answers by response time, and its failure.
+const CODES_PER_CLASS: u32 = 64;
+
+/// Code, within its class, of a failure.
+const FAILED: u32 = 63;
+
+/// Codes from here on name the plan whose request was turned away; codes below belong to classes.
+const FIRST_PLAN_CODE: u32 = 4000;
+
+/// Highest code that two digits hold.
+const MAX_CODE: u32 = 4095;
+
+/// What a gateway observed of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Observation {
+    /// The endpoint's tag, 24 bits.
+    pub endpoint: u32,
+    /// What was observed.
+    pub kind: ObservationKind,
+}
+
+/// What an attempt showed of its endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ObservationKind {
+    /// It answered a request of a class.
+    Answered {
+        /// The class, an index into the settings.
+        class: usize,
+        /// How long that took.
+        response_time: ResponseTimeCode,
+    },
+    /// A request of a class failed, or got no answer in time.
+    Failed {
+        /// The class, an index into the settings.
+        class: usize,
+    },
+    /// It turned a request of a plan away.
+    Rejected {
+        /// The plan, an index into the settings.
+        plan: usize,
+    },
+}
+
+/// A response time in parts of the class's latency objective, on a logarithmic scale of five steps an octave
+/// from 1/64 up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ResponseTimeCode(u32);
+
+impl ResponseTimeCode {
+    /// The code next to a response time given in parts of the objective.
+    pub(crate) fn from_objective_fraction(fraction: f64) -> Self {
+        ResponseTimeCode(((fraction.max(1e-3).log2() + 6.0) * 5.0).round().clamp(0.0, 60.0) as u32)
+    }
+
+    /// The response time that the code stands for, in parts of the objective.
+    pub(crate) fn objective_fraction(self) -> f64 {
+        2f64.powf(f64::from(self.0) / 5.0 - 6.0)
+    }
+}
+
+impl ObservationKind {
+    /// The number that stands for it on the wire.
+    fn code(self) -> u32 {
+        match self {
+            ObservationKind::Answered { class, response_time } => {
+                CODES_PER_CLASS * class as u32 + response_time.0
+            }
+            ObservationKind::Failed { class } => CODES_PER_CLASS * class as u32 + FAILED,
+            ObservationKind::Rejected { plan } => FIRST_PLAN_CODE + plan as u32,
+        }
+    }
+
+    /// What a number on the wire stands for.
+    fn from_code(code: u32) -> Self {
+        if code >= FIRST_PLAN_CODE {
+            return ObservationKind::Rejected { plan: (code - FIRST_PLAN_CODE) as usize };
+        }
+        let class = (code / CODES_PER_CLASS) as usize;
+        match code % CODES_PER_CLASS {
+            FAILED => ObservationKind::Failed { class },
+            step => ObservationKind::Answered { class, response_time: ResponseTimeCode(step) },
+        }
+    }
+}
+
+impl Observation {
+    /// Adds the observation's digits to a message.
+    pub(crate) fn encode(&self, text: &mut String) {
+        put(text, self.endpoint, 4);
+        put(text, self.kind.code().min(MAX_CODE), 2);
+    }
+
+    /// Reads an observation from a message; `None` where its digits are not all there.
+    pub(crate) fn decode(bytes: &mut std::str::Bytes<'_>) -> Option<Self> {
+        let endpoint = take(bytes, 4)?;
+        let kind = ObservationKind::from_code(take(bytes, 2)?);
+        Some(Observation { endpoint, kind })
+    }
+}
--- a/crates/admission/src/policy/endpoint_selection.rs
+++ b/crates/admission/src/policy/endpoint_selection.rs
@@ -31,7 +31,7 @@
     /// else all choose the same one, and all gateways together would pass a cold endpoint's budget in step.
     pub(crate) fn select_endpoint(&mut self, id: RequestId) -> Option<EndpointId> {
         let (wide, draw) =
-            (self.gossip_mode(), if self.gossip_mode() { self.random_fraction() } else { 0.0 });
+            (self.gossip_mode(), if self.gossip_mode() { self.random.next_fraction() } else { 0.0 });
         if self.endpoints.list_expired {
             return None;
         }
--- a/crates/admission/src/policy/outlier_detection.rs
+++ b/crates/admission/src/policy/outlier_detection.rs
@@ -1,6 +1,8 @@
 //! Which endpoints are outliers, and what is learned of their speed.
 use crate::event::{AttemptEnd, EndpointState, Outcome};
 use crate::gateway::Gateway;
+use crate::mechanism::backoff::exponential_backoff_ms;
+use crate::mechanism::smoothing::smooth;
 use crate::state::endpoint::Endpoint;
 
 /// Silence, in parts of what is called silent, from which a endpoint's work leaves the stock.
@@ -101,7 +103,7 @@
         }
         let took_ms = end.took_ms;
         let now = self.clock.now_ms;
-        let jitter = 0.75 + 0.5 * self.random_fraction();
+        let jitter = 0.75 + 0.5 * self.random.next_fraction();
         let aim = self.settings.classes[class].latency_objective_ms;
         let usual = self.latency.mean_by_class_ms[class].max(1.0);
         // A long silence is a endpoint's own fault only where attempts elsewhere are not out as long.
@@ -114,31 +116,29 @@
         match end.outcome {
             Outcome::Ok => {
                 if !wide {
-                    let fade = endpoint.relative_response_time_now(now);
-                    endpoint.relative_response_time = fade + 0.1 * (took_ms / usual - fade);
+                    endpoint.relative_response_time = endpoint.relative_response_time_now(now);
+                    smooth(&mut endpoint.relative_response_time, took_ms / usual, 0.1);
                 }
                 endpoint.answered_ms = now;
                 endpoint.consecutive_failures = 0;
                 endpoint.error_fraction *= 0.9;
                 if !cold {
                     let took_ms = if wide { took_ms.min(MAX_RESPONSE_SAMPLE * usual) } else { took_ms };
-                    self.latency.mean_by_class_ms[class] +=
-                        0.03 * (took_ms - self.latency.mean_by_class_ms[class]);
+                    smooth(&mut self.latency.mean_by_class_ms[class], took_ms, 0.03);
                     if !wide {
-                        self.latency.objective_fraction +=
-                            0.05 * (took_ms / aim - self.latency.objective_fraction);
+                        smooth(&mut self.latency.objective_fraction, took_ms / aim, 0.05);
                     }
                 }
             }
             Outcome::Error => {
                 // A few errors are ordinary; a endpoint that fails most of what it gets must not draw more.
                 endpoint.answered_ms = now;
-                endpoint.error_fraction += ERROR_GAIN * (1.0 - endpoint.error_fraction);
+                smooth(&mut endpoint.error_fraction, 1.0, ERROR_GAIN);
                 failed = endpoint.error_fraction > 0.3 || endpoint.consecutive_failures > 0;
             }
             Outcome::ConnectFailed | Outcome::Reset => {
                 // A connection that breaks is not yet a endpoint that does, while it answers over others.
-                endpoint.error_fraction += ERROR_GAIN * (1.0 - endpoint.error_fraction);
+                smooth(&mut endpoint.error_fraction, 1.0, ERROR_GAIN);
                 failed = endpoint.error_fraction > MAX_BROKEN_FRACTION
                     || now - endpoint.answered_ms > usual.max(took_ms);
             }
@@ -147,7 +147,7 @@
             Outcome::Overloaded => {
                 endpoint.answered_ms = now;
                 endpoint.ejected_until_ms = now + 0.25 * BASE_EJECTION_MS * jitter;
-                self.latency.objective_fraction += 0.05 * (1.0 - self.latency.objective_fraction);
+                smooth(&mut self.latency.objective_fraction, 1.0, 0.05);
             }
             Outcome::TimedOut => {
                 let fade = endpoint.relative_response_time_now(now);
@@ -160,8 +160,8 @@
             Outcome::TooLate => {}
         }
         if failed && now >= endpoint.ejected_until_ms {
-            let backoff = (BASE_EJECTION_MS * f64::from(1u32 << endpoint.consecutive_failures.min(8)))
-                .min(MAX_EJECTION_MS);
+            let backoff =
+                exponential_backoff_ms(BASE_EJECTION_MS, MAX_EJECTION_MS, endpoint.consecutive_failures);
             endpoint.consecutive_failures += 1;
             endpoint.ejected_until_ms = now + backoff * jitter;
         }
--- a/crates/admission/src/policy/quota_counter.rs
+++ b/crates/admission/src/policy/quota_counter.rs
@@ -69,7 +69,7 @@
         let short = customer.tokens_at_most(&plan, now).is_some_and(|most| most < r.units);
         // A try again, where clients mark it, is most likely one of a customer beyond its quota.
         let part = if r.repeat { 1.0 } else { self.quota_counter.sampling_fraction };
-        let asks = !short && self.random_fraction() < part;
+        let asks = !short && self.random.next_fraction() < part;
         // What is not asked about goes on, and what is asked about takes its units too.
         let takes = r.units * (1.0 / part).min(MAX_SAMPLE_WEIGHT);
         if let Some(customer) = self.customers.by_tag.get_mut(&tag).filter(|_| asks) {
@@ -205,7 +205,7 @@
     /// counter can't answer all, the same part of them is made, and each stands for the others.
     pub(crate) fn refund(&mut self, units: f64) -> f64 {
         let part = self.quota_counter.sampling_fraction.max(1.0 / MAX_SAMPLE_WEIGHT);
-        Some(units / part).filter(|_| self.random_fraction() < part).unwrap_or(0.0)
+        Some(units / part).filter(|_| self.random.next_fraction() < part).unwrap_or(0.0)
     }
 
     /// Puts right what a request took in the end: all of it where it was never sent. The true units, where
--- a/crates/admission/src/policy/quota_owner.rs
+++ b/crates/admission/src/policy/quota_owner.rs
@@ -69,7 +69,7 @@
             wait_budget: ((end - now).max(0.0) / 16.0) as u32,
             sampling_fraction: ((thin * 63.0).round() as u32).max(1),
         };
-        let by_chance = self.random_fraction() > f64::from(ask.sampling_fraction) / 63.0;
+        let by_chance = self.random.next_fraction() > f64::from(ask.sampling_fraction) / 63.0;
         let other = keeper != self.settings.me;
         if other && tries == 0 && by_chance {
             return self.decide_without_owner(id, false);
--- a/crates/admission/src/policy/retry.rs
+++ b/crates/admission/src/policy/retry.rs
@@ -3,7 +3,7 @@
 use crate::event::{AttemptEnd, Outcome};
 use crate::gateway::{Gateway, UPKEEP_MS};
 use crate::id::RequestId;
-use crate::messages::gossip::{SEEN_CLASS, SEEN_FAILED};
+use crate::messages::observation::ObservationKind;
 use crate::settings::{DedupGroup, Idempotency};
 use crate::state::endpoint::{EjectionScope, Endpoint};
 use crate::state::request::ActiveRequest;
@@ -109,7 +109,7 @@
                     stuck.push((*id, number));
                 }
                 if age > limit && age < limit + UPKEEP_MS {
-                    marks.push((attempt.endpoint, SEEN_CLASS * class as u32 + SEEN_FAILED));
+                    marks.push((attempt.endpoint, ObservationKind::Failed { class }));
                 }
             }
         }
--- a/crates/admission/src/policy/slow_start.rs
+++ b/crates/admission/src/policy/slow_start.rs
@@ -2,7 +2,7 @@
 use crate::event::EndpointState;
 use crate::gateway::Gateway;
 use crate::id::RequestId;
-use crate::mechanism::splitmix64::mix;
+use crate::mechanism::splitmix64::{fraction, mix};
 use crate::state::endpoint::{Endpoint, WarmUpBudget};
 
 /// Part of the cold budget used: work sizes vary, and endpoints of a kind differ in speed.
@@ -52,9 +52,9 @@
                 false => warm += 1,
             }
         }
-        let draw = mix(mix(id.0 ^ u64::from(self.incarnation)).wrapping_add(attempt as u64)) >> 11;
-        let drawn = draw as f64 / (1u64 << 53) as f64 * all
-            < (WARM_UP_ADMISSION_FACTOR + f64::from(warm) / f64::from(ready.max(1))) * cold;
+        let draw = fraction(mix(mix(id.0 ^ u64::from(self.incarnation)).wrapping_add(attempt as u64)));
+        let drawn =
+            draw * all < (WARM_UP_ADMISSION_FACTOR + f64::from(warm) / f64::from(ready.max(1))) * cold;
         drawn.then_some(all / cold)
     }
 }
--- a/crates/admission/src/state/endpoint.rs
+++ b/crates/admission/src/state/endpoint.rs
@@ -2,6 +2,7 @@
 use crate::event::{EndpointEntry, EndpointState, ListKind};
 use crate::gateway::Gateway;
 use crate::id::{EndpointId, RequestId};
+use crate::mechanism::smoothing::decay_towards;
 use crate::mechanism::splitmix64::short_tag;
 use crate::policy::endpoint_selection::{CLEARLY_SLOW, SEND_RATE_SPAN_S};
 use crate::policy::outlier_detection::RESPONSE_TIME_HALF_LIFE_MS;
@@ -106,14 +107,12 @@
     }
 
     pub(crate) fn relative_response_time_now(&self, now: f64) -> f64 {
-        let faded = 0.5f64.powf((now - self.answered_ms).max(0.0) / RESPONSE_TIME_HALF_LIFE_MS);
-        1.0 + (self.relative_response_time - 1.0) * faded
+        decay_towards(1.0, self.relative_response_time, now - self.answered_ms, RESPONSE_TIME_HALF_LIFE_MS)
     }
 
     /// Slowness as told, fading to what is usual of its kind.
     pub(crate) fn relative_response_time_from(&self, now: f64, base: f64) -> f64 {
-        base + (self.relative_response_time - base)
-            * 0.5f64.powf((now - self.observed_ms).max(0.0) / RESPONSE_TIME_HALF_LIFE_MS)
+        decay_towards(base, self.relative_response_time, now - self.observed_ms, RESPONSE_TIME_HALF_LIFE_MS)
     }
 
     /// Tokens for sends while cold. Where less than one may be saved up, a whole one comes now and then, at a
@@ -148,7 +147,7 @@
         for entry in entries {
             let now = self.clock.now_ms;
             // A part of a token at the start: else all gateways had their first one at the same time.
-            let part = if entry.started_at_ms.is_some() { self.random_fraction() } else { 0.0 };
+            let part = if entry.started_at_ms.is_some() { self.random.next_fraction() } else { 0.0 };
             let endpoint =
                 self.endpoints.by_id.entry(entry.id).or_insert_with(|| Endpoint::new(&entry, now, part));
             if entry.started_at_ms != endpoint.started_ms && entry.started_at_ms.is_some() {
--- a/crates/admission/src/state/observation.rs
+++ b/crates/admission/src/state/observation.rs
@@ -2,9 +2,11 @@
 use crate::event::{AttemptEnd, Outcome};
 use crate::gateway::Gateway;
 use crate::id::EndpointId;
+use crate::mechanism::backoff::exponential_backoff_ms;
 use crate::mechanism::decaying_rate::DecayingRate;
-use crate::mechanism::splitmix64::{mix, short_tag};
-use crate::messages::gossip::{seen_answer, seen_part, Observation, SEEN_CLASS, SEEN_FAILED, SEEN_PLAN};
+use crate::mechanism::smoothing::smooth;
+use crate::mechanism::splitmix64::short_tag;
+use crate::messages::observation::{Observation, ObservationKind, ResponseTimeCode};
 use crate::policy::outlier_detection::{
     CLASS_FAILURE_GAIN, MAX_CLASS_FAILURE_FRACTION, MAX_EJECTION_MS, MAX_OBSERVATIONS, OBSERVATION_SPAN_S,
     SCOPED_EJECTION_MS,
@@ -39,8 +41,8 @@
 
 impl Gateway {
     /// Takes an own observation in and keeps it for telling.
-    pub(crate) fn record_observation(&mut self, endpoint: EndpointId, what: u32) {
-        let seen = Observation { endpoint: short_tag(endpoint.0), what };
+    pub(crate) fn record_observation(&mut self, endpoint: EndpointId, kind: ObservationKind) {
+        let seen = Observation { endpoint: short_tag(endpoint.0), kind };
         self.apply_observation(seen);
         if self.gossip.observations.back() != Some(&seen) {
             self.gossip.observations.push_back(seen);
@@ -54,53 +56,52 @@
     pub(crate) fn apply_observation(&mut self, seen: Observation) {
         let now = self.clock.now_ms;
         let Some(id) = self.endpoints.by_tag.get(&seen.endpoint) else { return };
-        let jitter = 0.75 + 0.5 * (mix(self.random ^ seen.endpoint as u64) % 1000) as f64 / 1000.0;
+        let jitter = 0.75 + 0.5 * (self.random.hash(u64::from(seen.endpoint)) % 1000) as f64 / 1000.0;
         let Some(endpoint) = self.endpoints.by_id.get_mut(id) else { return };
         let cold = endpoint.started_ms.is_some_and(|s| now - s < self.settings.warm_up_ms);
-        if seen.what >= SEEN_PLAN {
-            let mark = endpoint
-                .scoped_ejections
-                .entry(EjectionScope::Plan((seen.what - SEEN_PLAN) as usize))
-                .or_insert((0.0, 0));
-            if now >= mark.0 {
-                let backoff = (SCOPED_EJECTION_MS * f64::from(1u32 << mark.1.min(8))).min(MAX_EJECTION_MS);
-                *mark = (now + backoff * jitter, mark.1 + 1);
+        let (class, response_time) = match seen.kind {
+            ObservationKind::Rejected { plan } => {
+                let mark = endpoint.scoped_ejections.entry(EjectionScope::Plan(plan)).or_insert((0.0, 0));
+                if now >= mark.0 {
+                    let backoff = exponential_backoff_ms(SCOPED_EJECTION_MS, MAX_EJECTION_MS, mark.1);
+                    *mark = (now + backoff * jitter, mark.1 + 1);
+                }
+                return;
             }
-            return;
-        }
-        let (class, how) = ((seen.what / SEEN_CLASS) as usize, seen.what % SEEN_CLASS);
-        if how == SEEN_FAILED {
+            ObservationKind::Failed { class } => (class, None),
+            ObservationKind::Answered { class, response_time } => (class, Some(response_time)),
+        };
+        if response_time.is_none() {
             endpoint.missed_responses += 1;
         } else {
             (endpoint.last_response_ms, endpoint.missed_responses) = (now, 0);
             self.outliers.observation_rate.add(1.0, now, OBSERVATION_SPAN_S);
         }
         let bad = endpoint.class_failure_fraction.entry(class).or_insert(0.0);
-        *bad += CLASS_FAILURE_GAIN * (f64::from(u32::from(how == SEEN_FAILED)) - *bad);
-        if how == SEEN_FAILED {
+        smooth(bad, f64::from(u32::from(response_time.is_none())), CLASS_FAILURE_GAIN);
+        let Some(response_time) = response_time else {
             let mark = endpoint.scoped_ejections.entry(EjectionScope::Class(class)).or_insert((0.0, 0));
             if now >= mark.0 && *bad > MAX_CLASS_FAILURE_FRACTION {
-                let backoff = (SCOPED_EJECTION_MS * f64::from(1u32 << mark.1.min(8))).min(MAX_EJECTION_MS);
+                let backoff = exponential_backoff_ms(SCOPED_EJECTION_MS, MAX_EJECTION_MS, mark.1);
                 *mark = (now + backoff * jitter, mark.1 + 1);
             }
             return;
-        }
-        let part = seen_part(how);
+        };
+        let part = response_time.objective_fraction();
         let ratio = part / self.latency.objective_fraction.max(0.01);
         let base = self.latency.kind_baseline.entry(endpoint.kind).or_insert(1.0);
-        let fade = endpoint.relative_response_time_from(now, *base);
-        endpoint.relative_response_time = fade + 0.12 * (ratio - fade);
+        endpoint.relative_response_time = endpoint.relative_response_time_from(now, *base);
+        smooth(&mut endpoint.relative_response_time, ratio, 0.12);
         endpoint.observed_ms = now;
         if !cold {
-            *base += 0.02 * (ratio.min(4.0) - *base);
-            self.latency.objective_fraction += 0.02 * (part - self.latency.objective_fraction);
+            smooth(base, ratio.min(4.0), 0.02);
+            smooth(&mut self.latency.objective_fraction, part, 0.02);
         }
     }
 
     /// Keeps what an attempt's end shows of its endpoint, for telling and for the own view.
     pub(crate) fn observe_attempt(&mut self, end: &AttemptEnd, class: usize, plan: usize) {
         let aim = self.settings.classes[class].latency_objective_ms;
-        let base = SEEN_CLASS * class as u32;
         match end.outcome {
             Outcome::Ok => {
                 self.gossip.answer_rate.add(1.0, self.clock.now_ms, QUOTA_RATE_SPAN_S);
@@ -111,12 +112,13 @@
                         mark.1 = mark.1.saturating_sub(1);
                     }
                 }
-                self.record_observation(end.endpoint, seen_answer(class, end.took_ms / aim));
+                let response_time = ResponseTimeCode::from_objective_fraction(end.took_ms / aim);
+                self.record_observation(end.endpoint, ObservationKind::Answered { class, response_time });
             }
-            Outcome::Overloaded => self.record_observation(end.endpoint, SEEN_PLAN + plan as u32),
+            Outcome::Overloaded => self.record_observation(end.endpoint, ObservationKind::Rejected { plan }),
             // A time-out is no sign of life, and tells of this endpoint, not of how slow the fleet is.
             Outcome::Error | Outcome::Reset | Outcome::ConnectFailed | Outcome::TimedOut => {
-                self.record_observation(end.endpoint, base + SEEN_FAILED)
+                self.record_observation(end.endpoint, ObservationKind::Failed { class })
             }
             Outcome::Cancelled | Outcome::TooLate => {}
         }
