--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -3,22 +3,23 @@
 mod clients;
 mod clock;
 mod config;
-mod core;
-mod counter;
 mod discovery;
-mod hosts;
-mod link;
-mod log;
+mod dispatcher;
+mod http_connection;
+mod logging;
 mod peers;
+mod quota_counter;
+mod upstream;
 
 use crate::clients::Clients;
-use crate::clock::{from_ms, Clock};
+use crate::clock::{duration_from_ms, Clock};
 use crate::config::Config;
-use crate::core::Core;
-use crate::counter::Counter;
 use crate::discovery::Pace;
-use crate::hosts::{Hosts, REAP_EVERY};
+use crate::dispatcher::Dispatcher;
+use crate::logging::target;
 use crate::peers::Peers;
+use crate::quota_counter::QuotaCounter;
+use crate::upstream::{UpstreamPool, REAP_INTERVAL};
 use irishinge_admission::{Gateway, ListKind, Settings};
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -46,7 +47,7 @@
     + DISCOVERY
     + CONFIGURATION
     + SHED
-    + counter::CONNECTIONS_MOST
+    + quota_counter::MAX_CONNECTIONS
     + clients::FURTHER_MOST;
 /// Part of the rest that is for clients.
 const CLIENTS_PART: f64 = 0.6;
@@ -63,7 +64,7 @@
 /// How long after SIGTERM the answers must be given and written, with these classes.
 fn last_answers(settings: &Settings) -> (Duration, Duration) {
     let longest = settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
-    let kill = from_ms(longest).min(DEADLINE_MOST) + KILL_AFTER;
+    let kill = duration_from_ms(longest).min(DEADLINE_MOST) + KILL_AFTER;
     (kill - ANSWER_BEFORE, kill - WRITE_BEFORE)
 }
 
@@ -77,12 +78,12 @@
     let gateway = Gateway::new(settings.clone(), config.seed, clock.now_ms()).map_err(|e| e.to_string())?;
     let room = config.sockets - OTHER_DESCRIPTORS;
     let clients_most = (room as f64 * CLIENTS_PART) as usize;
-    let hosts = Hosts::new(&config.socket_settings, room - clients_most);
+    let hosts = UpstreamPool::new(&config.socket_settings, room - clients_most);
     let peers =
         Peers::bind(config.peer_listen, config.peers, settings.me, settings.peer_messages_per_second).await;
     let peers = Rc::new(peers.map_err(|e| format!("cannot listen for peers: {e}"))?);
-    let counter = Counter::new(config.counter, config.socket_settings.count_limit_ms);
-    let core = Core::new(gateway, clock, config.names, hosts, peers.clone(), counter);
+    let counter = QuotaCounter::new(config.counter, config.socket_settings.count_limit_ms);
+    let core = Dispatcher::new(gateway, clock, config.names, hosts, peers.clone(), counter);
     // A list with nobody on it is not worth going on from.
     let known = config.known.as_ref().filter(|list| !list.is_empty()).map(|list| list.rev);
     if let Some(known) = config.known {
@@ -96,8 +97,8 @@
 
     let bound = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
     match peers.local_addr() {
-        Some(peer_addr) => log::line(format_args!("listening on {bound} {peer_addr}")),
-        None => log::line(format_args!("listening on {bound}")),
+        Some(peer_addr) => tracing::info!(target: target::LIFECYCLE, "listening on {bound} {peer_addr}"),
+        None => tracing::info!(target: target::LIFECYCLE, "listening on {bound}"),
     }
 
     spawn_local(core.clone().run_timers());
@@ -127,22 +128,24 @@
 
 /// On each SIGHUP reads the configuration anew. Discovery's address and the counter's are all in it that can change
 /// while the process runs; a file that cannot be read changes nothing.
-async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, core: Rc<Core>) {
+async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, core: Rc<Dispatcher>) {
     while hangup.recv().await.is_some() {
         match Config::load() {
             Ok(config) => {
-                log::line(format_args!("configuration reloaded; discovery at {}", config.discovery));
+                tracing::info!(target: target::LIFECYCLE, discovery = %config.discovery, "configuration reloaded");
                 core.counter().move_to(config.counter);
                 discovery
                     .send_if_modified(|addr| std::mem::replace(addr, config.discovery) != config.discovery);
             }
-            Err(message) => log::line(format_args!("the old configuration stays: {message}")),
+            Err(message) => {
+                tracing::error!(target: target::LIFECYCLE, reason = %message, "configuration not reloaded; the previous one stays in force")
+            }
         }
     }
 }
 
-async fn reap(core: Rc<Core>) {
-    let mut ticks = interval(REAP_EVERY);
+async fn reap(core: Rc<Dispatcher>) {
+    let mut ticks = interval(REAP_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
@@ -152,8 +155,9 @@
 }
 
 fn main() -> ExitCode {
+    let logging = logging::init().map_err(|e| format!("no log: {e}"));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("no runtime: {e}"));
+    let runtime = logging.and_then(|()| runtime.map_err(|e| format!("no runtime: {e}")));
     match runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, run())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
