--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -3,7 +3,7 @@
 use crate::coordination::gossip::Gossip;
 use crate::coordination::Coordination;
 use crate::event::Event;
-use crate::mechanism::splitmix64::mix;
+use crate::mechanism::splitmix64::{mix, SplitMix64};
 use crate::mechanism::virtual_finish_queue::VirtualFinishQueue;
 use crate::policy::coordination::{MIN_REPORT_INTERVAL_MS, PEER_MESSAGE_FRACTION};
 use crate::policy::in_flight_band::{
@@ -35,7 +35,7 @@
     pub(crate) clock: EventClock,
     /// Tells this start of the gateway from earlier ones.
     pub(crate) incarnation: u32,
-    pub(crate) random: u64,
+    pub(crate) random: SplitMix64,
     pub(crate) endpoints: EndpointTable,
     pub(crate) requests: RequestTable,
     pub(crate) customers: CustomerTable,
@@ -79,7 +79,7 @@
         let mut gateway = Gateway {
             clock: EventClock { now_ms, started_ms: now_ms, ..EventClock::default() },
             incarnation: (mix(seed) & 0x3_ffff) as u32,
-            random: seed,
+            random: SplitMix64::new(seed),
             band: InFlightBand {
                 watermark: INITIAL_WATERMARK,
                 dispatch_credit: 1.0,
@@ -210,11 +210,6 @@
         }
     }
 
-    pub(crate) fn random_fraction(&mut self) -> f64 {
-        self.random = mix(self.random);
-        (self.random >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     /// Upkeep of a wide fleet's gateway.
     pub(crate) fn gossip_upkeep(&mut self, actions: &mut Vec<Action>) {
         if self.clock.now_ms - self.gossip.measured_ms >= IDLE_UPKEEP_MS {
