--- a/crates/admission/src/coordination/gossip.rs
+++ b/crates/admission/src/coordination/gossip.rs
@@ -84,6 +84,6 @@
         } else {
             usual
         };
-        self.latency.typical_age_ms = out_ms.clamp(0.5 * usual, 2.0 * longest);
+        self.latency.set_typical_age_ms(out_ms.clamp(0.5 * usual, 2.0 * longest));
     }
 }
--- a/crates/admission/src/coordination/mod.rs
+++ b/crates/admission/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 pub(crate) mod broadcast;
 pub(crate) mod counter_calls;
 pub(crate) mod gossip;
+pub(crate) mod observations;
 pub(crate) mod quota_protocol;
 
 use crate::policy::coordination::broadcast_reaches_all;
--- /dev/null
+++ b/crates/admission/src/coordination/observations.rs
@@ -0,0 +1,105 @@
+//! What gateways of a large fleet observe of endpoints, and learn from each other's observations.
+use crate::event::{AttemptEnd, Outcome};
+use crate::gateway::Gateway;
+use crate::id::EndpointId;
+use crate::mechanism::backoff::jitter_factor;
+use crate::mechanism::splitmix64::short_tag;
+use crate::messages::observation::{Observation, ObservationKind, ResponseTimeCode};
+use crate::policy::outlier_detection::{
+    CLASS_FAILURE_GAIN, EJECTION_JITTER, MAX_CLASS_FAILURE_FRACTION, MAX_OBSERVATIONS, MAX_RELATIVE_SAMPLE,
+    OBSERVATION_SPAN_S, OBSERVED_RESPONSE_TIMES, SCOPED_EJECTION,
+};
+use crate::policy::quota_owner::QUOTA_RATE_SPAN_S;
+use crate::state::endpoint::EjectionScope;
+
+impl Gateway {
+    /// Records what an own attempt's end shows of its endpoint.
+    pub(crate) fn observe_attempt(&mut self, end: &AttemptEnd, class: usize, plan: usize) {
+        if end.outcome == Outcome::Ok {
+            self.gossip.answer_rate.add(1.0, self.clock.now_ms, QUOTA_RATE_SPAN_S);
+            if let Some(endpoint) = self.endpoints.get_mut(end.endpoint) {
+                endpoint.relax_scoped_ejections(class, plan);
+            }
+        }
+        let objective_fraction = end.took_ms / self.settings.classes[class].latency_objective_ms;
+        let response_time = ResponseTimeCode::from_objective_fraction(objective_fraction);
+        let kind = match end.outcome {
+            Outcome::Ok => ObservationKind::Answered { class, response_time },
+            Outcome::Overloaded => ObservationKind::Rejected { plan },
+            // A time-out is no sign of life, and shows this endpoint, not how slow the fleet is.
+            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed | Outcome::TimedOut => {
+                ObservationKind::Failed { class }
+            }
+            Outcome::Cancelled | Outcome::TooLate => return,
+        };
+        self.record_observation(end.endpoint, kind);
+    }
+
+    /// Applies an own observation and keeps it for the next messages.
+    pub(crate) fn record_observation(&mut self, endpoint: EndpointId, kind: ObservationKind) {
+        let observation = Observation { endpoint: short_tag(endpoint.0), kind };
+        self.apply_observation(observation);
+        let kept = &mut self.gossip.observations;
+        if kept.back() != Some(&observation) {
+            kept.push_back(observation);
+        }
+        while kept.len() > MAX_OBSERVATIONS {
+            kept.pop_front();
+        }
+    }
+
+    /// Learns from an observation, own or received.
+    pub(crate) fn apply_observation(&mut self, observation: Observation) {
+        match observation.kind {
+            ObservationKind::Rejected { plan } => self.apply_rejection(observation.endpoint, plan),
+            ObservationKind::Failed { class } => self.apply_failure(observation.endpoint, class),
+            ObservationKind::Answered { class, response_time } => {
+                self.apply_answer(observation.endpoint, class, response_time)
+            }
+        }
+    }
+
+    /// An endpoint turned a request of a plan away: others of the plan are kept away from it for a while.
+    fn apply_rejection(&mut self, tag: u32, plan: usize) {
+        let (now_ms, jitter) = (self.clock.now_ms, self.observation_jitter(tag));
+        if let Some(endpoint) = self.endpoints.get_by_tag_mut(tag) {
+            endpoint.eject_scope(EjectionScope::Plan(plan), now_ms, SCOPED_EJECTION, jitter);
+        }
+    }
+
+    /// An endpoint failed a request of a class: once it fails many, others of the class are kept away from it
+    /// for a while.
+    fn apply_failure(&mut self, tag: u32, class: usize) {
+        let (now_ms, jitter) = (self.clock.now_ms, self.observation_jitter(tag));
+        let Some(endpoint) = self.endpoints.get_by_tag_mut(tag) else { return };
+        endpoint.record_missed_response();
+        let failed_fraction = endpoint.record_class_result(class, true, CLASS_FAILURE_GAIN);
+        if failed_fraction > MAX_CLASS_FAILURE_FRACTION {
+            endpoint.eject_scope(EjectionScope::Class(class), now_ms, SCOPED_EJECTION, jitter);
+        }
+    }
+
+    /// An endpoint answered a request of a class.
+    fn apply_answer(&mut self, tag: u32, class: usize, response_time: ResponseTimeCode) {
+        let now_ms = self.clock.now_ms;
+        let Some(endpoint) = self.endpoints.get_by_tag_mut(tag) else { return };
+        endpoint.record_observed_response(now_ms);
+        endpoint.record_class_result(class, false, CLASS_FAILURE_GAIN);
+        self.outliers.record_observed_response(now_ms, OBSERVATION_SPAN_S);
+        let objective_fraction = response_time.objective_fraction();
+        let relative = self.latency.relative_to_mean(objective_fraction);
+        let baseline = self.latency.kind_baseline(endpoint.kind());
+        endpoint.record_observed_response_time(now_ms, relative, baseline, OBSERVED_RESPONSE_TIMES);
+        if endpoint.has_warmed_up(now_ms, self.settings.warm_up_ms) {
+            let sample = relative.min(MAX_RELATIVE_SAMPLE);
+            self.latency.record_kind_response_time(endpoint.kind(), sample);
+            self.latency.record_observed_fraction(objective_fraction);
+        }
+    }
+
+    /// Factor on the time of a scoped ejection. It takes no random number, so that messages don't change what
+    /// is drawn next.
+    fn observation_jitter(&self, tag: u32) -> f64 {
+        jitter_factor(EJECTION_JITTER, (self.random.hash(u64::from(tag)) % 1000) as f64 / 1000.0)
+    }
+}
--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -11,6 +11,7 @@
     MAX_WATERMARK, MAX_WATERMARK_RISE, MIN_REFILL_FACTOR, PROMPT_FRACTION, SATURATED_FILL, SLUGGISH_FRACTION,
     UNGATED_FILL, WATERMARK_STEP_OBJECTIVES,
 };
+use crate::policy::outlier_detection::{INITIAL_OBJECTIVE_FRACTION, LATENCY_GAINS};
 use crate::policy::quota_owner::{
     MIN_QUOTA_MESSAGE_FRACTION, MIN_RESPONSE_WAIT_MS, QUOTA_MESSAGE_FRACTION, QUOTA_RATE_SPAN_S,
     RESPONSE_WAIT_FRACTION, SUSPECT_MS,
@@ -19,10 +20,12 @@
 use crate::settings::{Settings, SettingsError};
 use crate::state::band::InFlightBand;
 use crate::state::customer::{CustomerTable, QuotaCounter, QuotaOwner};
-use crate::state::endpoint::{EndpointTable, SlowStart};
-use crate::state::observation::{LatencyModel, OutlierDetector};
+use crate::state::endpoint_table::EndpointTable;
+use crate::state::latency_model::LatencyModel;
+use crate::state::outlier_detector::OutlierDetector;
 use crate::state::peer::{Peer, PeerTable};
 use crate::state::request::{QuotaState, RequestTable, RetryBudget};
+use crate::state::slow_start::SlowStart;
 use std::collections::BTreeMap;
 
 /// One gateway's decisions: takes events in and answers with actions. Each part owns the state of one
@@ -74,8 +77,7 @@
         settings.check()?;
         let peers: BTreeMap<usize, Peer> =
             (0..settings.gateways).filter(|p| *p != settings.me).map(|p| (p, Peer::unknown())).collect();
-        let mean_by_class_ms: Vec<f64> =
-            settings.classes.iter().map(|c| c.latency_objective_ms * 0.15).collect();
+        let objectives_ms = settings.classes.iter().map(|class| class.latency_objective_ms);
         let mut gateway = Gateway {
             clock: EventClock { now_ms, started_ms: now_ms, ..EventClock::default() },
             incarnation: (mix(seed) & 0x3_ffff) as u32,
@@ -85,12 +87,7 @@
                 dispatch_credit: 1.0,
                 ..InFlightBand::default()
             },
-            latency: LatencyModel {
-                objective_fraction: 0.15,
-                time_budgets: vec![(0.0, 0); mean_by_class_ms.len()],
-                mean_by_class_ms,
-                ..LatencyModel::default()
-            },
+            latency: LatencyModel::new(objectives_ms, INITIAL_OBJECTIVE_FRACTION, LATENCY_GAINS),
             retries: RetryBudget { tokens: MAX_RETRY_TOKENS / 2.0 },
             peers: PeerTable { by_index: peers, message_tokens: 10.0, ..PeerTable::default() },
             quota_counter: QuotaCounter { sampling_fraction: 1.0, ..QuotaCounter::default() },
@@ -112,7 +109,9 @@
             self.schedule_tick(UPKEEP_MS, actions);
         }
         match event {
-            Event::EndpointList { kind, entries } => self.on_list(kind, entries),
+            Event::EndpointList { kind, entries } => {
+                self.endpoints.apply_list(kind, entries, self.clock.now_ms, &mut self.random)
+            }
             Event::Request(request) => self.on_request(request, actions),
             Event::Timer { .. }
                 if self.coordination.is_broadcast() || self.clock.now_ms >= self.clock.next_tick_ms - 0.5 =>
@@ -148,6 +147,9 @@
             actions,
         );
         if !wide || self.clock.now_ms - self.gossip.measured_ms >= IDLE_UPKEEP_MS {
+            if !wide {
+                self.update_typical_age();
+            }
             self.detect_correlated_failure();
             if !wide {
                 self.refill_warm_up_tokens();
@@ -180,7 +182,7 @@
             self.band.stepped_ms = self.clock.now_ms;
             // What is still out tells of trouble before the answers do.
             let (told, ease) = if wide { (GOSSIP_AGE_WEIGHT, GOSSIP_LATENCY_EASE) } else { (1.5, 1.0) };
-            let part = self.latency.objective_fraction.max(told * self.latency.typical_age_ms / aim);
+            let part = self.latency.objective_fraction().max(told * self.latency.typical_age_ms() / aim);
             if part > ease * SLUGGISH_FRACTION {
                 self.band.watermark = (self.band.watermark * 0.93).max(self.watermark_floor());
             } else if part < ease * PROMPT_FRACTION
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod action;
 mod coordination;
+mod endpoint_records;
 mod event;
 mod gateway;
 mod id;
--- a/crates/admission/src/lifecycle.rs
+++ b/crates/admission/src/lifecycle.rs
@@ -6,16 +6,17 @@
 use crate::messages::gossip::{GossipMessage, QuotaRelease};
 use crate::policy::coordination::REPORT_ROUNDS;
 use crate::policy::dispatch::ATTEMPT_TIMEOUT_OBJECTIVES;
-use crate::policy::endpoint_selection::SEND_RATE_SPAN_S;
 use crate::policy::in_flight_band::MAX_CREDIT_OVERDRAFT;
 use crate::policy::retry::{MAX_RETRY_TOKENS, RETRY_TOKENS_PER_REQUEST};
+use crate::policy::slow_start::SEND_RATE_SPAN_S;
+use crate::state::endpoint::InFlightAttempt;
 use crate::state::request::{ActiveRequest, Attempt, QuotaState};
 
 impl Gateway {
     pub(crate) fn send(&mut self, id: RequestId, endpoint_id: EndpointId, actions: &mut Vec<Action>) {
-        let cold = self.endpoints.by_id.get(&endpoint_id).and_then(|s| self.warm_up_budget(s));
+        let budget = self.endpoints.get(endpoint_id).and_then(|e| self.warm_up_budget(e));
         let (Some(active), Some(endpoint)) =
-            (self.requests.active.get_mut(&id), self.endpoints.by_id.get_mut(&endpoint_id))
+            (self.requests.active.get_mut(&id), self.endpoints.get_mut(endpoint_id))
         else {
             return;
         };
@@ -23,17 +24,16 @@
             ATTEMPT_TIMEOUT_OBJECTIVES * self.settings.classes[active.request.class].latency_objective_ms;
         let first = active.attempts.is_empty();
         self.band.dispatch_credit = (self.band.dispatch_credit - 1.0).max(-MAX_CREDIT_OVERDRAFT);
-        if let Some(budget) = cold {
-            endpoint.warm_up_tokens = endpoint.warm_up_tokens_now(self.clock.now_ms, budget) - 1.0;
-            endpoint.warm_up_tokens_ms = self.clock.now_ms;
+        if let Some(budget) = budget {
+            endpoint.take_warm_up_token(self.clock.now_ms, budget);
         }
-        endpoint.send_rate = endpoint.send_rate_now(self.clock.now_ms) + 1.0 / SEND_RATE_SPAN_S;
-        endpoint.send_rate_ms = self.clock.now_ms;
-        endpoint.in_flight.push((self.clock.now_ms, id, active.attempts.len() as u32));
+        let attempt = active.attempts.len() as u32;
+        let in_flight = InFlightAttempt { sent_ms: self.clock.now_ms, request: id, attempt };
+        endpoint.record_sent(in_flight, SEND_RATE_SPAN_S);
         active.attempts.push(Attempt {
             endpoint: endpoint_id,
-            zone: endpoint.zone,
-            cell: endpoint.cell,
+            zone: endpoint.zone(),
+            cell: endpoint.cell(),
             sent_ms: self.clock.now_ms,
             pending: true,
             may_have_run: false,
--- a/crates/admission/src/mechanism/backoff.rs
+++ b/crates/admission/src/mechanism/backoff.rs
@@ -1,6 +1,66 @@
 //! Exponential back-off.
 
-/// The delay after `failures` earlier failures in a row: `base_ms`, doubled by each, at most `max_ms`.
-pub(crate) fn exponential_backoff_ms(base_ms: f64, max_ms: f64, failures: u32) -> f64 {
-    (base_ms * f64::from(1u32 << failures.min(31))).min(max_ms)
+/// The first delay of a back-off and the longest one; each failure in a row doubles the delay.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct BackoffLimits {
+    /// Delay after the first failure.
+    pub base_ms: f64,
+    /// Longest delay.
+    pub max_ms: f64,
+}
+
+impl BackoffLimits {
+    /// The delay that follows `failures` earlier failures in a row.
+    fn delay_ms(self, failures: u32) -> f64 {
+        (self.base_ms * f64::from(1u32 << failures.min(31))).min(self.max_ms)
+    }
+}
+
+/// Factor on a delay that spreads delays over the part `spread` around their length, by a draw from 0 to 1.
+pub(crate) fn jitter_factor(spread: f64, draw: f64) -> f64 {
+    1.0 - spread / 2.0 + spread * draw
+}
+
+/// A time during which something is left alone after failures.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Backoff {
+    until_ms: f64,
+    failures: u32,
+}
+
+impl Backoff {
+    /// Whether the delay still runs.
+    pub(crate) fn is_active(&self, now_ms: f64) -> bool {
+        now_ms < self.until_ms
+    }
+
+    /// Failures counted in a row.
+    pub(crate) fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Counts a failure and starts its delay, times `jitter`. A failure while a delay runs counts for nothing:
+    /// it belongs to the same trouble.
+    pub(crate) fn record_failure(&mut self, now_ms: f64, limits: BackoffLimits, jitter: f64) {
+        if self.is_active(now_ms) {
+            return;
+        }
+        self.until_ms = now_ms + limits.delay_ms(self.failures) * jitter;
+        self.failures += 1;
+    }
+
+    /// Sets the end of the delay without counting a failure.
+    pub(crate) fn pause_until(&mut self, until_ms: f64) {
+        self.until_ms = until_ms;
+    }
+
+    /// Forgets the failures counted; a delay that runs goes on.
+    pub(crate) fn reset_failures(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Takes one failure off the count; a delay that runs goes on.
+    pub(crate) fn forgive_failure(&mut self) {
+        self.failures = self.failures.saturating_sub(1);
+    }
 }
--- a/crates/admission/src/mechanism/mod.rs
+++ b/crates/admission/src/mechanism/mod.rs
@@ -1,6 +1,9 @@
 //! Known structures with no figure of their own.
 pub(crate) mod backoff;
+pub(crate) mod common_value;
 pub(crate) mod decaying_rate;
+pub(crate) mod percentile;
 pub(crate) mod smoothing;
 pub(crate) mod splitmix64;
 pub(crate) mod virtual_finish_queue;
+pub(crate) mod weighted_choice;
--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -2,6 +2,7 @@
 use crate::action::Action;
 use crate::event::Request;
 use crate::gateway::{Gateway, UPKEEP_MS};
+use crate::mechanism::common_value::VoteLimits;
 use crate::state::customer::customer_tag;
 use crate::state::request::ActiveRequest;
 use crate::state::request::QuotaDecision;
@@ -9,8 +10,9 @@
 /// For so long after its start a gateway spends only its part of each burst: peers may not have told theirs.
 pub(crate) const STARTUP_MS: f64 = 1000.0;
 
-/// First tries of a class come with one time left: how near, how often seen to be sure of it, and at most.
-pub(crate) const FIRST_TRIES: (f64, i32, i32) = (0.02, 10, 30);
+/// First tries of a class come with one time left, found by vote; and the votes that make sure of it.
+pub(crate) const FIRST_TRIES: VoteLimits = VoteLimits { tolerance: 0.02, votes_for: 4, max_votes: 30 };
+pub(crate) const MIN_FIRST_TRY_VOTES: i32 = 10;
 
 /// Usual residences that must be left for a request to be sent: answers spread widely, and one that its
 /// client no longer waits for is work wasted, which costs most while the endpoints are pressed. Else the
@@ -96,7 +98,7 @@
         let end = active.objective_at_ms.min(active.deadline_ms - UPKEEP_MS - 2.0 * self.settings.tick_ms);
         let wanted =
             if self.band.saturated { MIN_RESPONSE_TIMES_LEFT_SATURATED } else { MIN_RESPONSE_TIMES_LEFT }
-                * self.latency.mean_by_class_ms[active.request.class];
+                * self.latency.response_ms(active.request.class);
         end - self.clock.now_ms < wanted
     }
 
--- a/crates/admission/src/policy/endpoint_selection.rs
+++ b/crates/admission/src/policy/endpoint_selection.rs
@@ -1,121 +1,137 @@
 //! Which endpoint an attempt is sent to.
-use crate::event::EndpointState;
 use crate::gateway::Gateway;
 use crate::id::{EndpointId, RequestId};
-use crate::policy::outlier_detection::MIN_HEALTHY_FRACTION;
+use crate::mechanism::weighted_choice::{inverse_cost_weights, weighted_choice};
+use crate::policy::outlier_detection::{MIN_HEALTHY_FRACTION, RESPONSE_TIME_HALF_LIFE_MS};
 use crate::policy::slow_start::{WARM_UP_BUDGET_FRACTION, WARM_UP_WEIGHT};
 use crate::settings::Idempotency;
-use crate::state::endpoint::EjectionScope;
-use std::collections::BTreeMap;
+use crate::state::candidate::{Candidate, ZoneCapacity};
+use crate::state::endpoint::{EjectionScope, Endpoint};
+use crate::state::request::ActiveRequest;
 
-/// Most that a wide fleet's gateway sends within its zone: the rest shows it how others do. It comes to one
-/// of 60 endpoints too seldom to find its connection still active; of its zone's it finds most.
-pub(crate) const MAX_LOCAL_FRACTION: f64 = 0.9;
+/// Largest part of its attempts that a gateway of a large fleet sends within its zone: the rest shows it how
+/// remote zones do. It sends to one of 60 endpoints too seldom to find a connection open; to those of its
+/// zone it mostly does.
+const MAX_LOCAL_FRACTION: f64 = 0.9;
 
-/// A endpoint of the other zone must be better by this factor to be chosen.
-pub(crate) const REMOTE_ZONE_COST: f64 = 1.1;
+/// In a small fleet an endpoint of a remote zone must be better by this factor to be chosen.
+const REMOTE_ZONE_COST: f64 = 1.1;
 
-/// A silent endpoint gets so small a part of what it would get, to be tried out by some gateway now and then.
-pub(crate) const PROBE_DIVISOR: f64 = 20.0;
+/// An unresponsive endpoint costs this many times as much: some gateway still probes it now and then.
+const PROBE_DIVISOR: f64 = 20.0;
 
-/// Slowness against its kind from which a endpoint gets less: all gateways hear the same, and small
-/// differences would send them all to the same few.
-pub(crate) const CLEARLY_SLOW: f64 = 1.6;
-
-/// Span over which a endpoint's send rate is smoothed.
-pub(crate) const SEND_RATE_SPAN_S: f64 = 3.0;
+/// An endpoint that the request was sent to before costs this many times as much.
+const REPEAT_COST: f64 = 4.0;
 
 impl Gateway {
-    /// The endpoint expected to finish first, by attempts out over learned speed. In a wide fleet it is drawn
-    /// by seeded chance, the likelier the cheaper: gateways that have little out each and hear the same would
-    /// else all choose the same one, and all gateways together would pass a cold endpoint's budget in step.
+    /// The endpoint to send an attempt to; `None` where there is none now.
     pub(crate) fn select_endpoint(&mut self, id: RequestId) -> Option<EndpointId> {
-        let wide = !self.coordination.is_broadcast();
-        let draw = if wide { self.random.next_fraction() } else { 0.0 };
-        if self.endpoints.list_expired {
+        let is_small_fleet = self.coordination.is_broadcast();
+        let draw = if is_small_fleet { 0.0 } else { self.random.next_fraction() };
+        if self.endpoints.is_list_expired() {
             return None;
         }
         let active = self.requests.active.get(&id)?;
-        let (class, plan) =
-            (EjectionScope::Class(active.request.class), EjectionScope::Plan(active.request.plan));
-        let once = self.settings.classes[active.request.class].idempotency != Idempotency::Idempotent;
-        let mut found: Vec<(f64, EndpointId, bool)> = Vec::new();
-        // What endpoints can take, by zone.
-        let mut zones: BTreeMap<usize, f64> = BTreeMap::new();
-        let warm_out = if wide { self.mean_warm_in_flight() } else { 0.0 };
-        let cold_odds = if wide { self.warm_up_odds(id, active.attempts.len()) } else { None };
-        for (endpoint_id, endpoint) in &self.endpoints.by_id {
-            let warm = self.warm_fraction(endpoint);
-            if endpoint.state != EndpointState::Ready || !self.may_attempt(active, endpoint) {
-                continue;
-            }
-            let marked = |what| endpoint.scoped_ejections.get(&what).is_some_and(|m| self.clock.now_ms < m.0);
-            let probing = !wide && endpoint.consecutive_failures > 0 && !endpoint.in_flight.is_empty();
-            // Only what may be repeated tries out a endpoint that leaves others without an answer.
-            let silent =
-                wide && if once { endpoint.missed_responses > 0 } else { self.is_unresponsive(endpoint) };
-            let ill = self.is_outlier(endpoint) || probing || marked(class) || marked(plan) || silent && once;
-            // That little is out at a cold endpoint is no reason to send it more than its part.
-            let out = if warm < 1.0 { warm_out } else { 0.0 }.max(endpoint.in_flight.len() as f64) + 1.0;
-            let mut cost = out / warm;
-            cost *= if active.attempts.iter().any(|a| a.endpoint == *endpoint_id) { 4.0 } else { 1.0 };
-            if wide {
-                let (base, off) = self.kind_deviation(endpoint);
-                cost *= out * base * off * off / if warm < 1.0 { WARM_UP_WEIGHT } else { 1.0 };
-                cost *= if silent { PROBE_DIVISOR } else { 1.0 };
-                let takes = if ill || silent { 0.0 } else { self.send_fraction(endpoint) };
-                *zones.entry(endpoint.zone).or_insert(0.0) += takes;
-            } else {
-                cost *= if endpoint.zone == self.settings.zone { 1.0 } else { REMOTE_ZONE_COST };
-                cost *= endpoint.relative_response_time_now(self.clock.now_ms);
-            }
-            if let Some(budget) = self.warm_up_budget(endpoint).filter(|_| !wide) {
-                if endpoint.warm_up_tokens_now(self.clock.now_ms, budget) < 1.0 {
-                    continue;
-                }
-                // The seldomer there is a token, the likelier it is used.
-                cost *= (WARM_UP_BUDGET_FRACTION * budget.most).min(1.0);
-            }
-            match cold_odds {
-                Some(odds) if wide && warm < 1.0 => cost /= odds,
-                None if wide && warm < 1.0 => continue,
-                _ => {}
+        let eligible = self.endpoints.ready().filter(|e| self.may_attempt(active, e));
+        if is_small_fleet {
+            let candidates = eligible.filter_map(|e| self.weigh_by_load(active, e)).collect();
+            self.choose_least_cost(candidates)
+        } else {
+            let mean_in_flight = self.mean_warm_in_flight();
+            let weigh = |endpoint| self.weigh_by_observations(active, endpoint, mean_in_flight);
+            self.choose_by_draw(active, eligible.map(weigh).collect(), draw)
+        }
+    }
+
+    /// Small fleets: own attempts in flight over learned speed; `None` where no warm-up token is left.
+    fn weigh_by_load<'a>(&self, active: &ActiveRequest, endpoint: &'a Endpoint) -> Option<Candidate<'a>> {
+        let now_ms = self.clock.now_ms;
+        let mut cost = (endpoint.in_flight().len() as f64 + 1.0) / self.warm_fraction(endpoint);
+        cost *= if active.was_sent_to(endpoint.id()) { REPEAT_COST } else { 1.0 };
+        cost *= if endpoint.zone() == self.settings.zone { 1.0 } else { REMOTE_ZONE_COST };
+        cost *= endpoint.own_relative_response_time(now_ms, RESPONSE_TIME_HALF_LIFE_MS);
+        if let Some(budget) = self.warm_up_budget(endpoint) {
+            if endpoint.warm_up_tokens(now_ms, budget) < 1.0 {
+                return None;
             }
-            found.push((cost, *endpoint_id, ill));
+            // The rarer the tokens, the likelier one is used.
+            cost *= (WARM_UP_BUDGET_FRACTION * budget.max_tokens).min(1.0);
+        }
+        // After a failure one attempt at a time probes whether the endpoint is well again.
+        let is_probed = endpoint.consecutive_failures() > 0 && !endpoint.in_flight().is_empty();
+        let is_outlier = self.is_outlier(endpoint) || is_probed;
+        Some(Candidate { endpoint, cost, is_outlier, is_unresponsive: false })
+    }
+
+    /// Small fleets: the endpoint expected to finish first.
+    fn choose_least_cost(&self, mut candidates: Vec<Candidate<'_>>) -> Option<EndpointId> {
+        if !self.outliers.is_correlated_failure() {
+            candidates.retain(|c| !c.is_outlier);
         }
-        // When most look ill the cause is shared, and none is left out.
-        let well = found.iter().filter(|f| !f.2).count() as f64;
-        if !(self.outliers.correlated_failure || wide && well < MIN_HEALTHY_FRACTION * found.len() as f64) {
-            found.retain(|f| !f.2);
+        candidates.iter().min_by(|a, b| a.cost.total_cmp(&b.cost)).map(|c| c.endpoint.id())
+    }
+
+    /// Large fleets: own attempts in flight, and what the fleet observed.
+    fn weigh_by_observations<'a>(
+        &self,
+        active: &ActiveRequest,
+        endpoint: &'a Endpoint,
+        mean_warm_in_flight: f64,
+    ) -> Candidate<'a> {
+        let request = &active.request;
+        let is_idempotent = self.settings.classes[request.class].idempotency == Idempotency::Idempotent;
+        // Only requests that may be repeated probe an endpoint that leaves others without a response.
+        let is_unresponsive =
+            if is_idempotent { self.is_unresponsive(endpoint) } else { endpoint.missed_responses() > 0 };
+        let is_outlier = self.is_outlier(endpoint)
+            || endpoint.is_scope_ejected(EjectionScope::Class(request.class), self.clock.now_ms)
+            || endpoint.is_scope_ejected(EjectionScope::Plan(request.plan), self.clock.now_ms)
+            || is_unresponsive && !is_idempotent;
+        // Little in flight at an endpoint that is warming up is no reason to send it more than its part.
+        let is_warming_up = self.is_warming_up(endpoint);
+        let least_in_flight = if is_warming_up { mean_warm_in_flight } else { 0.0 };
+        let load = least_in_flight.max(endpoint.in_flight().len() as f64) + 1.0;
+        let kind = self.kind_deviation(endpoint);
+        let mut cost = load / self.warm_fraction(endpoint);
+        cost *= if active.was_sent_to(endpoint.id()) { REPEAT_COST } else { 1.0 };
+        let warm_up_weight = if is_warming_up { WARM_UP_WEIGHT } else { 1.0 };
+        cost *= load * kind.baseline * kind.excess * kind.excess / warm_up_weight;
+        cost *= if is_unresponsive { PROBE_DIVISOR } else { 1.0 };
+        Candidate { endpoint, cost, is_outlier, is_unresponsive }
+    }
+
+    /// Large fleets: drawn by chance, the likelier the lower the cost. Gateways that each have little in
+    /// flight and learn the same would else all choose one endpoint, and together pass its warm-up budget.
+    fn choose_by_draw(
+        &self,
+        active: &ActiveRequest,
+        mut candidates: Vec<Candidate<'_>>,
+        draw: f64,
+    ) -> Option<EndpointId> {
+        let local_fraction = self.local_fraction(&candidates);
+        let warming_up = |c: &Candidate<'_>| self.is_warming_up(c.endpoint);
+        match self.warm_up_odds(active.request.id, active.attempts.len()) {
+            Some(odds) => candidates.iter_mut().filter(|c| warming_up(c)).for_each(|c| c.cost /= odds),
+            None => candidates.retain(|c| !warming_up(c)),
         }
-        if !wide {
-            return found.iter().min_by(|a, b| a.0.total_cmp(&b.0)).map(|f| f.1);
+        // Where most look like outliers the cause is not theirs, and none is left out.
+        let healthy = candidates.iter().filter(|c| !c.is_outlier).count() as f64;
+        let is_shared_cause = healthy < MIN_HEALTHY_FRACTION * candidates.len() as f64;
+        if !self.outliers.is_correlated_failure() && !is_shared_cause {
+            candidates.retain(|c| !c.is_outlier);
         }
-        // The own zone's endpoints get as much as they can take beside what the other zones' take from
-        // theirs.
-        let home = |endpoint_id: &EndpointId| {
-            self.endpoints.by_id.get(endpoint_id).is_some_and(|s| s.zone == self.settings.zone)
-        };
-        let (inside, outside) = found.iter().fold((0.0, 0.0), |(inside, outside), f| match home(&f.1) {
-            true => (inside + 1.0 / f.0, outside),
-            false => (inside, outside + 1.0 / f.0),
-        });
-        let takes = zones.get(&self.settings.zone).copied().unwrap_or(0.0);
-        let even = zones.values().sum::<f64>() / zones.len().max(1) as f64;
-        let stays =
-            (MAX_LOCAL_FRACTION * takes / even.max(1e-9)).clamp(1.0 / PROBE_DIVISOR, MAX_LOCAL_FRACTION);
-        let both = inside > 0.0 && outside > 0.0;
-        let abroad = if both { (1.0 - stays) / outside } else { 1.0 };
-        let weight = |f: &(f64, EndpointId, bool)| match home(&f.1) {
-            true if both => stays / inside / f.0,
-            true => 1.0 / f.0,
-            false => abroad / f.0,
-        };
-        let mut left = draw * found.iter().map(weight).sum::<f64>();
-        let drawn = found.iter().find(|f| {
-            left -= weight(f);
-            left <= 0.0
-        });
-        drawn.or(found.last()).map(|f| f.1)
+        let is_local = |c: &Candidate<'_>| c.endpoint.zone() == self.settings.zone;
+        let weights = inverse_cost_weights(&candidates, |c| c.cost, is_local, local_fraction);
+        weighted_choice(draw, &weights).map(|index| candidates[index].endpoint.id())
+    }
+
+    /// Part of the attempts that stay in the local zone: by what its candidates can take beside those of the
+    /// mean zone, so that none of them gets more than a candidate of a remote zone.
+    fn local_fraction(&self, candidates: &[Candidate<'_>]) -> f64 {
+        let capacity = |c: &Candidate<'_>| if c.is_healthy() { self.send_fraction(c.endpoint) } else { 0.0 };
+        let capacities = candidates.iter().map(|c| (c.endpoint.zone(), capacity(c)));
+        let zones = ZoneCapacity::new(capacities, self.settings.zone);
+        let fraction = MAX_LOCAL_FRACTION * zones.local / zones.mean.max(1e-9);
+        fraction.clamp(1.0 / PROBE_DIVISOR, MAX_LOCAL_FRACTION)
     }
 }
--- a/crates/admission/src/policy/in_flight_band.rs
+++ b/crates/admission/src/policy/in_flight_band.rs
@@ -1,11 +1,8 @@
 //! The in-flight stock band: watermark, bounds, and who is under them.
-use crate::event::EndpointState;
 use crate::gateway::Gateway;
 use crate::id::RequestId;
 use crate::policy::coordination::PEER_TIMEOUT_MS;
-use crate::policy::endpoint_selection::CLEARLY_SLOW;
-use crate::policy::outlier_detection::HUNG_SILENCE;
-use crate::state::endpoint::EjectionScope;
+use crate::policy::outlier_detection::{CLEARLY_SLOW, HUNG_STALL_RATIO};
 
 /// The paper's watermark for each backend, where the band starts.
 pub(crate) const INITIAL_WATERMARK: f64 = 2.0;
@@ -61,26 +58,20 @@
     /// proof, and leaving that work out would let the slow be flooded.
     pub(crate) fn band_load(&self) -> (f64, u32) {
         let (mut parts, mut out) = (0.0, 0);
-        for endpoint in self.endpoints.by_id.values() {
-            let backing_off =
-                endpoint.consecutive_failures > 0 && self.clock.now_ms < endpoint.ejected_until_ms;
-            let marked = endpoint
-                .scoped_ejections
-                .iter()
-                .any(|(c, m)| matches!(c, EjectionScope::Class(_)) && self.clock.now_ms < m.0);
+        for endpoint in self.endpoints.iter() {
+            let backing_off = endpoint.consecutive_failures() > 0 && endpoint.is_ejected(self.clock.now_ms);
+            let marked = endpoint.is_any_class_ejected(self.clock.now_ms);
             // What is out at the clearly slow swells the stock as if the rest were full.
-            let slow = !self.coordination.is_broadcast() && self.kind_deviation(endpoint).1 > CLEARLY_SLOW;
-            let failed = endpoint.state == EndpointState::Gone
-                || backing_off
-                || marked
-                || slow
-                || self.is_unresponsive(endpoint);
-            let lost = failed || self.silence(endpoint) > HUNG_SILENCE;
-            if lost && !self.outliers.correlated_failure {
+            let slow =
+                !self.coordination.is_broadcast() && self.kind_deviation(endpoint).excess > CLEARLY_SLOW;
+            let failed =
+                endpoint.is_gone() || backing_off || marked || slow || self.is_unresponsive(endpoint);
+            let lost = failed || self.stall_ratio(endpoint) > HUNG_STALL_RATIO;
+            if lost && !self.outliers.is_correlated_failure() {
                 continue;
             }
-            out += endpoint.in_flight.len() as u32;
-            if endpoint.state == EndpointState::Ready {
+            out += endpoint.in_flight().len() as u32;
+            if endpoint.is_ready() {
                 parts += self.send_fraction(endpoint);
             }
         }
--- a/crates/admission/src/policy/outlier_detection.rs
+++ b/crates/admission/src/policy/outlier_detection.rs
@@ -1,172 +1,149 @@
-//! Which endpoints are outliers, and what is learned of their speed.
-use crate::event::{AttemptEnd, EndpointState, Outcome};
+//! Which endpoints are outliers, and the figures by which their speed is learned.
+use crate::event::{AttemptEnd, Outcome};
 use crate::gateway::Gateway;
-use crate::mechanism::backoff::exponential_backoff_ms;
-use crate::mechanism::smoothing::smooth;
-use crate::state::endpoint::Endpoint;
-
-/// Silence, in parts of what is called silent, from which a endpoint's work leaves the stock.
-pub(crate) const HUNG_SILENCE: f64 = 2.0;
-
-/// Part of the endpoints that must be well for illness to be a endpoint's own: else the cause is shared.
+use crate::mechanism::backoff::BackoffLimits;
+use crate::state::endpoint::{Endpoint, KindDeviation, ResponseTimeSmoothing};
+use crate::state::latency_model::LatencyGains;
+
+/// Usual response times without an answer that count as a stall: with several attempts in flight, with one,
+/// and for an attempt that was given up to count as a failure. A usual one is at least this many typical
+/// ages.
+const STALL_RESPONSE_TIMES: f64 = 2.5;
+const SINGLE_STALL_RESPONSE_TIMES: f64 = 5.0;
+const FAILED_RESPONSE_TIMES: f64 = 3.0;
+const TYPICAL_AGE_FACTOR: f64 = 1.5;
+
+/// Stall ratio from which an endpoint's work leaves the stock.
+pub(crate) const HUNG_STALL_RATIO: f64 = 2.0;
+
+/// Part of the endpoints that must be healthy for an outlier to be at fault itself: else the cause is shared.
 pub(crate) const MIN_HEALTHY_FRACTION: f64 = 0.25;
 
-/// A slow endpoint's mark fades by half in this time without answers, so that it is tried again.
+/// Relative response times return to what is usual with this half-life: slow endpoints are tried again.
 pub(crate) const RESPONSE_TIME_HALF_LIFE_MS: f64 = 4000.0;
 
-/// Observations of endpoints in a message, at most, and kept for telling.
-pub(crate) const MAX_OBSERVATIONS: usize = 3;
+/// Smoothing of relative response times of own attempts, and of those that the fleet observed.
+pub(crate) const OWN_RESPONSE_TIMES: ResponseTimeSmoothing =
+    ResponseTimeSmoothing { gain: 0.1, half_life_ms: RESPONSE_TIME_HALF_LIFE_MS };
+pub(crate) const OBSERVED_RESPONSE_TIMES: ResponseTimeSmoothing =
+    ResponseTimeSmoothing { gain: 0.12, half_life_ms: RESPONSE_TIME_HALF_LIFE_MS };
 
-/// First time a endpoint is left alone with a class or plan; doubles.
-pub(crate) const SCOPED_EJECTION_MS: f64 = 1000.0;
+/// Response time in parts of the objective that is assumed at the start, and the weights of new samples.
+pub(crate) const INITIAL_OBJECTIVE_FRACTION: f64 = 0.15;
+pub(crate) const LATENCY_GAINS: LatencyGains =
+    LatencyGains { class_mean: 0.03, own_fraction: 0.05, observed_fraction: 0.02, kind_baseline: 0.02 };
 
-/// An answer counts for so many times the usual at most: a few very slow endpoints must not make all look
-/// slow.
+/// Largest sample of a class's response time, over the mean, and of a kind's relative response time: a few
+/// very slow endpoints must not make all look slow.
 pub(crate) const MAX_RESPONSE_SAMPLE: f64 = 2.5;
+pub(crate) const MAX_RELATIVE_SAMPLE: f64 = 4.0;
 
-/// Weight of each sight of a class at a endpoint, and the part of bad ones from which it is left alone.
-pub(crate) const CLASS_FAILURE_GAIN: f64 = 0.3;
-pub(crate) const MAX_CLASS_FAILURE_FRACTION: f64 = 0.5;
+/// Relative response time over that of its kind from which an endpoint gets less: all gateways learn the
+/// same, and small differences would send them all to the same few.
+pub(crate) const CLEARLY_SLOW: f64 = 1.6;
 
-/// Weight of each error and of each broken connection, and the part of these from which a endpoint that still
-/// answers over others is ill.
-pub(crate) const ERROR_GAIN: f64 = 0.1;
-pub(crate) const MAX_BROKEN_FRACTION: f64 = 0.5;
+/// Observations of endpoints in a message, at most, and kept for the next ones.
+pub(crate) const MAX_OBSERVATIONS: usize = 3;
 
-/// First back-off from an ill endpoint; doubles up to the most.
-pub(crate) const BASE_EJECTION_MS: f64 = 400.0;
-pub(crate) const MAX_EJECTION_MS: f64 = 6400.0;
+/// Weight of each observation of a class at an endpoint, and the failed part from which it is ejected for it.
+pub(crate) const CLASS_FAILURE_GAIN: f64 = 0.3;
+pub(crate) const MAX_CLASS_FAILURE_FRACTION: f64 = 0.5;
 
-/// A wide fleet's gateway sends to a endpoint too seldom to judge it alone. It takes for silent one of which
-/// this many attempts are known to have brought nothing since its last known answer, which must lie back as
-/// long as it takes to hear of so many answers of a usual endpoint, and at most so long.
-pub(crate) const MIN_MISSED_RESPONSES: u32 = 2;
-pub(crate) const UNRESPONSIVE_OBSERVATIONS: f64 = 2.5;
-pub(crate) const MAX_UNRESPONSIVE_MS: f64 = 2000.0;
+/// Typical age of attempts in flight, as a percentile over the endpoints: less than the median, since a zone
+/// of two may be gone with its work in flight. An endpoint without any counts with this part of the mean
+/// response time.
+pub(crate) const TYPICAL_AGE_PERCENTILE: usize = 40;
+pub(crate) const IDLE_AGE_FRACTION: f64 = 0.5;
 
-/// Span over which the answers heard of are counted.
+/// Weight of each error and each broken connection, and the part of these from which an endpoint fails:
+/// errors are answers; a connection that breaks is not yet an endpoint that does while it answers over
+/// others.
+pub(crate) const ERROR_GAIN: f64 = 0.1;
+const MAX_ERROR_FRACTION: f64 = 0.3;
+const MAX_BROKEN_FRACTION: f64 = 0.5;
+
+/// How long an endpoint is left alone after failures, altogether and with one class or plan; one that is
+/// overloaded for a part of the first delay. Jitter spreads the ends, so that gateways don't return in step.
+pub(crate) const EJECTION: BackoffLimits = BackoffLimits { base_ms: 400.0, max_ms: 6400.0 };
+pub(crate) const SCOPED_EJECTION: BackoffLimits = BackoffLimits { base_ms: 1000.0, max_ms: 6400.0 };
+pub(crate) const OVERLOAD_EJECTION_FRACTION: f64 = 0.25;
+pub(crate) const EJECTION_JITTER: f64 = 0.5;
+
+/// A gateway of a large fleet sends to an endpoint too seldom to judge it alone. One is unresponsive of which
+/// this many attempts are known to have gone unanswered since its last known answer, which must lie back as
+/// long as this many answers of a usual endpoint take to be observed, and at most so long.
+const MIN_MISSED_RESPONSES: u32 = 2;
+const UNRESPONSIVE_OBSERVATIONS: f64 = 2.5;
+const MAX_UNRESPONSIVE_MS: f64 = 2000.0;
+
+/// Span over which the observed answers are counted.
 pub(crate) const OBSERVATION_SPAN_S: f64 = 3.0;
 
 impl Gateway {
+    /// Finds out whether so many endpoints look like outliers that the cause is not theirs.
     pub(crate) fn detect_correlated_failure(&mut self) {
-        // One vote a endpoint, so that work piled up on a hung zone does not outvote the rest; one with
-        // nothing out votes for the usual time. Less than the median: a zone of two may be gone with its work
-        // out.
-        let usual = self.mean_response_ms();
-        let age = |s: &Endpoint| match s.in_flight.len() {
-            0 => 0.5 * usual,
-            n => s.in_flight.iter().map(|o| self.clock.now_ms - o.0).sum::<f64>() / n as f64,
-        };
-        if self.coordination.is_broadcast() {
-            let mut ages: Vec<f64> = self.endpoints.by_id.values().map(age).collect();
-            ages.sort_by(f64::total_cmp);
-            self.latency.typical_age_ms = ages.get(ages.len() * 2 / 5).copied().unwrap_or(0.0);
-        }
-        let ready: Vec<&Endpoint> =
-            self.endpoints.by_id.values().filter(|s| s.state == EndpointState::Ready).collect();
-        let well = ready.iter().filter(|s| !self.is_outlier(s)).count() as f64;
-        self.outliers.correlated_failure = well < ready.len() as f64 * MIN_HEALTHY_FRACTION;
+        let ready = self.endpoints.ready().count() as f64;
+        let healthy = self.endpoints.ready().filter(|e| !self.is_outlier(e)).count() as f64;
+        self.outliers.set_correlated_failure(healthy < ready * MIN_HEALTHY_FRACTION);
     }
 
-    /// Whether the fleet, as far as this gateway has heard, gets no answers from a endpoint any more.
+    /// Whether the fleet, as far as this gateway knows, gets no responses from an endpoint any more.
     pub(crate) fn is_unresponsive(&self, endpoint: &Endpoint) -> bool {
-        let each = self.outliers.observation_rate.now(self.clock.now_ms, OBSERVATION_SPAN_S)
-            / self.endpoints.by_id.len().max(1) as f64;
-        let long_ms = (1000.0 * UNRESPONSIVE_OBSERVATIONS / each.max(1e-3)).min(MAX_UNRESPONSIVE_MS);
+        let now_ms = self.clock.now_ms;
+        let observed = self.outliers.observed_responses_per_second(now_ms, OBSERVATION_SPAN_S);
+        let per_endpoint = observed / self.endpoints.len().max(1) as f64;
+        let limit_ms = (1000.0 * UNRESPONSIVE_OBSERVATIONS / per_endpoint.max(1e-3)).min(MAX_UNRESPONSIVE_MS);
         !self.coordination.is_broadcast()
-            && endpoint.missed_responses >= MIN_MISSED_RESPONSES
-            && self.clock.now_ms - endpoint.last_response_ms > long_ms
+            && endpoint.missed_responses() >= MIN_MISSED_RESPONSES
+            && endpoint.unobserved_ms(now_ms) > limit_ms
     }
 
-    /// Judged by symptoms: backing off after failures, gone with work out, or silent with work out for longer
-    /// than chance explains (a hung machine, a cut link, a pause).
+    /// Judged by symptoms: gone with work in flight, ejected after failures, or stalled for longer than
+    /// chance explains (a hung machine, a cut link, a pause).
     pub(crate) fn is_outlier(&self, endpoint: &Endpoint) -> bool {
-        endpoint.state == EndpointState::Gone
-            || self.clock.now_ms < endpoint.ejected_until_ms
-            || self.silence(endpoint) > 1.0
+        endpoint.is_gone() || endpoint.is_ejected(self.clock.now_ms) || self.stall_ratio(endpoint) > 1.0
     }
 
-    /// Silence is measured against how long this gateway's attempts are out everywhere just now: when all
-    /// endpoints slow together none of them is silent.
-    pub(crate) fn silence(&self, endpoint: &Endpoint) -> f64 {
-        let Some(oldest) = endpoint.in_flight.iter().map(|o| o.0).reduce(f64::min) else { return 0.0 };
-        let silence = self.clock.now_ms - oldest.max(endpoint.answered_ms);
-        let usual = self.mean_response_ms().max(1.5 * self.latency.typical_age_ms);
-        let usual = usual * endpoint.relative_response_time.max(1.0) / self.warm_fraction(endpoint);
-        silence / usual * (endpoint.in_flight.len() as f64 / 5.0).min(1.0 / 2.5)
+    /// Time without any answer while work is in flight, in parts of what counts as a stall. It is measured
+    /// against the age of this gateway's attempts everywhere: where all endpoints slow down, none is stalled.
+    pub(crate) fn stall_ratio(&self, endpoint: &Endpoint) -> f64 {
+        let Some(oldest_sent_ms) = endpoint.oldest_sent_ms() else { return 0.0 };
+        let stalled_ms = self.clock.now_ms - oldest_sent_ms.max(endpoint.answered_ms());
+        let relative = endpoint.last_relative_response_time().max(1.0);
+        let usual_ms = self.usual_ms(self.mean_response_ms()) * relative / self.warm_fraction(endpoint);
+        let in_flight = endpoint.in_flight().len() as f64;
+        stalled_ms / usual_ms * (in_flight / SINGLE_STALL_RESPONSE_TIMES).min(1.0 / STALL_RESPONSE_TIMES)
     }
 
-    /// Learns speed and health from how an attempt ended.
-    pub(crate) fn record_attempt_end(&mut self, end: &AttemptEnd, class: usize, plan: usize) {
-        if !self.coordination.is_broadcast() {
-            self.observe_attempt(end, class, plan);
-        }
-        let took_ms = end.took_ms;
-        let now = self.clock.now_ms;
-        let jitter = 0.75 + 0.5 * self.random.next_fraction();
-        let aim = self.settings.classes[class].latency_objective_ms;
-        let usual = self.latency.mean_by_class_ms[class].max(1.0);
-        // A long silence is a endpoint's own fault only where attempts elsewhere are not out as long.
-        let long = 3.0 * usual.max(1.5 * self.latency.typical_age_ms);
-        let wide = !self.coordination.is_broadcast();
-        let Some(endpoint) = self.endpoints.by_id.get_mut(&end.endpoint) else { return };
-        endpoint.in_flight.retain(|o| (o.1, o.2) != (end.request, end.attempt));
-        let cold = endpoint.started_ms.is_some_and(|s| now - s < self.settings.warm_up_ms);
-        let mut failed = false;
+    /// A response time that is usual just now: more than the mean where attempts in flight grow old.
+    fn usual_ms(&self, mean_ms: f64) -> f64 {
+        mean_ms.max(TYPICAL_AGE_FACTOR * self.latency.typical_age_ms())
+    }
+
+    /// Whether an attempt's end, already recorded, counts as a failure of its endpoint. A long time without
+    /// an answer is the endpoint's own fault only where attempts elsewhere are not as old.
+    pub(crate) fn is_failure(&self, end: &AttemptEnd, class: usize) -> bool {
+        let Some(endpoint) = self.endpoints.get(end.endpoint) else { return false };
+        let unanswered_ms = endpoint.unanswered_ms(self.clock.now_ms);
+        let response_ms = self.latency.expected_ms(class);
+        let is_long = end.took_ms > FAILED_RESPONSE_TIMES * self.usual_ms(response_ms);
+        let error_fraction = endpoint.error_fraction();
         match end.outcome {
-            Outcome::Ok => {
-                if !wide {
-                    endpoint.relative_response_time = endpoint.relative_response_time_now(now);
-                    smooth(&mut endpoint.relative_response_time, took_ms / usual, 0.1);
-                }
-                endpoint.answered_ms = now;
-                endpoint.consecutive_failures = 0;
-                endpoint.error_fraction *= 0.9;
-                if !cold {
-                    let took_ms = if wide { took_ms.min(MAX_RESPONSE_SAMPLE * usual) } else { took_ms };
-                    smooth(&mut self.latency.mean_by_class_ms[class], took_ms, 0.03);
-                    if !wide {
-                        smooth(&mut self.latency.objective_fraction, took_ms / aim, 0.05);
-                    }
-                }
-            }
-            Outcome::Error => {
-                // A few errors are ordinary; a endpoint that fails most of what it gets must not draw more.
-                endpoint.answered_ms = now;
-                smooth(&mut endpoint.error_fraction, 1.0, ERROR_GAIN);
-                failed = endpoint.error_fraction > 0.3 || endpoint.consecutive_failures > 0;
-            }
+            Outcome::Ok | Outcome::Overloaded | Outcome::TooLate => false,
+            Outcome::Error => error_fraction > MAX_ERROR_FRACTION || endpoint.consecutive_failures() > 0,
             Outcome::ConnectFailed | Outcome::Reset => {
-                // A connection that breaks is not yet a endpoint that does, while it answers over others.
-                smooth(&mut endpoint.error_fraction, 1.0, ERROR_GAIN);
-                failed = endpoint.error_fraction > MAX_BROKEN_FRACTION
-                    || now - endpoint.answered_ms > usual.max(took_ms);
-            }
-            Outcome::Overloaded if wide => endpoint.answered_ms = now,
-            Outcome::TimedOut if wide => failed = now - endpoint.answered_ms > took_ms,
-            Outcome::Overloaded => {
-                endpoint.answered_ms = now;
-                endpoint.ejected_until_ms = now + 0.25 * BASE_EJECTION_MS * jitter;
-                smooth(&mut self.latency.objective_fraction, 1.0, 0.05);
+                error_fraction > MAX_BROKEN_FRACTION || unanswered_ms > response_ms.max(end.took_ms)
             }
-            Outcome::TimedOut => {
-                let fade = endpoint.relative_response_time_now(now);
-                endpoint.relative_response_time = fade + 0.1 * (took_ms / usual - fade).max(0.0);
-                self.latency.objective_fraction +=
-                    0.05 * ((took_ms / aim).min(1.0) - self.latency.objective_fraction).max(0.0);
-                failed = now - endpoint.answered_ms > took_ms && took_ms > long;
-            }
-            Outcome::Cancelled => failed = now - endpoint.answered_ms > took_ms && took_ms > long,
-            Outcome::TooLate => {}
-        }
-        if failed && now >= endpoint.ejected_until_ms {
-            let backoff =
-                exponential_backoff_ms(BASE_EJECTION_MS, MAX_EJECTION_MS, endpoint.consecutive_failures);
-            endpoint.consecutive_failures += 1;
-            endpoint.ejected_until_ms = now + backoff * jitter;
-        }
-        if endpoint.state == EndpointState::Gone && endpoint.in_flight.is_empty() {
-            self.endpoints.by_id.remove(&end.endpoint);
+            Outcome::TimedOut if !self.coordination.is_broadcast() => unanswered_ms > end.took_ms,
+            Outcome::TimedOut | Outcome::Cancelled => unanswered_ms > end.took_ms && is_long,
         }
     }
+
+    /// How far an endpoint's response time, as the fleet observes it, is beyond what is usual of its kind.
+    pub(crate) fn kind_deviation(&self, endpoint: &Endpoint) -> KindDeviation {
+        let baseline = self.latency.kind_baseline(endpoint.kind()).max(0.1);
+        let observed =
+            endpoint.observed_relative_response_time(self.clock.now_ms, baseline, RESPONSE_TIME_HALF_LIFE_MS);
+        KindDeviation { baseline, excess: (observed / baseline / CLEARLY_SLOW).max(1.0) }
+    }
 }
--- a/crates/admission/src/policy/quota_owner.rs
+++ b/crates/admission/src/policy/quota_owner.rs
@@ -41,8 +41,7 @@
         let Some(active) = self.requests.active.get(&id) else { return };
         let (r, now, tag) = (active.request.clone(), self.clock.now_ms, active.tag);
         let (first, spread) = (r.first % self.settings.gateways, r.spread.clamp(1, self.settings.gateways));
-        let end =
-            active.objective_at_ms.min(active.deadline_ms) - 0.8 * self.latency.mean_by_class_ms[r.class];
+        let end = active.objective_at_ms.min(active.deadline_ms) - 0.8 * self.latency.response_ms(r.class);
         let customer = self.customer_entry(tag, r.plan, first, spread);
         let thin = 1.0
             - (1.0 - customer.sampling_fraction)
--- a/crates/admission/src/policy/retry.rs
+++ b/crates/admission/src/policy/retry.rs
@@ -35,8 +35,8 @@
                 in_time
                     && risky.all(|a| match group {
                         DedupGroup::All => true,
-                        DedupGroup::Zone => a.zone == endpoint.zone,
-                        DedupGroup::Cell => a.cell == endpoint.cell,
+                        DedupGroup::Zone => a.zone == endpoint.zone(),
+                        DedupGroup::Cell => a.cell == endpoint.cell(),
                     })
             }
         }
@@ -64,14 +64,14 @@
     /// Work stuck on an ailing endpoint gets a second copy, or where copies are not allowed is called off and
     /// tried again. Guards against hung machines and lost zones, whatever the cause.
     pub(crate) fn rescue_stalled(&mut self, actions: &mut Vec<Action>) {
-        if self.outliers.correlated_failure {
+        if self.outliers.is_correlated_failure() {
             return;
         }
         let mut stuck = if self.coordination.is_broadcast() { Vec::new() } else { self.stalled_attempts() };
         for endpoint in
-            self.endpoints.by_id.values().filter(|s| self.coordination.is_broadcast() && self.is_outlier(s))
+            self.endpoints.iter().filter(|s| self.coordination.is_broadcast() && self.is_outlier(s))
         {
-            stuck.extend(endpoint.in_flight.iter().map(|o| (o.1, o.2)));
+            stuck.extend(endpoint.in_flight().iter().map(|a| (a.request, a.attempt)));
         }
         for (id, attempt) in stuck {
             let Some(active) = self.requests.active.get(&id) else { continue };
@@ -95,15 +95,12 @@
         let (mut stuck, mut marks) = (Vec::new(), Vec::new());
         for (id, active) in &self.requests.active {
             let class = active.request.class;
-            let limit = self.latency.mean_by_class_ms[class] * LONG_RESPONSE_TIMES;
+            let limit = self.latency.response_ms(class) * LONG_RESPONSE_TIMES;
             let limit =
                 limit.max(LONG_OBJECTIVE_FRACTION * self.settings.classes[class].latency_objective_ms);
             for (number, attempt) in (0u32..).zip(&active.attempts).filter(|(_, a)| a.pending) {
-                let Some(endpoint) = self.endpoints.by_id.get(&attempt.endpoint) else { continue };
-                let marked = endpoint
-                    .scoped_ejections
-                    .get(&EjectionScope::Class(class))
-                    .is_some_and(|m| self.clock.now_ms < m.0);
+                let Some(endpoint) = self.endpoints.get(attempt.endpoint) else { continue };
+                let marked = endpoint.is_scope_ejected(EjectionScope::Class(class), self.clock.now_ms);
                 let age = self.clock.now_ms - attempt.sent_ms;
                 let silent = self.is_outlier(endpoint) || self.is_unresponsive(endpoint);
                 if silent || age > limit * if marked { 1.0 } else { STALLED_FACTOR } {
--- a/crates/admission/src/policy/slow_start.rs
+++ b/crates/admission/src/policy/slow_start.rs
@@ -1,60 +1,82 @@
-//! How much a warming endpoint may be sent.
-use crate::event::EndpointState;
+//! How much an endpoint that is warming up may be sent.
 use crate::gateway::Gateway;
 use crate::id::RequestId;
 use crate::mechanism::splitmix64::{fraction, mix};
-use crate::state::endpoint::{Endpoint, WarmUpBudget};
+use crate::state::endpoint::Endpoint;
+use crate::state::slow_start::{FleetCapacity, WarmUpBudget};
 
-/// Part of the cold budget used: work sizes vary, and endpoints of a kind differ in speed.
+/// Part of the warm-up budget that is used: work sizes vary, and endpoints of a kind differ in speed.
 pub(crate) const WARM_UP_BUDGET_FRACTION: f64 = 0.6;
 
-/// Part of what warm endpoints of the kind get that they are sure to be able to do.
-pub(crate) const WARM_PEER_FRACTION: f64 = 0.7;
+/// Part of what warm endpoints of the kind are sent that they are sure to be able to do.
+const WARM_PEER_FRACTION: f64 = 0.7;
 
 /// Part of a window whose tokens may be saved up, so that any window stays inside the budget.
-pub(crate) const SAVED_WINDOW_FRACTION: f64 = 0.5;
+const SAVED_WINDOW_FRACTION: f64 = 0.5;
 
-/// In a wide fleet endpoints are drawn by odds: this part of what a cold one can do at least counts for it.
-/// Of all requests so many times the part that cold endpoints then have may go to one, and as often again as
-/// there are warm endpoints among all: those take most.
+/// Large fleets draw endpoints by weight: of what one that is warming up can do at least, this part counts.
 pub(crate) const WARM_UP_WEIGHT: f64 = 0.5;
-pub(crate) const WARM_UP_ADMISSION_FACTOR: f64 = 1.2;
+
+/// Large fleets admit requests to endpoints that are warming up at so many times their part of the capacity,
+/// and as often again as there are warm endpoints among all: those take most.
+const WARM_UP_ADMISSION_FACTOR: f64 = 1.2;
+
+/// Span over which the rate of attempts sent to an endpoint is smoothed.
+pub(crate) const SEND_RATE_SPAN_S: f64 = 3.0;
 
 impl Gateway {
-    /// What this gateway may send a cold endpoint; `None`: it is warm. Of the budget of all gateways it takes
-    /// one part in `gateways`, or what it sends to a warm endpoint of the kind where that is more. The sum of
-    /// both would still be no more than a warm endpoint's work: the more it has of that, the longer answers
-    /// take. What is out tells so before the answers do.
+    /// Part of its capacity that an endpoint has at least, by its age.
+    pub(crate) fn warm_fraction(&self, endpoint: &Endpoint) -> f64 {
+        let (settings, now_ms) = (&self.settings, self.clock.now_ms);
+        let warm_up_ms = Some(settings.warm_up_ms).filter(|ms| *ms > 0.0);
+        let (Some(age_ms), Some(warm_up_ms)) = (endpoint.age_ms(now_ms), warm_up_ms) else { return 1.0 };
+        let progress = (age_ms / warm_up_ms).clamp(0.0, 1.0);
+        settings.cold_start_fraction + (1.0 - settings.cold_start_fraction) * progress
+    }
+
+    /// Whether an endpoint has not its full capacity yet.
+    pub(crate) fn is_warming_up(&self, endpoint: &Endpoint) -> bool {
+        self.warm_fraction(endpoint) < 1.0
+    }
+
+    /// Part of a warm endpoint's work that the fleet may send an endpoint: less than it can do while it is
+    /// warming up.
+    pub(crate) fn send_fraction(&self, endpoint: &Endpoint) -> f64 {
+        let warm_fraction = self.warm_fraction(endpoint);
+        match warm_fraction < 1.0 {
+            true if self.coordination.is_broadcast() => WARM_UP_BUDGET_FRACTION * warm_fraction,
+            true => WARM_UP_WEIGHT * warm_fraction,
+            false => 1.0,
+        }
+    }
+
+    /// What this gateway may send an endpoint that is warming up; `None` where it is warm. Of the budget of
+    /// all gateways it takes an even part, or what it sends a warm endpoint of the kind where that is more.
+    /// Even the sum of both would be no more than a warm endpoint's work: the more it has of that, the longer
+    /// responses take. Attempts in flight show that before responses do.
     pub(crate) fn warm_up_budget(&self, endpoint: &Endpoint) -> Option<WarmUpBudget> {
-        let warm = Some(self.warm_fraction(endpoint)).filter(|w| *w < 1.0)?;
-        let alike =
-            WARM_PEER_FRACTION * self.slow_start.kind_send_rate.get(&endpoint.kind).copied().unwrap_or(0.0);
-        let own =
-            1000.0 / self.mean_response_ms().max(self.latency.typical_age_ms) / self.settings.gateways as f64;
-        let lasts_s = SAVED_WINDOW_FRACTION * self.settings.overload_window_ms / 1000.0;
-        let rate = WARM_UP_BUDGET_FRACTION * self.settings.overload_multiple * warm * alike.max(own);
-        Some(WarmUpBudget { rate, most: rate * lasts_s })
+        let warm_fraction = Some(self.warm_fraction(endpoint)).filter(|fraction| *fraction < 1.0)?;
+        let warm_rate = WARM_PEER_FRACTION * self.slow_start.warm_send_rate(endpoint.kind());
+        let response_ms = self.mean_response_ms().max(self.latency.typical_age_ms());
+        let even_rate = 1000.0 / response_ms / self.settings.gateways as f64;
+        let window_s = SAVED_WINDOW_FRACTION * self.settings.overload_window_ms / 1000.0;
+        let multiple = WARM_UP_BUDGET_FRACTION * self.settings.overload_multiple;
+        let tokens_per_second = multiple * warm_fraction * warm_rate.max(even_rate);
+        Some(WarmUpBudget { tokens_per_second, max_tokens: tokens_per_second * window_s })
     }
 
-    /// Whether a request of a wide fleet may go to a cold endpoint, and how much the likelier then. Of all
-    /// requests it is little more than the part that cold ones are sure to be able to do, however ill or busy
-    /// the warm ones are: what these can't take would push the cold ones over. Each request is drawn once, so
-    /// that it does not come by waiting.
+    /// Large fleets: whether a request may go to an endpoint that is warming up, and how much the likelier it
+    /// is chosen then. The part of all requests that may is little more than what those endpoints are sure to
+    /// be able to do, however busy or ill warm ones are: what these can't take would push the others over.
+    /// Each attempt is drawn once, by a hash, so that waiting changes nothing.
     pub(crate) fn warm_up_odds(&self, id: RequestId, attempt: usize) -> Option<f64> {
-        let (mut all, mut cold, mut warm) = (0.0, 0.0, 0);
-        let mut ready = 0;
-        for endpoint in self.endpoints.by_id.values().filter(|s| s.state == EndpointState::Ready) {
-            let part = self.send_fraction(endpoint);
-            all += part;
-            ready += 1;
-            match self.warm_fraction(endpoint) < 1.0 {
-                true => cold += part,
-                false => warm += 1,
-            }
+        let mut capacity = FleetCapacity::default();
+        for endpoint in self.endpoints.ready() {
+            capacity.add(self.send_fraction(endpoint), self.is_warming_up(endpoint));
         }
         let draw = fraction(mix(mix(id.0 ^ u64::from(self.incarnation)).wrapping_add(attempt as u64)));
-        let drawn =
-            draw * all < (WARM_UP_ADMISSION_FACTOR + f64::from(warm) / f64::from(ready.max(1))) * cold;
-        drawn.then_some(all / cold)
+        let factor = WARM_UP_ADMISSION_FACTOR + capacity.warm_fraction();
+        let is_admitted = draw * capacity.total < factor * capacity.warming_up;
+        is_admitted.then_some(capacity.total / capacity.warming_up)
     }
 }
--- a/crates/admission/src/state/endpoint.rs
+++ b/crates/admission/src/state/endpoint.rs
@@ -1,233 +1,382 @@
-//! Endpoints of the list, and what is known of each.
-use crate::event::{EndpointEntry, EndpointState, ListKind};
-use crate::gateway::Gateway;
+//! One endpoint of the list, and what is known of it.
+use crate::event::{EndpointEntry, EndpointState, Outcome};
 use crate::id::{EndpointId, RequestId};
-use crate::mechanism::smoothing::decay_towards;
-use crate::mechanism::splitmix64::short_tag;
-use crate::policy::endpoint_selection::{CLEARLY_SLOW, SEND_RATE_SPAN_S};
-use crate::policy::outlier_detection::RESPONSE_TIME_HALF_LIFE_MS;
-use crate::policy::slow_start::{WARM_UP_BUDGET_FRACTION, WARM_UP_WEIGHT};
-use std::collections::{BTreeMap, BTreeSet};
-
-/// What a symptom of an endpoint is confined to.
+use crate::mechanism::backoff::{Backoff, BackoffLimits};
+use crate::mechanism::decaying_rate::DecayingRate;
+use crate::mechanism::smoothing::{decay_towards, smooth};
+use crate::state::slow_start::{WarmUpBudget, WarmUpTokens};
+use std::collections::BTreeMap;
+
+/// The requests that a scoped ejection keeps away from an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum EjectionScope {
+    /// Requests of one class, an index into the settings.
     Class(usize),
+    /// Requests of one plan, an index into the settings.
     Plan(usize),
 }
 
-#[derive(Debug)]
-pub(crate) struct Endpoint {
-    pub(crate) zone: usize,
-    pub(crate) kind: usize,
-    pub(crate) cell: u64,
-    pub(crate) state: EndpointState,
-    pub(crate) started_ms: Option<f64>,
-    /// Own attempts out: when sent, and of which request.
-    pub(crate) in_flight: Vec<(f64, RequestId, u32)>,
-    /// Residence against what is usual, smoothed.
-    pub(crate) relative_response_time: f64,
-    pub(crate) answered_ms: f64,
-    /// When its slowness was last observed or told.
-    pub(crate) observed_ms: f64,
-    /// When an answer of it was last seen or told, and the attempts seen or told since that brought none.
-    pub(crate) last_response_ms: f64,
-    pub(crate) missed_responses: u32,
-    pub(crate) consecutive_failures: u32,
-    pub(crate) error_fraction: f64,
-    pub(crate) ejected_until_ms: f64,
-    /// Own sends a second, smoothed.
-    pub(crate) send_rate: f64,
-    pub(crate) send_rate_ms: f64,
-    pub(crate) warm_up_tokens: f64,
-    pub(crate) warm_up_tokens_ms: f64,
-    /// Until when it is left alone with a class or plan, and how often in a row it failed there.
-    pub(crate) scoped_ejections: BTreeMap<EjectionScope, (f64, u32)>,
-    /// Part of its answers to each class that failed or did not come, smoothed.
-    pub(crate) class_failure_fraction: BTreeMap<usize, f64>,
+/// One of this gateway's own attempts at an endpoint that has not ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct InFlightAttempt {
+    /// When it was sent.
+    pub(crate) sent_ms: f64,
+    /// Its request.
+    pub(crate) request: RequestId,
+    /// Its number among the request's attempts.
+    pub(crate) attempt: u32,
 }
 
-/// What a gateway may send a cold endpoint.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct WarmUpBudget {
-    /// Tokens a second; each send takes one.
-    pub(crate) rate: f64,
-    /// Tokens that may be saved up.
-    pub(crate) most: f64,
+/// One endpoint of the list, and what is known of it.
+#[derive(Debug)]
+pub(crate) struct Endpoint {
+    /// As the list has it.
+    entry: EndpointEntry,
+    /// This gateway's own attempts that have not ended.
+    in_flight: Vec<InFlightAttempt>,
+    /// Own attempts sent a second.
+    send_rate: DecayingRate,
+    /// Tokens for own attempts while it is warming up.
+    warm_up_tokens: WarmUpTokens,
+    /// When an own attempt was last answered.
+    answered_ms: f64,
+    /// Fraction of own attempts that ended in errors or broken connections, smoothed.
+    error_fraction: f64,
+    /// How long it is left alone altogether after failures of own attempts.
+    ejection: Backoff,
+    /// How long it is left alone with the requests of one class or plan.
+    scoped_ejections: BTreeMap<EjectionScope, Backoff>,
+    /// Fraction of the requests of each class that failed, as observed by the fleet, smoothed.
+    class_failure_fraction: BTreeMap<usize, f64>,
+    /// Response time over what is usual, smoothed.
+    relative_response_time: f64,
+    /// When the fleet last observed its response time.
+    response_time_observed_ms: f64,
+    /// When the fleet last observed an answer.
+    response_observed_ms: f64,
+    /// Attempts without an answer that the fleet observed since its last answer.
+    missed_responses: u32,
 }
 
 impl Endpoint {
-    /// An endpoint newly listed, with tokens for sends while cold.
-    pub(crate) fn new(entry: &EndpointEntry, now: f64, cold_tokens: f64) -> Self {
+    /// An endpoint newly listed, with `warm_up_tokens` to start with.
+    pub(crate) fn new(entry: EndpointEntry, now_ms: f64, warm_up_tokens: f64) -> Self {
         Endpoint {
-            zone: entry.zone,
-            kind: entry.kind,
-            cell: entry.cell,
-            state: entry.state,
-            started_ms: entry.started_at_ms,
+            entry,
             in_flight: Vec::new(),
-            relative_response_time: 1.0,
-            answered_ms: now,
-            observed_ms: now,
-            last_response_ms: now,
-            missed_responses: 0,
-            consecutive_failures: 0,
+            send_rate: DecayingRate::default(),
+            warm_up_tokens: WarmUpTokens::new(warm_up_tokens, now_ms),
+            answered_ms: now_ms,
             error_fraction: 0.0,
-            ejected_until_ms: 0.0,
-            send_rate: 0.0,
-            send_rate_ms: now,
-            warm_up_tokens: cold_tokens,
-            warm_up_tokens_ms: now,
+            ejection: Backoff::default(),
             scoped_ejections: BTreeMap::new(),
             class_failure_fraction: BTreeMap::new(),
+            relative_response_time: 1.0,
+            response_time_observed_ms: now_ms,
+            response_observed_ms: now_ms,
+            missed_responses: 0,
         }
     }
-}
 
-/// The endpoints of the list.
-#[derive(Debug, Default)]
-pub(crate) struct EndpointTable {
-    pub(crate) by_id: BTreeMap<EndpointId, Endpoint>,
-    /// The endpoints by the short tag that messages name them by.
-    pub(crate) by_tag: BTreeMap<u32, EndpointId>,
-    /// The list is too old to send by.
-    pub(crate) list_expired: bool,
-}
+    /// Takes over a new line of the list. A process that has restarted since owes nothing to what the last one
+    /// did; only the attempts in flight stay.
+    pub(crate) fn update(&mut self, entry: EndpointEntry, now_ms: f64, warm_up_tokens: f64) {
+        let restarted = entry.started_at_ms != self.entry.started_at_ms && entry.started_at_ms.is_some();
+        if restarted {
+            let in_flight = std::mem::take(&mut self.in_flight);
+            *self = Endpoint { in_flight, ..Endpoint::new(entry, now_ms, warm_up_tokens) };
+            return;
+        }
+        self.entry = EndpointEntry { started_at_ms: self.entry.started_at_ms, ..entry };
+    }
+
+    /// Marks it as no longer listed.
+    pub(crate) fn mark_gone(&mut self) {
+        self.entry.state = EndpointState::Gone;
+    }
+
+    /// Its id.
+    pub(crate) fn id(&self) -> EndpointId {
+        self.entry.id
+    }
+
+    /// Its zone, as an index.
+    pub(crate) fn zone(&self) -> usize {
+        self.entry.zone
+    }
+
+    /// Its machine kind, as an index.
+    pub(crate) fn kind(&self) -> usize {
+        self.entry.kind
+    }
+
+    /// Its cell.
+    pub(crate) fn cell(&self) -> u64 {
+        self.entry.cell
+    }
+
+    /// Whether the list lets it be sent new work.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.entry.state == EndpointState::Ready
+    }
+
+    /// Whether it is no longer listed.
+    pub(crate) fn is_gone(&self) -> bool {
+        self.entry.state == EndpointState::Gone
+    }
 
-/// What warm endpoints are sent, as the measure for those that warm up.
-#[derive(Debug, Default)]
-pub(crate) struct SlowStart {
-    /// Own sends a second to a warm endpoint, by kind of machine.
-    pub(crate) kind_send_rate: BTreeMap<usize, f64>,
+    /// Time since its process started; `None`: that was long ago.
+    pub(crate) fn age_ms(&self, now_ms: f64) -> Option<f64> {
+        self.entry.started_at_ms.map(|started_ms| now_ms - started_ms)
+    }
+
+    /// Whether its process started at least `warm_up_ms` ago.
+    pub(crate) fn has_warmed_up(&self, now_ms: f64, warm_up_ms: f64) -> bool {
+        self.age_ms(now_ms).is_none_or(|age_ms| age_ms >= warm_up_ms)
+    }
 }
 
+/// This gateway's own attempts.
 impl Endpoint {
-    pub(crate) fn send_rate_now(&self, now: f64) -> f64 {
-        self.send_rate * (-(now - self.send_rate_ms) / 1000.0 / SEND_RATE_SPAN_S).exp()
+    /// Records that an attempt was sent; the send rate is smoothed over `rate_span_s`.
+    pub(crate) fn record_sent(&mut self, attempt: InFlightAttempt, rate_span_s: f64) {
+        self.send_rate.add(1.0, attempt.sent_ms, rate_span_s);
+        self.in_flight.push(attempt);
     }
 
-    pub(crate) fn relative_response_time_now(&self, now: f64) -> f64 {
-        decay_towards(1.0, self.relative_response_time, now - self.answered_ms, RESPONSE_TIME_HALF_LIFE_MS)
+    /// Takes an ended attempt out of those in flight.
+    pub(crate) fn remove_in_flight(&mut self, request: RequestId, attempt: u32) {
+        self.in_flight.retain(|a| (a.request, a.attempt) != (request, attempt));
     }
 
-    /// Slowness as told, fading to what is usual of its kind.
-    pub(crate) fn relative_response_time_from(&self, now: f64, base: f64) -> f64 {
-        decay_towards(base, self.relative_response_time, now - self.observed_ms, RESPONSE_TIME_HALF_LIFE_MS)
+    /// Own attempts that have not ended.
+    pub(crate) fn in_flight(&self) -> &[InFlightAttempt] {
+        &self.in_flight
     }
 
-    /// Tokens for sends while cold. Where less than one may be saved up, a whole one comes now and then, at a
-    /// time of the gateway's own, and is lost after so long that the fleet's gateways hold no more at once
-    /// than one gateway in their place would: were it kept, each would have one ready when a burst comes.
-    pub(crate) fn warm_up_tokens_now(&self, now: f64, budget: WarmUpBudget) -> f64 {
-        let tokens = self.warm_up_tokens + budget.rate * (now - self.warm_up_tokens_ms) / 1000.0;
-        if budget.most >= 1.0 {
-            return tokens.min(budget.most);
-        }
-        tokens - (tokens - budget.most).floor().max(0.0)
+    /// When the oldest own attempt in flight was sent.
+    pub(crate) fn oldest_sent_ms(&self) -> Option<f64> {
+        self.in_flight.iter().map(|a| a.sent_ms).reduce(f64::min)
+    }
+
+    /// Mean age of own attempts in flight; `None` where there are none.
+    pub(crate) fn mean_in_flight_age_ms(&self, now_ms: f64) -> Option<f64> {
+        let count = Some(self.in_flight.len()).filter(|n| *n > 0)?;
+        Some(self.in_flight.iter().map(|a| now_ms - a.sent_ms).sum::<f64>() / count as f64)
+    }
+
+    /// Own attempts sent a second, smoothed over `span_s`.
+    pub(crate) fn send_rate(&self, now_ms: f64, span_s: f64) -> f64 {
+        self.send_rate.now(now_ms, span_s)
+    }
+
+    /// The tokens for own attempts while it is warming up.
+    pub(crate) fn warm_up_tokens(&self, now_ms: f64, budget: WarmUpBudget) -> f64 {
+        self.warm_up_tokens.available(now_ms, budget)
+    }
+
+    /// Brings its warm-up tokens up to now.
+    pub(crate) fn refill_warm_up_tokens(&mut self, now_ms: f64, budget: WarmUpBudget) {
+        self.warm_up_tokens.refill(now_ms, budget);
+    }
+
+    /// Takes the warm-up token of an attempt that is sent now.
+    pub(crate) fn take_warm_up_token(&mut self, now_ms: f64, budget: WarmUpBudget) {
+        self.warm_up_tokens.take(now_ms, budget);
     }
 }
 
-impl Gateway {
-    pub(crate) fn on_list(&mut self, kind: ListKind, entries: Vec<EndpointEntry>) {
-        if kind == ListKind::Failed {
-            return;
-        }
-        self.endpoints.list_expired = kind == ListKind::Expired;
-        if self.endpoints.list_expired {
-            return;
-        }
-        if kind != ListKind::Changes {
-            let listed: BTreeSet<EndpointId> = entries.iter().map(|e| e.id).collect();
-            for (id, endpoint) in &mut self.endpoints.by_id {
-                if !listed.contains(id) {
-                    endpoint.state = EndpointState::Gone;
-                }
+/// Health as this gateway's own attempts show it.
+impl Endpoint {
+    /// Records how an own attempt ended. An answer of any kind is a sign of life; errors and broken connections
+    /// count by `error_gain` in the smoothed fraction.
+    pub(crate) fn record_outcome(&mut self, outcome: Outcome, now_ms: f64, error_gain: f64) {
+        match outcome {
+            Outcome::Ok => {
+                self.answered_ms = now_ms;
+                self.ejection.reset_failures();
+                self.error_fraction *= 1.0 - error_gain;
             }
-        }
-        for entry in entries {
-            let now = self.clock.now_ms;
-            // A part of a token at the start: else all gateways had their first one at the same time.
-            let part = if entry.started_at_ms.is_some() { self.random.next_fraction() } else { 0.0 };
-            let endpoint =
-                self.endpoints.by_id.entry(entry.id).or_insert_with(|| Endpoint::new(&entry, now, part));
-            if entry.started_at_ms != endpoint.started_ms && entry.started_at_ms.is_some() {
-                // A restarted process owes nothing to what the last one did, but is cold.
-                let out = std::mem::take(&mut endpoint.in_flight);
-                *endpoint = Endpoint::new(&entry, now, part);
-                endpoint.in_flight = out;
+            Outcome::Error => {
+                self.answered_ms = now_ms;
+                smooth(&mut self.error_fraction, 1.0, error_gain);
             }
-            endpoint.state = entry.state;
-            (endpoint.zone, endpoint.kind, endpoint.cell) = (entry.zone, entry.kind, entry.cell);
+            Outcome::Overloaded => self.answered_ms = now_ms,
+            Outcome::ConnectFailed | Outcome::Reset => smooth(&mut self.error_fraction, 1.0, error_gain),
+            Outcome::TimedOut | Outcome::Cancelled | Outcome::TooLate => {}
         }
-        self.endpoints.by_id.retain(|_, s| s.state != EndpointState::Gone || !s.in_flight.is_empty());
-        self.endpoints.by_tag = self.endpoints.by_id.keys().map(|id| (short_tag(id.0), *id)).collect();
     }
 
-    /// Part of its capacity that a endpoint has at least, by its age.
-    pub(crate) fn warm_fraction(&self, endpoint: &Endpoint) -> f64 {
-        let Some(started) = endpoint.started_ms else { return 1.0 };
-        let s = &self.settings;
-        if s.warm_up_ms <= 0.0 {
-            return 1.0;
-        }
-        let age = ((self.clock.now_ms - started) / s.warm_up_ms).clamp(0.0, 1.0);
-        s.cold_start_fraction + (1.0 - s.cold_start_fraction) * age
-    }
-
-    /// Part of a warm endpoint's work that the fleet may send a endpoint: less than it can do, while it is
-    /// cold.
-    pub(crate) fn send_fraction(&self, endpoint: &Endpoint) -> f64 {
-        let warm = self.warm_fraction(endpoint);
-        match warm < 1.0 {
-            true if !self.coordination.is_broadcast() => WARM_UP_WEIGHT * warm,
-            true => WARM_UP_BUDGET_FRACTION * warm,
-            false => 1.0,
-        }
+    /// Fraction of own attempts that ended in errors or broken connections, smoothed.
+    pub(crate) fn error_fraction(&self) -> f64 {
+        self.error_fraction
     }
 
-    /// Own attempts out at a warm endpoint, on the mean. In a wide fleet endpoints are drawn by odds that
-    /// fall with what is out: where warm ones have work out and cold ones none, the cold ones would draw most
-    /// of it.
-    pub(crate) fn mean_warm_in_flight(&self) -> f64 {
-        let warm = |s: &&Endpoint| s.state == EndpointState::Ready && self.warm_fraction(s) >= 1.0;
-        let (out, count) = self
-            .endpoints
-            .by_id
-            .values()
-            .filter(warm)
-            .fold((0, 0), |(out, count), s| (out + s.in_flight.len(), count + 1));
-        out as f64 / f64::from(count.max(1))
-    }
-
-    /// Brings the tokens for cold endpoints up to now, at the rates that held until now, and then the rates.
-    pub(crate) fn refill_warm_up_tokens(&mut self) {
-        let now = self.clock.now_ms;
-        let budgets: Vec<_> =
-            self.endpoints.by_id.iter().filter_map(|(id, s)| Some((*id, self.warm_up_budget(s)?))).collect();
-        if budgets.is_empty() {
-            return;
-        }
-        for (id, budget) in budgets {
-            if let Some(endpoint) = self.endpoints.by_id.get_mut(&id) {
-                (endpoint.warm_up_tokens, endpoint.warm_up_tokens_ms) =
-                    (endpoint.warm_up_tokens_now(now, budget), now);
-            }
-        }
-        let mut sums: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
-        for endpoint in self.endpoints.by_id.values() {
-            if endpoint.state == EndpointState::Ready && self.warm_fraction(endpoint) >= 1.0 {
-                let sum = sums.entry(endpoint.kind).or_default();
-                *sum = (sum.0 + endpoint.send_rate_now(now), sum.1 + 1.0);
-            }
+    /// When an own attempt was last answered.
+    pub(crate) fn answered_ms(&self) -> f64 {
+        self.answered_ms
+    }
+
+    /// Time since an own attempt was last answered.
+    pub(crate) fn unanswered_ms(&self, now_ms: f64) -> f64 {
+        now_ms - self.answered_ms
+    }
+
+    /// Failures in a row that each led to an ejection.
+    pub(crate) fn consecutive_failures(&self) -> u32 {
+        self.ejection.failures()
+    }
+
+    /// Whether it is left alone altogether.
+    pub(crate) fn is_ejected(&self, now_ms: f64) -> bool {
+        self.ejection.is_active(now_ms)
+    }
+
+    /// Leaves it alone after a failure, the longer the more failures came before.
+    pub(crate) fn eject(&mut self, now_ms: f64, limits: BackoffLimits, jitter: f64) {
+        self.ejection.record_failure(now_ms, limits, jitter);
+    }
+
+    /// Leaves it alone until a time without counting a failure.
+    pub(crate) fn pause_until(&mut self, until_ms: f64) {
+        self.ejection.pause_until(until_ms);
+    }
+}
+
+/// Health as the fleet observes it.
+impl Endpoint {
+    /// Records an answer that some gateway observed.
+    pub(crate) fn record_observed_response(&mut self, now_ms: f64) {
+        self.response_observed_ms = now_ms;
+        self.missed_responses = 0;
+    }
+
+    /// Records an attempt without an answer that some gateway observed.
+    pub(crate) fn record_missed_response(&mut self) {
+        self.missed_responses += 1;
+    }
+
+    /// Attempts without an answer that the fleet observed since the last answer.
+    pub(crate) fn missed_responses(&self) -> u32 {
+        self.missed_responses
+    }
+
+    /// Time since the fleet last observed an answer.
+    pub(crate) fn unobserved_ms(&self, now_ms: f64) -> f64 {
+        now_ms - self.response_observed_ms
+    }
+
+    /// Records whether a request of a class failed, and gives the smoothed fraction that did.
+    pub(crate) fn record_class_result(&mut self, class: usize, failed: bool, gain: f64) -> f64 {
+        let fraction = self.class_failure_fraction.entry(class).or_insert(0.0);
+        smooth(fraction, f64::from(u32::from(failed)), gain);
+        *fraction
+    }
+
+    /// Keeps requests of a class or plan away from it, the longer the more failures came before.
+    pub(crate) fn eject_scope(
+        &mut self,
+        scope: EjectionScope,
+        now_ms: f64,
+        limits: BackoffLimits,
+        jitter: f64,
+    ) {
+        self.scoped_ejections.entry(scope).or_default().record_failure(now_ms, limits, jitter);
+    }
+
+    /// Whether requests of a class or plan are kept away from it.
+    pub(crate) fn is_scope_ejected(&self, scope: EjectionScope, now_ms: f64) -> bool {
+        self.scoped_ejections.get(&scope).is_some_and(|ejection| ejection.is_active(now_ms))
+    }
+
+    /// Whether requests of any class are kept away from it.
+    pub(crate) fn is_any_class_ejected(&self, now_ms: f64) -> bool {
+        self.scoped_ejections
+            .iter()
+            .any(|(scope, ejection)| matches!(scope, EjectionScope::Class(_)) && ejection.is_active(now_ms))
+    }
+
+    /// Records a good answer to an own attempt: requests of its class come back at once. An endpoint that turns
+    /// a plan away above a rate still takes some of it, so that one answer only makes the next ejection shorter.
+    pub(crate) fn relax_scoped_ejections(&mut self, class: usize, plan: usize) {
+        self.scoped_ejections.remove(&EjectionScope::Class(class));
+        if let Some(ejection) = self.scoped_ejections.get_mut(&EjectionScope::Plan(plan)) {
+            ejection.forgive_failure();
         }
-        self.slow_start.kind_send_rate =
-            sums.into_iter().map(|(kind, (rates, count))| (kind, rates / count)).collect();
+    }
+}
+
+/// How a relative response time is smoothed.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ResponseTimeSmoothing {
+    /// Weight of a new sample.
+    pub gain: f64,
+    /// Without samples, half of the distance to what is usual is forgotten in this time.
+    pub half_life_ms: f64,
+}
+
+/// An endpoint's relative response time beside that of its machine kind.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct KindDeviation {
+    /// Usual relative response time of the kind.
+    pub(crate) baseline: f64,
+    /// The endpoint's over that of a clearly slow one of its kind; at least 1.
+    pub(crate) excess: f64,
+}
+
+/// Response time over what is usual.
+impl Endpoint {
+    /// The smoothed relative response time as last recorded.
+    pub(crate) fn last_relative_response_time(&self) -> f64 {
+        self.relative_response_time
+    }
+
+    /// The relative response time of own attempts, which returns to 1 without answers.
+    pub(crate) fn own_relative_response_time(&self, now_ms: f64, half_life_ms: f64) -> f64 {
+        decay_towards(1.0, self.relative_response_time, now_ms - self.answered_ms, half_life_ms)
+    }
+
+    /// Records the relative response time of an own attempt.
+    pub(crate) fn record_own_response_time(
+        &mut self,
+        now_ms: f64,
+        sample: f64,
+        smoothing: ResponseTimeSmoothing,
+    ) {
+        self.relative_response_time = self.own_relative_response_time(now_ms, smoothing.half_life_ms);
+        smooth(&mut self.relative_response_time, sample, smoothing.gain);
+    }
+
+    /// Records an own attempt that timed out: its relative response time can only be too low, so that it never
+    /// lowers the smoothed one.
+    pub(crate) fn record_own_time_out(&mut self, now_ms: f64, sample: f64, smoothing: ResponseTimeSmoothing) {
+        let current = self.own_relative_response_time(now_ms, smoothing.half_life_ms);
+        self.record_own_response_time(now_ms, sample.max(current), smoothing);
+    }
+
+    /// The relative response time as the fleet observes it, which returns to `baseline`, that of its kind,
+    /// without observations.
+    pub(crate) fn observed_relative_response_time(
+        &self,
+        now_ms: f64,
+        baseline: f64,
+        half_life_ms: f64,
+    ) -> f64 {
+        let elapsed_ms = now_ms - self.response_time_observed_ms;
+        decay_towards(baseline, self.relative_response_time, elapsed_ms, half_life_ms)
     }
 
-    /// The usual slowness of a endpoint's kind, and how far beyond what is clearly slow for it the endpoint
-    /// is.
-    pub(crate) fn kind_deviation(&self, endpoint: &Endpoint) -> (f64, f64) {
-        let base = self.latency.kind_baseline.get(&endpoint.kind).copied().unwrap_or(1.0).max(0.1);
-        (base, (endpoint.relative_response_time_from(self.clock.now_ms, base) / base / CLEARLY_SLOW).max(1.0))
+    /// Records a relative response time that some gateway observed.
+    pub(crate) fn record_observed_response_time(
+        &mut self,
+        now_ms: f64,
+        sample: f64,
+        baseline: f64,
+        smoothing: ResponseTimeSmoothing,
+    ) {
+        self.relative_response_time =
+            self.observed_relative_response_time(now_ms, baseline, smoothing.half_life_ms);
+        smooth(&mut self.relative_response_time, sample, smoothing.gain);
+        self.response_time_observed_ms = now_ms;
     }
 }
--- /dev/null
+++ b/crates/admission/src/state/endpoint_table.rs
@@ -0,0 +1,102 @@
+//! The endpoints of the list.
+use crate::event::{EndpointEntry, ListKind};
+use crate::id::EndpointId;
+use crate::mechanism::splitmix64::{short_tag, SplitMix64};
+use crate::state::endpoint::Endpoint;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The endpoints of the list, and those gone from it that still have own attempts in flight.
+#[derive(Debug, Default)]
+pub(crate) struct EndpointTable {
+    by_id: BTreeMap<EndpointId, Endpoint>,
+    /// The endpoints by the short tag that messages name them by.
+    id_by_tag: BTreeMap<u32, EndpointId>,
+    /// The list is too old to send by.
+    list_expired: bool,
+}
+
+impl EndpointTable {
+    /// Takes in an update of the list. The random numbers decide with what part of a token an endpoint starts
+    /// to warm up: else all gateways had their first one at the same time.
+    pub(crate) fn apply_list(
+        &mut self,
+        kind: ListKind,
+        entries: Vec<EndpointEntry>,
+        now_ms: f64,
+        random: &mut SplitMix64,
+    ) {
+        if kind == ListKind::Failed {
+            return;
+        }
+        self.list_expired = kind == ListKind::Expired;
+        if self.list_expired {
+            return;
+        }
+        if kind != ListKind::Changes {
+            self.mark_unlisted_gone(&entries);
+        }
+        for entry in entries {
+            let tokens = if entry.started_at_ms.is_some() { random.next_fraction() } else { 0.0 };
+            match self.by_id.get_mut(&entry.id) {
+                Some(endpoint) => endpoint.update(entry, now_ms, tokens),
+                None => {
+                    self.by_id.insert(entry.id, Endpoint::new(entry, now_ms, tokens));
+                }
+            }
+        }
+        self.by_id.retain(|_, endpoint| !endpoint.is_gone() || !endpoint.in_flight().is_empty());
+        self.id_by_tag = self.by_id.keys().map(|id| (short_tag(id.0), *id)).collect();
+    }
+
+    /// Marks the endpoints that a whole list does not name as gone.
+    fn mark_unlisted_gone(&mut self, entries: &[EndpointEntry]) {
+        let listed: BTreeSet<EndpointId> = entries.iter().map(|entry| entry.id).collect();
+        for (id, endpoint) in &mut self.by_id {
+            if !listed.contains(id) {
+                endpoint.mark_gone();
+            }
+        }
+    }
+
+    /// Whether the list is too old to send by.
+    pub(crate) fn is_list_expired(&self) -> bool {
+        self.list_expired
+    }
+
+    /// How many endpoints there are.
+    pub(crate) fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// The endpoints in the order of their ids.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Endpoint> {
+        self.by_id.values()
+    }
+
+    /// The endpoints that the list lets be sent new work.
+    pub(crate) fn ready(&self) -> impl Iterator<Item = &Endpoint> {
+        self.iter().filter(|endpoint| endpoint.is_ready())
+    }
+
+    /// An endpoint by its id.
+    pub(crate) fn get(&self, id: EndpointId) -> Option<&Endpoint> {
+        self.by_id.get(&id)
+    }
+
+    /// An endpoint by its id.
+    pub(crate) fn get_mut(&mut self, id: EndpointId) -> Option<&mut Endpoint> {
+        self.by_id.get_mut(&id)
+    }
+
+    /// An endpoint by the short tag that messages name it by.
+    pub(crate) fn get_by_tag_mut(&mut self, tag: u32) -> Option<&mut Endpoint> {
+        self.by_id.get_mut(self.id_by_tag.get(&tag)?)
+    }
+
+    /// Forgets an endpoint that is gone from the list once it has no own attempt in flight.
+    pub(crate) fn remove_if_finished(&mut self, id: EndpointId) {
+        if self.get(id).is_some_and(|endpoint| endpoint.is_gone() && endpoint.in_flight().is_empty()) {
+            self.by_id.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/src/state/latency_model.rs
@@ -0,0 +1,137 @@
+//! Learned response times.
+use crate::mechanism::common_value::{CommonValue, VoteLimits};
+use crate::mechanism::smoothing::smooth;
+use std::collections::BTreeMap;
+
+/// Keeps divisions by the smoothed response time finite.
+const MIN_OBJECTIVE_FRACTION: f64 = 0.01;
+
+/// Keeps divisions by a class's response time finite.
+const MIN_RESPONSE_MS: f64 = 1.0;
+
+/// Weights of a new sample in the learned response times.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct LatencyGains {
+    /// In the mean response time of its class.
+    pub(crate) class_mean: f64,
+    /// In the objective fraction, where the sample is an own attempt.
+    pub(crate) own_fraction: f64,
+    /// In the objective fraction, where some gateway observed it.
+    pub(crate) observed_fraction: f64,
+    /// In the usual relative response time of a machine kind.
+    pub(crate) kind_baseline: f64,
+}
+
+/// Learned response times of the fleet's endpoints.
+#[derive(Debug, Default)]
+pub(crate) struct LatencyModel {
+    gains: LatencyGains,
+    /// Smoothed response time in parts of the latency objective.
+    objective_fraction: f64,
+    /// Smoothed response time of each class.
+    mean_by_class_ms: Vec<f64>,
+    /// The commonest time that clients of each class leave.
+    time_budgets: Vec<CommonValue>,
+    /// Age of own attempts in flight at an endpoint that is not among the slowest.
+    typical_age_ms: f64,
+    /// Usual relative response time of each machine kind.
+    baseline_by_kind: BTreeMap<usize, f64>,
+}
+
+impl LatencyModel {
+    /// A model that takes each class to be answered in the part `objective_fraction` of its objective.
+    pub(crate) fn new(
+        objectives_ms: impl Iterator<Item = f64>,
+        objective_fraction: f64,
+        gains: LatencyGains,
+    ) -> Self {
+        let mean_by_class_ms: Vec<f64> =
+            objectives_ms.map(|objective_ms| objective_ms * objective_fraction).collect();
+        LatencyModel {
+            gains,
+            objective_fraction,
+            time_budgets: vec![CommonValue::default(); mean_by_class_ms.len()],
+            mean_by_class_ms,
+            ..LatencyModel::default()
+        }
+    }
+
+    /// Smoothed response time of all classes in parts of their latency objectives.
+    pub(crate) fn objective_fraction(&self) -> f64 {
+        self.objective_fraction
+    }
+
+    /// A response time, given in parts of its objective, over the smoothed one.
+    pub(crate) fn relative_to_mean(&self, objective_fraction: f64) -> f64 {
+        objective_fraction / self.objective_fraction.max(MIN_OBJECTIVE_FRACTION)
+    }
+
+    /// Takes in the response time of an own attempt, in parts of its objective.
+    pub(crate) fn record_own_fraction(&mut self, sample: f64) {
+        smooth(&mut self.objective_fraction, sample, self.gains.own_fraction);
+    }
+
+    /// Takes in a response time that can only be too low, in parts of its objective: a lower one than the
+    /// smoothed one says nothing.
+    pub(crate) fn record_own_fraction_at_least(&mut self, sample: f64) {
+        self.record_own_fraction(sample.max(self.objective_fraction));
+    }
+
+    /// Takes in a response time that some gateway observed, in parts of its objective.
+    pub(crate) fn record_observed_fraction(&mut self, sample: f64) {
+        smooth(&mut self.objective_fraction, sample, self.gains.observed_fraction);
+    }
+
+    /// Smoothed response time of a class.
+    pub(crate) fn response_ms(&self, class: usize) -> f64 {
+        self.mean_by_class_ms[class]
+    }
+
+    /// Smoothed response time of a class, as a divisor: never near 0.
+    pub(crate) fn expected_ms(&self, class: usize) -> f64 {
+        self.response_ms(class).max(MIN_RESPONSE_MS)
+    }
+
+    /// Mean of the classes' response times.
+    pub(crate) fn mean_response_ms(&self) -> f64 {
+        self.mean_by_class_ms.iter().sum::<f64>() / self.mean_by_class_ms.len() as f64
+    }
+
+    /// Takes in a response time of a class.
+    pub(crate) fn record_response_ms(&mut self, class: usize, sample_ms: f64) {
+        smooth(&mut self.mean_by_class_ms[class], sample_ms, self.gains.class_mean);
+    }
+
+    /// Takes in the time that a client of a class leaves; gives the votes for the commonest such time, or
+    /// `None` where the time is the commonest itself.
+    pub(crate) fn record_time_budget(
+        &mut self,
+        class: usize,
+        time_left_ms: f64,
+        limits: VoteLimits,
+    ) -> Option<i32> {
+        let common = &mut self.time_budgets[class];
+        let is_common = common.record(time_left_ms, limits);
+        (!is_common).then_some(common.votes())
+    }
+
+    /// Age of own attempts in flight at an endpoint that is not among the slowest.
+    pub(crate) fn typical_age_ms(&self) -> f64 {
+        self.typical_age_ms
+    }
+
+    /// Sets the typical age of attempts in flight.
+    pub(crate) fn set_typical_age_ms(&mut self, age_ms: f64) {
+        self.typical_age_ms = age_ms;
+    }
+
+    /// Usual relative response time of a machine kind; 1 while nothing is known.
+    pub(crate) fn kind_baseline(&self, kind: usize) -> f64 {
+        self.baseline_by_kind.get(&kind).copied().unwrap_or(1.0)
+    }
+
+    /// Takes in a relative response time of a machine kind.
+    pub(crate) fn record_kind_response_time(&mut self, kind: usize, sample: f64) {
+        smooth(self.baseline_by_kind.entry(kind).or_insert(1.0), sample, self.gains.kind_baseline);
+    }
+}
--- a/crates/admission/src/state/request.rs
+++ b/crates/admission/src/state/request.rs
@@ -2,7 +2,7 @@
 use crate::event::Request;
 use crate::gateway::Gateway;
 use crate::id::{EndpointId, RequestId};
-use crate::policy::admission::FIRST_TRIES;
+use crate::policy::admission::{FIRST_TRIES, MIN_FIRST_TRY_VOTES};
 use crate::settings::{DedupGroup, Idempotency};
 use std::collections::BTreeMap;
 
@@ -56,6 +56,11 @@
 }
 
 impl ActiveRequest {
+    /// Whether an attempt was sent to an endpoint before.
+    pub(crate) fn was_sent_to(&self, endpoint: EndpointId) -> bool {
+        self.attempts.iter().any(|attempt| attempt.endpoint == endpoint)
+    }
+
     /// A request just taken in.
     pub(crate) fn new(request: Request, tag: u64, now: f64, aim: f64, inside: bool) -> Self {
         ActiveRequest {
@@ -101,17 +106,9 @@
     /// it is under the aim, as an impatient client's. Nothing is concluded while no time left is common.
     pub(crate) fn already_waited_ms(&mut self, class: usize, time_left_ms: f64) -> f64 {
         let settings = &self.settings.classes[class];
-        let (near, sure, most) = FIRST_TRIES;
-        let (usual_ms, seen) = &mut self.latency.time_budgets[class];
-        if (time_left_ms - *usual_ms).abs() <= near * *usual_ms {
-            *seen = (*seen + 4).min(most);
-            return 0.0;
-        }
-        *seen -= 1;
-        if *seen <= 0 {
-            (*usual_ms, *seen) = (time_left_ms, 1);
-        }
-        let later = *seen >= sure && time_left_ms > settings.latency_objective_ms;
+        let votes = self.latency.record_time_budget(class, time_left_ms, FIRST_TRIES);
+        let is_common_known = votes.is_some_and(|votes| votes >= MIN_FIRST_TRY_VOTES);
+        let later = is_common_known && time_left_ms > settings.latency_objective_ms;
         if later {
             (settings.deadline_ms - time_left_ms).max(0.0)
         } else {
