--- a/crates/admission/src/coordination/counter_calls.rs
+++ b/crates/admission/src/coordination/counter_calls.rs
@@ -19,7 +19,7 @@
                         .requests
                         .active
                         .get(&id)
-                        .is_some_and(|o| !o.answered && o.quota == QuotaState::Counting) =>
+                        .is_some_and(|o| !o.answered && o.quota == QuotaState::AwaitingCounter) =>
                 {
                     continue
                 }
