Read the settings through a typed document with named errors and name lookups

The settings crate mixed the document's wire form, its translation and the socket figures in one file under the wire's own words, and reported every fault as a String. It is now one file per concern: `Conf` becomes `SettingsDocument` whose fields have the field's names and whose serde renames carry the keys, `find` becomes `Names::class_index` and its siblings, and faults are `SettingsDocumentError` (thiserror), which also names the class at fault. `Lists` becomes `DiscoveryMode`, and the socket figures say what they are (`idle_connection_timeout_ms`, `counter_timeout_ms`, `retry_after_enabled`); the gateway and the adapter follow in the lines that use them.

Renamed: Conf -> SettingsDocument, Class -> RequestClassSection, Plan -> PlanSection, Limits -> SiteLimitsSection, Family -> ServiceFamilySection, Rules -> EndpointRulesSection, Lists::Asked -> DiscoveryMode::OnRequest, Names::kinds -> Names::machine_kinds. No test was renamed or dropped.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -13,7 +13,6 @@
 use hyper::{Method, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use irishinge_admission::{CustomerId, Idempotency, Request, RequestId, Settings};
-use irishinge_settings::find;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -425,9 +424,9 @@
         }
         let id = header(headers, "x-call-id").and_then(hex).ok_or(bad("no sound X-Call-Id"))?;
         let class = header(headers, "x-call-class").ok_or(bad("no X-Call-Class"))?;
-        let class = find(&names.classes, class, "class").map_err(|_| bad("unknown class"))?;
+        let class = names.class_index(class).map_err(|_| bad("unknown class"))?;
         let plan = header(headers, "x-contract").ok_or(bad("no X-Contract"))?;
-        let plan = find(&names.plans, plan, "plan").map_err(|_| bad("unknown plan"))?;
+        let plan = names.plan_index(plan).map_err(|_| bad("unknown plan"))?;
         let settings = &self.settings.classes[class];
         let repeatable = settings.idempotency == Idempotency::Idempotent;
         if head.method != if repeatable { Method::GET } else { Method::POST } {
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,7 +1,7 @@
 //! What the gateway is told: the file that `LB_CONFIG` names, read at the start and on SIGHUP.
 use crate::discovery::List;
 use irishinge_admission::Settings;
-use irishinge_settings::{Conf, Names, SocketSettings};
+use irishinge_settings::{Names, SettingsDocument, SocketSettings};
 use serde::Deserialize;
 use std::net::SocketAddr;
 
@@ -43,7 +43,7 @@
     #[serde(default)]
     peers: Vec<SocketAddr>,
     known: Option<List>,
-    settings: Conf,
+    settings: SettingsDocument,
 }
 
 #[derive(Deserialize)]
@@ -65,8 +65,8 @@
     fn read(text: &[u8]) -> Result<Self, String> {
         let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| "seed is not hexadecimal")?;
-        let socket_settings = file.settings.socket_settings()?;
-        let (settings, names) = file.settings.translate()?;
+        let socket_settings = file.settings.socket_settings().map_err(|e| e.to_string())?;
+        let (settings, names) = file.settings.translate().map_err(|e| e.to_string())?;
         settings.check().map_err(|e| e.to_string())?;
         if file.limits.sockets < LEAST_SOCKETS {
             return Err(format!("limits.sockets is under {LEAST_SOCKETS}"));
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -93,9 +93,6 @@
 
 impl Target {
     fn listed(self, names: &Names, now_ms: f64) -> Result<Listed, String> {
-        // A zone or kind that the settings do not name is one of its own.
-        let index =
-            |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(names.len());
         let state = match self.state.as_str() {
             "up" => EndpointState::Ready,
             "draining" => EndpointState::Draining,
@@ -105,8 +102,9 @@
         let booted = self.boot_ms.is_finite() && self.boot_ms > 0.0;
         let entry = EndpointEntry {
             id: server_id(&self.uid),
-            zone: index(&names.zones, &self.az),
-            kind: index(&names.kinds, &self.model),
+            // A zone or kind that the settings do not name is one of its own.
+            zone: names.zone_index(&self.az).unwrap_or(names.zones.len()),
+            kind: names.machine_kind_index(&self.model).unwrap_or(names.machine_kinds.len()),
             cell: self.pod_group,
             state,
             // A start in the future would be a cold host with less than no capacity.
--- a/crates/gateway/src/discovery/pace.rs
+++ b/crates/gateway/src/discovery/pace.rs
@@ -1,6 +1,6 @@
 //! When to call discovery, and until when the list that is known holds.
 use crate::clock::from_ms;
-use irishinge_settings::{Lists, SocketSettings};
+use irishinge_settings::{DiscoveryMode, SocketSettings};
 use std::fmt;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -78,8 +78,8 @@
 impl Pace {
     /// The pace that the settings ask for, in a fleet of so many gateways.
     pub(crate) fn new(settings: &SocketSettings, gateways: usize) -> Self {
-        match settings.lists {
-            Lists::Pushed => {
+        match settings.discovery_mode {
+            DiscoveryMode::Pushed => {
                 let grace = from_ms(settings.drain_grace_ms).clamp(GRACE_LEAST, GRACE_MOST);
                 let patience = grace.mul_f64(PUSHED_PATIENCE);
                 let most = grace.mul_f64(PUSHED_PAUSE);
@@ -94,7 +94,7 @@
                     holds: None,
                 }
             }
-            Lists::Asked => {
+            DiscoveryMode::OnRequest => {
                 let gateways = u32::try_from(gateways).unwrap_or(u32::MAX);
                 Pace {
                     wait: TOLD_AFTER - MARGIN,
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -141,7 +141,7 @@
             connections: Rc::default(),
             most_connections,
             connect_timeout: from_ms(settings.connect_timeout_ms),
-            idle_most: from_ms(settings.conn_idle_ms * IDLE_PART),
+            idle_most: from_ms(settings.idle_connection_timeout_ms * IDLE_PART),
             wary: Wary::default(),
         }
     }
--- a/crates/gateway/src/hosts/tests.rs
+++ b/crates/gateway/src/hosts/tests.rs
@@ -5,11 +5,11 @@
 
 fn hosts() -> Hosts {
     let settings = SocketSettings {
-        conn_idle_ms: 60_000.0,
+        idle_connection_timeout_ms: 60_000.0,
         connect_timeout_ms: 60_000.0,
-        retry_after: false,
-        count_limit_ms: 50.0,
-        lists: irishinge_settings::Lists::Pushed,
+        retry_after_enabled: false,
+        counter_timeout_ms: 50.0,
+        discovery_mode: irishinge_settings::DiscoveryMode::Pushed,
         drain_grace_ms: 2000.0,
     };
     Hosts::new(&settings, 10)
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -81,7 +81,7 @@
     let peers =
         Peers::bind(config.peer_listen, config.peers, settings.me, settings.peer_messages_per_second).await;
     let peers = Rc::new(peers.map_err(|e| format!("cannot listen for peers: {e}"))?);
-    let counter = Counter::new(config.counter, config.socket_settings.count_limit_ms);
+    let counter = Counter::new(config.counter, config.socket_settings.counter_timeout_ms);
     let core = Core::new(gateway, clock, config.names, hosts, peers.clone(), counter);
     // A list with nobody on it is not worth going on from.
     let known = config.known.as_ref().filter(|list| !list.is_empty()).map(|list| list.rev);
@@ -92,7 +92,8 @@
     let listener = Rc::new(listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?);
     let pace = Pace::new(&config.socket_settings, settings.gateways);
     let (answer_by, write_by) = last_answers(&settings);
-    let clients = Clients::new(core.clone(), settings, config.socket_settings.retry_after, clients_most);
+    let clients =
+        Clients::new(core.clone(), settings, config.socket_settings.retry_after_enabled, clients_most);
 
     let bound = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
     match peers.local_addr() {
--- /dev/null
+++ b/crates/settings/src/translate.rs
@@ -0,0 +1,108 @@
+//! From the settings object to the admission library's settings, with names replaced by indexes.
+
+use crate::document::{PlanSection, RequestClassSection, SettingsDocument};
+use crate::error::SettingsDocumentError;
+use crate::names::Names;
+use irishinge_admission::{ClassSettings, DedupGroup, Idempotency, PlanSettings, Settings};
+
+impl SettingsDocument {
+    /// The admission library's settings, and the names behind their indexes.
+    ///
+    /// The figures are taken as they stand; [`Settings::check`] says whether a gateway can act on them.
+    ///
+    /// # Errors
+    /// A [`SettingsDocumentError`] where a name or a keyword is unknown, or a `by_key` class is incomplete.
+    pub fn translate(self) -> Result<(Settings, Names), SettingsDocumentError> {
+        let names = Names {
+            classes: self.request_classes.iter().map(|class| class.name.clone()).collect(),
+            plans: self.plans.iter().map(|plan| plan.name.clone()).collect(),
+            zones: self.zones,
+            machine_kinds: self.machine_kinds,
+        };
+        let zone = names.zone_index(&self.zone)?;
+        let classes = self
+            .request_classes
+            .into_iter()
+            .map(RequestClassSection::translate)
+            .collect::<Result<Vec<_>, _>>()?;
+        let settings = Settings {
+            me: self.gateway_number,
+            gateways: self.gateways,
+            tick_ms: self.tick_ms,
+            zone,
+            classes,
+            plans: self.plans.into_iter().map(PlanSection::translate).collect(),
+            max_attempts: self.site_limits.max_attempts,
+            hedging_allowed: self.site_limits.hedging_allowed,
+            cancel_allowed: self.site_limits.cancel_allowed,
+            peer_messages_allowed: self.site_limits.peer_messages_allowed,
+            counter_allowed: self.service_family.counter_allowed,
+            peer_messages_per_second: self.service_family.peer_messages_per_second,
+            max_retry_after_ms: self.site_limits.max_retry_after_ms,
+            max_units: self.service_family.max_units,
+            drain_grace_ms: self.endpoint_rules.drain_grace_ms,
+            cold_start_fraction: self.endpoint_rules.cold_start_fraction,
+            warm_up_ms: self.endpoint_rules.warm_up_ms,
+            overload_multiple: self.endpoint_rules.overload_multiple,
+            overload_window_ms: self.endpoint_rules.overload_window_ms,
+        };
+        Ok((settings, names))
+    }
+}
+
+impl RequestClassSection {
+    fn translate(self) -> Result<ClassSettings, SettingsDocumentError> {
+        Ok(ClassSettings {
+            latency_objective_ms: self.latency_objective_ms,
+            deadline_ms: self.deadline_ms,
+            priority_weight: self.priority_weight,
+            late_value_fraction: self.late_value_fraction,
+            idempotency: self.idempotency()?,
+        })
+    }
+
+    fn idempotency(&self) -> Result<Idempotency, SettingsDocumentError> {
+        match self.idempotency.as_str() {
+            "repeatable" => Ok(Idempotency::Idempotent),
+            "once" => Ok(Idempotency::NonIdempotent),
+            "by_key" => Ok(Idempotency::IdempotencyKey {
+                group: self.dedup_group()?,
+                window_ms: self
+                    .dedup_window_ms
+                    .ok_or_else(|| SettingsDocumentError::MissingDedupWindow { class: self.name.clone() })?,
+            }),
+            other => Err(SettingsDocumentError::UnknownIdempotency {
+                class: self.name.clone(),
+                value: other.to_owned(),
+            }),
+        }
+    }
+
+    fn dedup_group(&self) -> Result<DedupGroup, SettingsDocumentError> {
+        match self.dedup_group.as_deref() {
+            Some("all") => Ok(DedupGroup::All),
+            Some("zone") => Ok(DedupGroup::Zone),
+            Some("cell") => Ok(DedupGroup::Cell),
+            other => Err(SettingsDocumentError::UnknownDedupGroup {
+                class: self.name.clone(),
+                value: other.map(str::to_owned),
+            }),
+        }
+    }
+}
+
+impl PlanSection {
+    fn translate(self) -> PlanSettings {
+        PlanSettings {
+            rate_per_second: self.rate_per_second,
+            burst_units: self.burst_units,
+            open_limit: self.open_limit,
+            plan_weight: self.plan_weight,
+            over_quota_value: self.over_quota_value,
+            over_quota_cost: self.over_quota_cost,
+            ceiling_rate_per_second: self.ceiling_rate_per_second,
+            ceiling_burst_units: self.ceiling_burst_units,
+            ceiling_slack_units: self.ceiling_slack_units,
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/tests/settings_document.rs
@@ -0,0 +1,134 @@
+//! What a settings object is read as, and how one that cannot be used is refused.
+
+use irishinge_admission::{DedupGroup, Idempotency};
+use irishinge_settings::{
+    DiscoveryMode, NameKind, SettingsDocument, SettingsDocumentError, SocketSettings, UnknownName,
+};
+use serde_json::{json, Value};
+
+/// A complete settings object, with a different figure for every key so that no two can be mixed up.
+fn complete() -> Value {
+    json!({
+        "balancers": 3, "me": 1, "tickMs": 4.0, "zone": "south", "zones": ["north", "south"], "shapes": ["small", "big"],
+        "aKeyOfTomorrow": {"x": 1},
+        "classes": [
+            {"name": "read", "deadlineMs": 2000.0, "objectiveMs": 800.0, "worth": 1.5, "lateShare": 0.25,
+                "repeat": "repeatable"},
+            {"name": "order", "deadlineMs": 8000.0, "objectiveMs": 2500.0, "worth": 3.0, "lateShare": 0.5,
+                "repeat": "by_key", "dedupScope": "cell", "windowMs": 5000.0}
+        ],
+        "tiersOfService": [{"name": "basic", "refill": 1.0, "peakUnits": 4.0, "open": 7, "valueFactor": 1.25,
+            "overWorth": 0.125, "beyondCosts": 0.75, "neverOverRate": 11.0, "capDepth": 12.0, "hardSlack": 13.0}],
+        "discovery": "on_request",
+        "ceilings": {"cancel": true, "connIdleMs": 15000.0, "connectTimeoutMs": 250.0, "maxAttempts": 4,
+            "maxRetryAfterMs": 500.0, "peerMessages": false, "retryAfter": true, "secondCopies": true},
+        "familyInfo": {"mayCount": true, "countLimitMs": 50.0, "mostUnits": 6, "peerInPerS": 60.0},
+        "rules": {"coldShare": 0.2, "fallMultiple": 2.5, "stopSendingWithinMs": 350.0, "tipAfterMs": 1100.0,
+            "warmUpMs": 9000.0}
+    })
+}
+
+fn parse(document: Value) -> SettingsDocument {
+    serde_json::from_value(document).expect("the document's form is right")
+}
+
+fn translation_error(document: Value) -> SettingsDocumentError {
+    parse(document).translate().expect_err("the document cannot be used")
+}
+
+#[test]
+fn every_key_reaches_its_field() {
+    let (settings, names) = parse(complete()).translate().expect("a sound document");
+    assert_eq!((settings.gateways, settings.me, settings.zone), (3, 1, 1));
+    assert_eq!((settings.tick_ms, settings.max_attempts, settings.max_retry_after_ms), (4.0, 4, 500.0));
+    assert!(settings.hedging_allowed && settings.cancel_allowed && settings.counter_allowed);
+    assert!(!settings.peer_messages_allowed);
+    assert_eq!((settings.peer_messages_per_second, settings.max_units), (60.0, 6.0));
+    assert_eq!(
+        (settings.drain_grace_ms, settings.cold_start_fraction, settings.warm_up_ms),
+        (350.0, 0.2, 9000.0)
+    );
+    assert_eq!((settings.overload_multiple, settings.overload_window_ms), (2.5, 1100.0));
+    let order = &settings.classes[1];
+    assert_eq!((order.latency_objective_ms, order.deadline_ms), (2500.0, 8000.0));
+    assert_eq!((order.priority_weight, order.late_value_fraction), (3.0, 0.5));
+    assert_eq!(settings.classes[0].idempotency, Idempotency::Idempotent);
+    let by_key = Idempotency::IdempotencyKey { group: DedupGroup::Cell, window_ms: 5000.0 };
+    assert_eq!(order.idempotency, by_key);
+    let plan = &settings.plans[0];
+    assert_eq!((plan.rate_per_second, plan.burst_units, plan.open_limit), (1.0, 4.0, 7));
+    assert_eq!((plan.plan_weight, plan.over_quota_value, plan.over_quota_cost), (1.25, 0.125, 0.75));
+    assert_eq!(
+        (plan.ceiling_rate_per_second, plan.ceiling_burst_units, plan.ceiling_slack_units),
+        (11.0, 12.0, 13.0)
+    );
+    assert_eq!(settings.check(), Ok(()));
+    assert_eq!((names.class_index("order"), names.plan_index("basic")), (Ok(1), Ok(0)));
+    assert_eq!((names.zone_index("south"), names.machine_kind_index("big")), (Ok(1), Ok(1)));
+}
+
+#[test]
+fn socket_settings_are_read_from_the_same_document() {
+    let settings = parse(complete()).socket_settings().expect("a sound document");
+    let expected = SocketSettings {
+        idle_connection_timeout_ms: 15000.0,
+        connect_timeout_ms: 250.0,
+        retry_after_enabled: true,
+        counter_timeout_ms: 50.0,
+        discovery_mode: DiscoveryMode::OnRequest,
+        drain_grace_ms: 350.0,
+    };
+    assert_eq!(settings, expected);
+    let mut without_counter = complete();
+    without_counter["discovery"] = "pushed".into();
+    without_counter["familyInfo"] = json!({"mostUnits": 6, "peerInPerS": 60.0});
+    let settings = parse(without_counter).socket_settings().expect("a sound document");
+    assert_eq!((settings.counter_timeout_ms, settings.discovery_mode), (0.0, DiscoveryMode::Pushed));
+}
+
+#[test]
+fn an_unusable_keyword_is_refused_with_its_class_and_key() {
+    let mut unknown_repeat = complete();
+    unknown_repeat["classes"][0]["repeat"] = "sometimes".into();
+    assert_eq!(translation_error(unknown_repeat).to_string(), "class read: unknown repeat: sometimes");
+    let mut unknown_scope = complete();
+    unknown_scope["classes"][1]["dedupScope"] = "rack".into();
+    assert_eq!(translation_error(unknown_scope).to_string(), "class order: unknown dedupScope: rack");
+    let mut no_scope = complete();
+    no_scope["classes"][1]["dedupScope"] = Value::Null;
+    assert_eq!(translation_error(no_scope).to_string(), "class order: unknown dedupScope: none");
+    let mut no_window = complete();
+    no_window["classes"][1]["windowMs"] = Value::Null;
+    assert_eq!(translation_error(no_window).to_string(), "class order without windowMs");
+    let mut unknown_zone = complete();
+    unknown_zone["zone"] = "west".into();
+    let expected = UnknownName { kind: NameKind::Zone, name: "west".into() };
+    assert_eq!(translation_error(unknown_zone), SettingsDocumentError::UnknownName(expected));
+}
+
+#[test]
+fn a_figure_that_sockets_cannot_use_is_refused_by_its_key() {
+    for (section, key) in
+        [("ceilings", "connIdleMs"), ("ceilings", "connectTimeoutMs"), ("familyInfo", "countLimitMs")]
+    {
+        for unsound in [Value::Null, json!(0.0), json!(-1.0)] {
+            let mut document = complete();
+            document[section][key] = unsound;
+            let error = parse(document).socket_settings().expect_err("not a figure to use");
+            assert_eq!(error, SettingsDocumentError::InvalidFigure { key });
+            assert_eq!(error.to_string(), format!("no sound {key} in the settings"));
+        }
+    }
+}
+
+#[test]
+fn an_unknown_discovery_mode_is_refused() {
+    for (value, message) in
+        [(json!("by_mail"), "unknown discovery: by_mail"), (Value::Null, "unknown discovery: none")]
+    {
+        let mut document = complete();
+        document["discovery"] = value;
+        let error = parse(document).socket_settings().expect_err("no such mode");
+        assert_eq!(error.to_string(), message);
+    }
+}
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -45,7 +45,7 @@
     ) -> Result<(), String> {
         match arrival {
             Arrival::Start { rng_seed, conf } => {
-                let (settings, names) = conf.translate()?;
+                let (settings, names) = conf.translate().map_err(|e| e.to_string())?;
                 let gateway = Gateway::new(settings, rng_seed, now_ms).map_err(|e| e.to_string())?;
                 self.gateways.insert(id.to_string(), Hosted { gateway, names });
             }
--- a/crates/simulator-adapter/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -3,7 +3,7 @@
     Action, AttemptEnd, CounterOutcome, CustomerId, EndpointEntry, EndpointId, EndpointState, Event,
     ListKind, Outcome, Request, RequestId,
 };
-use irishinge_settings::{find, Conf, Names};
+use irishinge_settings::{Names, SettingsDocument};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -41,7 +41,7 @@
 pub(crate) enum Arrival {
     Start {
         rng_seed: u64,
-        conf: Box<Conf>,
+        conf: Box<SettingsDocument>,
     },
     Targets {
         kind: String,
@@ -236,8 +236,8 @@
                 write,
             } => Event::Request(Request {
                 id: RequestId(hex(&job)?),
-                class: find(&names.classes, &category, "category")?,
-                plan: find(&names.plans, &tariff, "tariff")?,
+                class: names.class_index(&category).map_err(|e| e.to_string())?,
+                plan: names.plan_index(&tariff).map_err(|e| e.to_string())?,
                 customer: CustomerId(hex(&member)?),
                 time_left_ms,
                 units: weight,
@@ -299,8 +299,8 @@
     fn entry(self, names: &Names) -> Result<EndpointEntry, String> {
         Ok(EndpointEntry {
             id: server_id(&self.host)?,
-            zone: find(&names.zones, &self.area, "area")?,
-            kind: find(&names.kinds, &self.family_type, "familyType")?,
+            zone: names.zone_index(&self.area).map_err(|e| e.to_string())?,
+            kind: names.machine_kind_index(&self.family_type).map_err(|e| e.to_string())?,
             cell: self.stripe,
             state: match self.health.as_str() {
                 "IN" => EndpointState::Ready,
