Split the simulator adapter by concern, with typed messages, ids and errors

`wire.rs` held the wire's forms, their translation, the ids and the tests in one file of 404 lines, under the wire's own words and with every fault as a String. Input and output now are a file each whose names are ours and whose serde renames carry the wire's; keywords are enums, ids and endpoint addresses are types that refuse what would not go out as it came in, and the two translations stand apart. Messages for the adapter itself (start, kill) and events for the library are told apart by type, so that no error is needed for a mix-up. The hosted gateways leave `main.rs`, which reads lines and writes replies; errors are thiserror enums and still one line that names the input line.

| old test | new test | | --- | --- | | every_action_is_written_in_the_wires_words | wire::tests::every_action_is_written_under_its_wire_name | | a_host_that_would_not_come_back_unaltered_is_not_taken | wire::tests::an_endpoint_address_that_would_not_round_trip_is_refused | | (new) | wire::tests::an_id_that_would_not_round_trip_is_refused | | (new) | wire::tests::an_endpoint_id_holds_address_and_port |

--- /dev/null
+++ b/crates/simulator-adapter/src/wire/action.rs
@@ -0,0 +1,49 @@
+//! From actions of the admission library to messages of the wire.
+
+use super::ids::{EndpointAddress, HexId};
+use super::output::OutputMessage;
+use irishinge_admission::{Action, EndpointId, RequestId};
+
+/// The recipient of a peer message that goes to all other gateways.
+const ALL_PEERS: i64 = -1;
+
+impl From<Action> for OutputMessage {
+    fn from(action: Action) -> Self {
+        match action {
+            Action::Send { request, endpoint, timeout_ms } => {
+                Self::Send { request: request.into(), timeout_ms, endpoint: endpoint.into() }
+            }
+            Action::Reject { request, retry_after_ms } => {
+                Self::Reject { request: request.into(), retry_after_ms }
+            }
+            Action::Fail { request } => Self::Fail { request: request.into() },
+            Action::Cancel { request, attempt } => Self::Cancel { request: request.into(), attempt },
+            Action::Probe { endpoint } => Self::Probe { endpoint: endpoint.into() },
+            Action::CloseIdle { endpoint } => Self::CloseIdle { endpoint: endpoint.into() },
+            Action::SendPeerMessage { to, body } => Self::SendPeerMessage { to: recipient(to), body },
+            Action::SetTimer { at_ms, token } => Self::SetTimer { at_ms, token },
+            Action::AddToCounter { name, amount, ttl_ms } => {
+                Self::AddToCounter { name, amount, time_to_live_ms: ttl_ms }
+            }
+            Action::Subscribe { active } => Self::Subscribe { active },
+            Action::FetchList => Self::FetchList,
+            Action::Log { line } => Self::Log { line },
+        }
+    }
+}
+
+fn recipient(peer: Option<usize>) -> i64 {
+    peer.map_or(ALL_PEERS, |number| i64::try_from(number).unwrap_or(i64::MAX))
+}
+
+impl From<RequestId> for HexId {
+    fn from(id: RequestId) -> Self {
+        HexId(id.0)
+    }
+}
+
+impl From<EndpointId> for EndpointAddress {
+    fn from(id: EndpointId) -> Self {
+        EndpointAddress(id)
+    }
+}
--- /dev/null
+++ b/crates/simulator-adapter/src/wire/input.rs
@@ -0,0 +1,296 @@
+//! A line of input: what came in at each gateway at one time.
+
+use super::ids::{EndpointAddress, HexId};
+use irishinge_settings::SettingsDocument;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+
+/// A line of input.
+#[derive(Deserialize)]
+pub(crate) struct Batch {
+    /// The time at which all events of the batch occur.
+    #[serde(rename = "clockMs")]
+    pub(crate) clock_ms: f64,
+    pub(crate) parts: Vec<BatchPart>,
+}
+
+/// What came in at one gateway, in order of arrival.
+#[derive(Deserialize)]
+pub(crate) struct BatchPart {
+    #[serde(rename = "gatewayId")]
+    pub(crate) gateway_id: String,
+    #[serde(rename = "arrivals")]
+    pub(crate) messages: Vec<InputMessage>,
+}
+
+/// A message to a gateway.
+#[derive(Deserialize)]
+#[serde(from = "TaggedMessage")]
+pub(crate) enum InputMessage {
+    /// The gateway begins with nothing but these settings.
+    Start(StartMessage),
+    /// The gateway ends at once and its state is lost.
+    Kill,
+    /// An event for the admission library.
+    Event(EventMessage),
+}
+
+/// The settings and random seed of a new gateway.
+#[derive(Deserialize)]
+pub(crate) struct StartMessage {
+    #[serde(rename = "rngSeed")]
+    pub(crate) random_seed: u64,
+    #[serde(rename = "conf")]
+    pub(crate) settings: Box<SettingsDocument>,
+}
+
+/// An event for the admission library, as the wire has it.
+pub(crate) enum EventMessage {
+    EndpointList(EndpointListMessage),
+    Request(RequestMessage),
+    Timer(TimerMessage),
+    CounterReply(CounterReplyMessage),
+    ProbeDone(ProbeDoneMessage),
+    PeerMessage(PeerMessage),
+    ClientGone(ClientGoneMessage),
+    AttemptEnded(AttemptEndedMessage),
+    StreamOpened(StreamOpenedMessage),
+}
+
+/// All messages under the wire's names, before they are told apart by who they are for.
+#[derive(Deserialize)]
+#[serde(tag = "msg")]
+enum TaggedMessage {
+    Start(StartMessage),
+    #[serde(rename = "CrashNow")]
+    Kill,
+    #[serde(rename = "Targets")]
+    EndpointList(EndpointListMessage),
+    #[serde(rename = "Demand")]
+    Request(RequestMessage),
+    #[serde(rename = "Bell")]
+    Timer(TimerMessage),
+    CounterReply(CounterReplyMessage),
+    #[serde(rename = "Echo")]
+    ProbeDone(ProbeDoneMessage),
+    #[serde(rename = "NoteFrom")]
+    PeerMessage(PeerMessage),
+    #[serde(rename = "Hangup")]
+    ClientGone(ClientGoneMessage),
+    #[serde(rename = "Result")]
+    AttemptEnded(AttemptEndedMessage),
+    #[serde(rename = "Opened")]
+    StreamOpened(StreamOpenedMessage),
+}
+
+impl From<TaggedMessage> for InputMessage {
+    fn from(message: TaggedMessage) -> Self {
+        InputMessage::Event(match message {
+            TaggedMessage::Start(start) => return InputMessage::Start(start),
+            TaggedMessage::Kill => return InputMessage::Kill,
+            TaggedMessage::EndpointList(list) => EventMessage::EndpointList(list),
+            TaggedMessage::Request(request) => EventMessage::Request(request),
+            TaggedMessage::Timer(timer) => EventMessage::Timer(timer),
+            TaggedMessage::CounterReply(reply) => EventMessage::CounterReply(reply),
+            TaggedMessage::ProbeDone(probe) => EventMessage::ProbeDone(probe),
+            TaggedMessage::PeerMessage(message) => EventMessage::PeerMessage(message),
+            TaggedMessage::ClientGone(client) => EventMessage::ClientGone(client),
+            TaggedMessage::AttemptEnded(attempt) => EventMessage::AttemptEnded(attempt),
+            TaggedMessage::StreamOpened(stream) => EventMessage::StreamOpened(stream),
+        })
+    }
+}
+
+/// News of the endpoint list.
+#[derive(Deserialize)]
+pub(crate) struct EndpointListMessage {
+    pub(super) kind: EndpointListKind,
+    #[serde(rename = "hosts")]
+    pub(super) entries: Vec<EndpointEntryMessage>,
+}
+
+/// How much of the endpoint list a message holds.
+#[derive(Deserialize)]
+pub(super) enum EndpointListKind {
+    #[serde(rename = "patch")]
+    Changes,
+    #[serde(rename = "whole")]
+    Whole,
+    #[serde(rename = "stale_copy")]
+    Remembered,
+    #[serde(rename = "broken")]
+    Failed,
+}
+
+/// A line of the endpoint list.
+#[derive(Deserialize)]
+pub(super) struct EndpointEntryMessage {
+    #[serde(rename = "host")]
+    pub(super) endpoint: EndpointAddress,
+    #[serde(rename = "area")]
+    pub(super) zone: String,
+    #[serde(rename = "familyType")]
+    pub(super) machine_kind: String,
+    #[serde(rename = "stripe")]
+    pub(super) cell: u64,
+    #[serde(rename = "health")]
+    pub(super) state: EndpointStateMessage,
+    /// Absent, or 0, for an endpoint that started long ago.
+    #[serde(rename = "bornMs")]
+    pub(super) started_at_ms: Option<f64>,
+}
+
+/// What the list says of an endpoint.
+#[derive(Deserialize)]
+pub(super) enum EndpointStateMessage {
+    #[serde(rename = "IN")]
+    Ready,
+    #[serde(rename = "LAME")]
+    Draining,
+    #[serde(rename = "OUT")]
+    Gone,
+}
+
+/// A client's request.
+#[derive(Deserialize)]
+pub(crate) struct RequestMessage {
+    #[serde(rename = "job")]
+    pub(super) request: HexId,
+    #[serde(rename = "category")]
+    pub(super) class: String,
+    #[serde(rename = "tariff")]
+    pub(super) plan: String,
+    #[serde(rename = "member")]
+    pub(super) customer: HexId,
+    #[serde(rename = "timeLeftMs")]
+    pub(super) time_left_ms: f64,
+    #[serde(rename = "weight")]
+    pub(super) units: f64,
+    /// Through how many gateways the customer's requests come.
+    #[serde(rename = "spread")]
+    pub(super) gateway_count: usize,
+    /// The number of the first of them.
+    #[serde(rename = "fromNo")]
+    pub(super) first_gateway: usize,
+    #[serde(rename = "resent", default)]
+    pub(super) repeat: bool,
+    #[serde(default)]
+    pub(super) write: bool,
+}
+
+/// A timer is due.
+#[derive(Deserialize)]
+pub(crate) struct TimerMessage {
+    #[serde(rename = "name")]
+    pub(super) token: u64,
+}
+
+/// The quota counter's answer.
+#[derive(Deserialize)]
+pub(crate) struct CounterReplyMessage {
+    #[serde(rename = "book")]
+    pub(super) name: u64,
+    pub(super) total: Option<f64>,
+    #[serde(rename = "timeTakenMs")]
+    pub(super) took_ms: f64,
+    #[serde(rename = "verdict")]
+    pub(super) outcome: CounterOutcomeMessage,
+}
+
+/// How a call to the quota counter ended.
+#[derive(Deserialize)]
+pub(super) enum CounterOutcomeMessage {
+    #[serde(rename = "OK")]
+    Total,
+    #[serde(rename = "RESOURCE_EXHAUSTED", alias = "UNAVAILABLE")]
+    Rejected,
+    #[serde(rename = "DEADLINE_EXCEEDED")]
+    Unanswered,
+}
+
+/// Values of an endpoint's load report by their names; absent where no report came.
+pub(super) type LoadReport = Option<BTreeMap<String, f64>>;
+
+/// The end of a probe.
+#[derive(Deserialize)]
+pub(crate) struct ProbeDoneMessage {
+    #[serde(rename = "host")]
+    pub(super) endpoint: EndpointAddress,
+    #[serde(rename = "verdict")]
+    pub(super) outcome: OutcomeMessage,
+    #[serde(rename = "timeTakenMs")]
+    pub(super) took_ms: f64,
+    pub(super) load: LoadReport,
+}
+
+/// A message from another gateway.
+#[derive(Deserialize)]
+pub(crate) struct PeerMessage {
+    #[serde(rename = "neighbour")]
+    pub(super) from: usize,
+    #[serde(rename = "data")]
+    pub(super) body: String,
+}
+
+/// The client left.
+#[derive(Deserialize)]
+pub(crate) struct ClientGoneMessage {
+    #[serde(rename = "job")]
+    pub(super) request: HexId,
+}
+
+/// The end of an attempt.
+#[derive(Deserialize)]
+pub(crate) struct AttemptEndedMessage {
+    #[serde(rename = "job")]
+    pub(super) request: HexId,
+    #[serde(rename = "verdict")]
+    pub(super) outcome: OutcomeMessage,
+    /// Absent, or 0, where no true units came with the answer.
+    #[serde(rename = "charged")]
+    pub(super) true_units: Option<f64>,
+    #[serde(rename = "closed")]
+    pub(super) request_closed: bool,
+    #[serde(rename = "timeTakenMs")]
+    pub(super) took_ms: f64,
+    #[serde(rename = "host")]
+    pub(super) endpoint: EndpointAddress,
+    /// 1 + the customer's use in percent of its rate; absent, or 0, where the meter told none.
+    #[serde(rename = "metered")]
+    pub(super) metered_percent_plus_one: Option<f64>,
+    #[serde(rename = "sendNo")]
+    pub(super) attempt: u32,
+    pub(super) load: LoadReport,
+}
+
+/// How an attempt or a probe ended.
+#[derive(Deserialize)]
+pub(super) enum OutcomeMessage {
+    #[serde(rename = "OK")]
+    Ok,
+    #[serde(rename = "INTERNAL")]
+    Error,
+    #[serde(rename = "RESOURCE_EXHAUSTED")]
+    Overloaded,
+    #[serde(rename = "DEADLINE_EXCEEDED")]
+    TimedOut,
+    #[serde(rename = "UNAVAILABLE")]
+    ConnectFailed,
+    #[serde(rename = "ABORTED")]
+    Reset,
+    #[serde(rename = "CANCELLED")]
+    Cancelled,
+    #[serde(rename = "TOO_LATE")]
+    TooLate,
+}
+
+/// A streamed answer began.
+#[derive(Deserialize)]
+pub(crate) struct StreamOpenedMessage {
+    #[serde(rename = "job")]
+    pub(super) request: HexId,
+    #[serde(rename = "sendNo")]
+    pub(super) attempt: u32,
+    #[serde(rename = "host")]
+    pub(super) endpoint: EndpointAddress,
+}
