Rewrite the README and the open questions in plain technical English

The README described the program in the wording of its specification and in metaphors of its own, and mixed the design with the ownership of outcomes. It now says what the gateway is, how to run and test it, how it decides, how to use the library, how to configure and operate it, how the workspace is laid out, what was measured, what is open and what was tried without success. Figures and facts are those of the previous text, none is new. docs/questions.md asks the same six questions with the same assumptions. docs/example-config.json is a configuration that runs on loopback.

--- a/crates/settings/tests/settings_document.rs
+++ b/crates/settings/tests/settings_document.rs
@@ -132,3 +132,14 @@
         assert_eq!(error.to_string(), message);
     }
 }
+
+#[test]
+fn the_documented_example_can_be_used() {
+    let example: Value =
+        serde_json::from_str(include_str!("../../../docs/example-config.json")).expect("JSON");
+    let document = parse(example["settings"].clone());
+    let sockets = document.socket_settings().expect("sound figures for sockets");
+    assert_eq!(sockets.discovery_mode, DiscoveryMode::Pushed);
+    let (settings, _) = document.translate().expect("sound names and keywords");
+    assert_eq!(settings.check(), Ok(()));
+}
