--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -141,7 +141,7 @@
             connections: Rc::default(),
             most_connections,
             connect_timeout: duration_from_ms(settings.connect_timeout_ms),
-            idle_most: duration_from_ms(settings.conn_idle_ms * IDLE_PART),
+            idle_most: duration_from_ms(settings.idle_connection_timeout_ms * IDLE_PART),
             wary: ReuseDelay::default(),
         }
     }
