Report discovery's and peers' events upward through traits and end the circle of imports

discovery and peers called the dispatcher's methods while the dispatcher imported their types, and the pool of connections imported discovery's, so no part could be read alone. discovery now reports to an EndpointListObserver and peers to a PeerMessageHandler, which the dispatcher implements; DiscoveredEndpoint lies in discovery_events.rs, below discovery, pool and dispatcher. A list is decoded by discovery's ListDecoder, at the same moment as before.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -5,7 +5,8 @@
 
 pub(crate) use self::pace::Pace;
 use self::pace::{Failure, Keeper};
-use crate::dispatcher::Dispatcher;
+use crate::clock::Clock;
+use crate::discovery_events::{DiscoveredEndpoint, EndpointListObserver};
 use crate::http_connection::HttpConnection;
 use crate::logging::target;
 use bytes::Bytes;
@@ -53,12 +54,19 @@
     boot_ms: f64,
 }
 
-/// A host as the module and as the pool want it.
-pub(crate) struct DiscoveredEndpoint {
-    /// For the module.
-    pub entry: EndpointEntry,
-    /// Where it listens.
-    pub addr: SocketAddr,
+/// Turns a list's entries into endpoints, by the settings' names of zones and kinds and the gateway's clock.
+pub(crate) struct ListDecoder {
+    /// The names behind the indexes of zones and kinds.
+    pub names: Rc<Names>,
+    /// What an endpoint's start is compared with.
+    pub clock: Clock,
+}
+
+impl ListDecoder {
+    /// The endpoints of a list.
+    pub(crate) fn decode(&self, list: List) -> Vec<DiscoveredEndpoint> {
+        list.hosts(&self.names, self.clock.now_ms())
+    }
 }
 
 /// A host's id must be the same at every gateway, whatever its address there, so it is a hash of the uid.
@@ -76,7 +84,7 @@
 
     /// The hosts of the list. An entry that cannot be read is logged and left out: in a whole list that
     /// takes the host for gone, which keeps the rules.
-    pub(crate) fn hosts(self, names: &Names, now_ms: f64) -> Vec<DiscoveredEndpoint> {
+    fn hosts(self, names: &Names, now_ms: f64) -> Vec<DiscoveredEndpoint> {
         let read = |value: serde_json::Value| {
             let listed = serde_json::from_value(value).map_err(|e| e.to_string());
             match listed.and_then(|t: Target| t.listed(names, now_ms)) {
@@ -117,8 +125,9 @@
 }
 
 /// What a gateway knows of its watch.
-struct Watch {
-    core: Rc<Dispatcher>,
+struct Watch<O> {
+    observer: O,
+    decoder: ListDecoder,
     /// The version to go on from; none where the whole list is wanted.
     rev: Option<u64>,
     keeper: Keeper,
@@ -132,8 +141,9 @@
 /// what discovery has to write are changes. After an outage, at a new address, and on each new connection to an
 /// agent, it starts again with the whole list. Where lists are asked for, one that was not heard of again in time has
 /// expired: nothing is sent by it until discovery has answered.
-pub(crate) async fn watch(
-    core: Rc<Dispatcher>,
+pub(crate) async fn watch<O: EndpointListObserver + Clone + 'static>(
+    observer: O,
+    decoder: ListDecoder,
     mut addr: watch::Receiver<SocketAddr>,
     known: Option<u64>,
     pace: Pace,
@@ -141,16 +151,16 @@
 ) {
     let keeper = Keeper::new(pace, seed, Instant::now());
     let (until, holds) = watch::channel(Instant::now());
-    let mut watch = Watch { core, rev: known, keeper, until, well: true };
+    let mut watch = Watch { observer, decoder, rev: known, keeper, until, well: true };
     watch.tell_until();
     if watch.keeper.until().is_some() {
-        let core = watch.core.clone();
+        let observer = watch.observer.clone();
         spawn_local(expire(holds, move || {
             tracing::error!(
                 target: target::DISCOVERY,
                 "endpoint list expired; nothing is sent until discovery answers"
             );
-            core.on_list_expired();
+            observer.on_lease_expired();
         }));
     }
     loop {
@@ -186,7 +196,7 @@
     }
 }
 
-impl Watch {
+impl<O: EndpointListObserver> Watch<O> {
     /// Follows one address until that fails, and pauses.
     async fn follow_until_failure(&mut self, addr: SocketAddr) {
         let Err::<Infallible, Failure>(failure) = self.follow(addr).await;
@@ -210,7 +220,7 @@
     /// Tells those who act on it until when the list holds.
     fn tell_until(&self) {
         let Some(until) = self.keeper.until() else { return };
-        self.core.hosts().list_holds(until);
+        self.observer.on_lease_extended(until);
         self.until.send_if_modified(|told| std::mem::replace(told, until) != until);
     }
 
@@ -242,7 +252,8 @@
             if !std::mem::replace(&mut self.well, true) {
                 tracing::info!(target: target::DISCOVERY, discovery = %addr, "discovery answers again; endpoint list current");
             }
-            self.core.on_list(if list.all { ListKind::Whole } else { ListKind::Changes }, list);
+            let kind = if list.all { ListKind::Whole } else { ListKind::Changes };
+            self.observer.on_endpoint_list(kind, self.decoder.decode(list));
             (list, late) = self.call(&mut link, addr, false, Instant::now()).await?;
         }
     }
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -1,9 +1,9 @@
 //! The only owner of the decision module. It feeds it events with a clock, carries out its actions in order,
 //! and holds the requests, their attempts and the right to answer them.
 use crate::clock::{duration_from_ms, Clock};
-use crate::discovery::List;
+use crate::discovery_events::{DiscoveredEndpoint, EndpointListObserver};
 use crate::logging::target;
-use crate::peers::Peers;
+use crate::peers::{PeerMessageHandler, Peers};
 use crate::quota_counter::QuotaCounter;
 use crate::upstream::{AttemptResult, UpstreamPool, UpstreamRequest};
 use bytes::Bytes;
@@ -89,7 +89,7 @@
     state: RefCell<State>,
     rearm: Notify,
     clock: Clock,
-    names: Names,
+    names: Rc<Names>,
     hosts: UpstreamPool,
     peers: Rc<Peers>,
     counter: QuotaCounter,
@@ -100,7 +100,7 @@
     pub(crate) fn new(
         gateway: Gateway,
         clock: Clock,
-        names: Names,
+        names: Rc<Names>,
         hosts: UpstreamPool,
         peers: Rc<Peers>,
         counter: QuotaCounter,
@@ -180,24 +180,6 @@
         }
     }
 
-    /// News of the list of hosts.
-    pub(crate) fn on_list(self: &Rc<Self>, kind: ListKind, list: List) {
-        let listed = list.hosts(&self.names, self.clock.now_ms());
-        self.hosts.on_list(kind, &listed);
-        let entries = listed.into_iter().map(|l| l.entry).collect();
-        self.on_event(Event::EndpointList { kind, entries });
-    }
-
-    /// The list has not been heard of for too long.
-    pub(crate) fn on_list_expired(self: &Rc<Self>) {
-        self.on_event(Event::EndpointList { kind: ListKind::Expired, entries: Vec::new() });
-    }
-
-    /// A message of a peer.
-    pub(crate) fn on_peer(self: &Rc<Self>, from: usize, body: String) {
-        self.on_event(Event::PeerMessage { from, body });
-    }
-
     /// Gives every request that is still open its answer: the process is about to end.
     pub(crate) fn answer_all(self: &Rc<Self>) {
         let open: Vec<RequestId> = self.state.borrow().taken.keys().copied().collect();
@@ -416,6 +398,28 @@
     }
 }
 
+impl EndpointListObserver for Rc<Dispatcher> {
+    fn on_endpoint_list(&self, kind: ListKind, endpoints: Vec<DiscoveredEndpoint>) {
+        self.hosts.on_list(kind, &endpoints);
+        let entries = endpoints.into_iter().map(|endpoint| endpoint.entry).collect();
+        self.on_event(Event::EndpointList { kind, entries });
+    }
+
+    fn on_lease_extended(&self, until: Instant) {
+        self.hosts.list_holds(until);
+    }
+
+    fn on_lease_expired(&self) {
+        self.on_event(Event::EndpointList { kind: ListKind::Expired, entries: Vec::new() });
+    }
+}
+
+impl PeerMessageHandler for Rc<Dispatcher> {
+    fn on_peer_message(&self, from: usize, body: String) {
+        self.on_event(Event::PeerMessage { from, body });
+    }
+}
+
 /// An attempt's end in the module's terms.
 fn outcome(
     request: RequestId,
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -4,6 +4,7 @@
 mod clock;
 mod config;
 mod discovery;
+mod discovery_events;
 mod dispatcher;
 mod http_connection;
 mod logging;
@@ -14,7 +15,8 @@
 use crate::clients::Clients;
 use crate::clock::{duration_from_ms, Clock};
 use crate::config::Config;
-use crate::discovery::Pace;
+use crate::discovery::{ListDecoder, Pace};
+use crate::discovery_events::EndpointListObserver;
 use crate::dispatcher::Dispatcher;
 use crate::logging::target;
 use crate::peers::Peers;
@@ -83,11 +85,13 @@
         Peers::bind(config.peer_listen, config.peers, settings.me, settings.peer_messages_per_second).await;
     let peers = Rc::new(peers.map_err(|e| format!("cannot listen for peers: {e}"))?);
     let counter = QuotaCounter::new(config.counter, config.socket_settings.count_limit_ms);
-    let core = Dispatcher::new(gateway, clock, config.names, hosts, peers.clone(), counter);
+    let names = Rc::new(config.names);
+    let decoder = ListDecoder { names: names.clone(), clock };
+    let core = Dispatcher::new(gateway, clock, names, hosts, peers.clone(), counter);
     // A list with nobody on it is not worth going on from.
     let known = config.known.as_ref().filter(|list| !list.is_empty()).map(|list| list.rev);
     if let Some(known) = config.known {
-        core.on_list(ListKind::Remembered, known);
+        core.on_endpoint_list(ListKind::Remembered, decoder.decode(known));
     }
     let listener = TcpListener::bind(config.listen).await;
     let listener = Rc::new(listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?);
@@ -103,7 +107,7 @@
 
     spawn_local(core.clone().run_timers());
     let (discovery, watched) = watch::channel(config.discovery);
-    spawn_local(discovery::watch(core.clone(), watched, known, pace, config.seed));
+    spawn_local(discovery::watch(core.clone(), decoder, watched, known, pace, config.seed));
     spawn_local(reload(hangup, discovery, core.clone()));
     spawn_local({
         let core = core.clone();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,10 +1,8 @@
 //! Datagrams between gateways.
-use crate::dispatcher::Dispatcher;
 use crate::logging::target;
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, Instant};
@@ -41,6 +39,12 @@
     }
 }
 
+/// Receives what peers send.
+pub(crate) trait PeerMessageHandler {
+    /// A message of the gateway of this number has come.
+    fn on_peer_message(&self, from: usize, body: String);
+}
+
 /// The other gateways.
 pub(crate) struct Peers {
     socket: Option<UdpSocket>,
@@ -100,7 +104,7 @@
     }
 
     /// Takes messages in, for good. What a stranger sends, and what is no text, is ignored.
-    pub(crate) async fn listen(&self, core: Rc<Dispatcher>) {
+    pub(crate) async fn listen(&self, handler: impl PeerMessageHandler) {
         let Some(socket) = &self.socket else { return };
         let mut buffer = [0; DATAGRAM_MOST + 1];
         loop {
@@ -115,7 +119,9 @@
             };
             let from = self.addrs.iter().position(|a| *a == sender).filter(|p| *p != self.me);
             match (from, std::str::from_utf8(&buffer[..length])) {
-                (Some(from), Ok(body)) if length <= DATAGRAM_MOST => core.on_peer(from, body.to_string()),
+                (Some(from), Ok(body)) if length <= DATAGRAM_MOST => {
+                    handler.on_peer_message(from, body.to_string())
+                }
                 _ => tracing::warn!(
                     target: target::PEERS,
                     %sender,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -3,7 +3,7 @@
 mod tests;
 
 use crate::clock::duration_from_ms;
-use crate::discovery::DiscoveredEndpoint;
+use crate::discovery_events::DiscoveredEndpoint;
 use crate::http_connection::{ExchangeError, HttpConnection, WriteStatus};
 use bytes::Bytes;
 use http_body_util::Full;
