Let discovery report through EndpointListObserver and move it and the client side into modules

Discovery and the dispatcher imported each other, and the downstream server reached through the dispatcher into the pool. The endpoint list's JSON is a file of its own that imports neither, the watch reports upward through a trait of three methods, and the dispatcher implements it; `has_ready_endpoint` answers for /healthz. clients.rs is now downstream/, discovery.rs and pace.rs are discovery/; List, Listed, Pace and Clients have the field's names. Tests keep their names and assertions and moved as files: clients::tests -> downstream::tests.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,5 +1,5 @@
 //! What the gateway is told: the file that `LB_CONFIG` names, read at the start and on SIGHUP.
-use crate::discovery::List;
+use crate::discovery::EndpointList;
 use irishinge_admission::Settings;
 use irishinge_settings::{Conf, Names, SocketSettings};
 use serde::Deserialize;
@@ -22,7 +22,7 @@
     /// One address for each gateway, by its number.
     pub peers: Vec<SocketAddr>,
     /// The list of hosts as last held before a restart.
-    pub known: Option<List>,
+    pub known: Option<EndpointList>,
     /// The module's settings.
     pub settings: Settings,
     /// The names behind their indexes.
@@ -42,7 +42,7 @@
     peer_listen: Option<SocketAddr>,
     #[serde(default)]
     peers: Vec<SocketAddr>,
-    known: Option<List>,
+    known: Option<EndpointList>,
     settings: Conf,
 }
 
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -2,7 +2,7 @@
 //! and holds the requests, their attempts and the right to answer them.
 use crate::clock::{from_ms, Clock};
 use crate::counter::Counter;
-use crate::discovery::List;
+use crate::discovery::{EndpointList, EndpointListObserver};
 use crate::hosts::{Call, Ended, Hosts};
 use crate::log;
 use crate::peers::Peers;
@@ -128,6 +128,11 @@
         &self.names
     }
 
+    /// Whether any endpoint takes requests.
+    pub(crate) fn has_ready_endpoint(&self) -> bool {
+        self.hosts.any_ready()
+    }
+
     /// The hosts.
     pub(crate) fn hosts(&self) -> &Hosts {
         &self.hosts
@@ -176,19 +181,6 @@
         }
     }
 
-    /// News of the list of hosts.
-    pub(crate) fn on_list(self: &Rc<Self>, kind: ListKind, list: List) {
-        let listed = list.hosts(&self.names, self.clock.now_ms());
-        self.hosts.on_list(kind, &listed);
-        let entries = listed.into_iter().map(|l| l.entry).collect();
-        self.on_event(Event::EndpointList { kind, entries });
-    }
-
-    /// The list has not been heard of for too long.
-    pub(crate) fn on_list_expired(self: &Rc<Self>) {
-        self.on_event(Event::EndpointList { kind: ListKind::Expired, entries: Vec::new() });
-    }
-
     /// A message of a peer.
     pub(crate) fn on_peer(self: &Rc<Self>, from: usize, body: String) {
         self.on_event(Event::PeerMessage { from, body });
@@ -396,6 +388,23 @@
     }
 }
 
+impl EndpointListObserver for Rc<Core> {
+    fn list_received(&self, kind: ListKind, list: EndpointList) {
+        let discovered = list.endpoints(&self.names, self.clock.now_ms());
+        self.hosts.on_list(kind, &discovered);
+        let entries = discovered.into_iter().map(|endpoint| endpoint.entry).collect();
+        self.on_event(Event::EndpointList { kind, entries });
+    }
+
+    fn lease_updated(&self, until: Instant) {
+        self.hosts.list_holds(until);
+    }
+
+    fn lease_expired(&self) {
+        self.on_event(Event::EndpointList { kind: ListKind::Expired, entries: Vec::new() });
+    }
+}
+
 /// An attempt's end in the module's terms.
 fn outcome(
     request: RequestId,
--- a/crates/gateway/src/discovery/pace.rs
+++ b/crates/gateway/src/discovery/refresh_policy.rs
@@ -58,7 +58,7 @@
 
 /// How long to wait, to be patient and to pause, by how lists come.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Pace {
+pub(crate) struct RefreshPolicy {
     /// A watch waits so long for news at most.
     pub(super) wait: Duration,
     /// What has not answered so long after that is not waited for.
@@ -75,7 +75,7 @@
     pub(super) holds: Option<Duration>,
 }
 
-impl Pace {
+impl RefreshPolicy {
     /// The pace that the settings ask for, in a fleet of so many gateways.
     pub(crate) fn new(settings: &SocketSettings, gateways: usize) -> Self {
         match settings.lists {
@@ -83,7 +83,7 @@
                 let grace = from_ms(settings.drain_grace_ms).clamp(GRACE_LEAST, GRACE_MOST);
                 let patience = grace.mul_f64(PUSHED_PATIENCE);
                 let most = grace.mul_f64(PUSHED_PAUSE);
-                Pace {
+                RefreshPolicy {
                     wait: grace.mul_f64(PUSHED_WAIT),
                     patience,
                     first_patience: patience,
@@ -96,7 +96,7 @@
             }
             Lists::Asked => {
                 let gateways = u32::try_from(gateways).unwrap_or(u32::MAX);
-                Pace {
+                RefreshPolicy {
                     wait: TOLD_AFTER - MARGIN,
                     patience: ASKED_PATIENCE,
                     first_patience: LINE_PATIENCE,
@@ -142,7 +142,7 @@
 
 /// Keeps the times of a watch: exponential back-off with full jitter, and until when the list holds.
 pub(super) struct Keeper {
-    pub(super) pace: Pace,
+    pub(super) policy: RefreshPolicy,
     window: Duration,
     random: fastrand::Rng,
     /// The list holds until then.
@@ -158,50 +158,50 @@
 
 impl Keeper {
     /// What is known at the start of a process counts as just told.
-    pub(super) fn new(pace: Pace, seed: u64, now: Instant) -> Self {
+    pub(super) fn new(policy: RefreshPolicy, seed: u64, now: Instant) -> Self {
         let random = fastrand::Rng::with_seed(seed);
-        let until = now + pace.holds.unwrap_or_default();
+        let until = now + policy.holds.unwrap_or_default();
         let renewed_most = now + REFUSED_MOST;
-        Keeper { pace, window: pace.first, random, until, renewed_most, reached: false, pressed: false }
+        Keeper { policy, window: policy.first, random, until, renewed_most, reached: false, pressed: false }
     }
 
     /// Until when the list holds; none: for good.
     pub(super) fn until(&self) -> Option<Instant> {
-        self.pace.holds.map(|_| self.until)
+        self.policy.holds.map(|_| self.until)
     }
 
     /// How long a watch called now may wait for news, and how long it is waited for beyond that.
     pub(super) fn watch(&self, first: bool, now: Instant) -> (Duration, Duration) {
-        let pace = &self.pace;
-        let patience = if first || self.pressed { pace.first_patience } else { pace.patience };
+        let policy = &self.policy;
+        let patience = if first || self.pressed { policy.first_patience } else { policy.patience };
         // Waiting longer is fewer calls; who then falls behind its time sends nothing until its answer is here.
         let room = if self.pressed { PRESSED_ROOM } else { patience + SPREAD + ANSWER_ROOM };
         let left = self.until().map(|until| until.saturating_duration_since(now));
-        (left.map_or(pace.wait, |left| left.saturating_sub(room).min(pace.wait)), patience)
+        (left.map_or(policy.wait, |left| left.saturating_sub(room).min(policy.wait)), patience)
     }
 
     /// A list has come, if one with no changes, so late after it was due.
     pub(super) fn listed(&mut self, late: Duration, now: Instant) {
-        self.until = now + self.pace.holds.unwrap_or_default();
+        self.until = now + self.policy.holds.unwrap_or_default();
         self.renewed_most = now + REFUSED_MOST;
         self.reached = false;
         self.pressed = late > LATE;
-        self.window = self.window.mul_f64(BACKOFF_NARROW).max(self.pace.first);
+        self.window = self.window.mul_f64(BACKOFF_NARROW).max(self.policy.first);
     }
 
     /// Discovery is at another address now.
     pub(super) fn moved(&mut self, now: Instant) {
-        if self.pace.holds.is_some() {
+        if self.policy.holds.is_some() {
             self.until = self.until.min(now + TOLD_AFTER_MOVE - MARGIN);
             self.renewed_most = self.until;
         }
         self.pressed = false;
-        self.window = self.pace.first;
+        self.window = self.policy.first;
     }
 
     /// A call has failed; the pause until the next.
     pub(super) fn failed(&mut self, failure: &Failure, now: Instant) -> Duration {
-        let Some(holds) = self.pace.holds else {
+        let Some(holds) = self.policy.holds else {
             let window = self.window;
             self.widen();
             return self.draw(window);
@@ -213,7 +213,7 @@
                 if !self.reached && now < self.until {
                     self.until = self.until.max(*begun + holds);
                 }
-                self.draw(self.pace.first)
+                self.draw(self.policy.first)
             }
             Failure::TurnedAway => {
                 self.pressed = true;
@@ -232,7 +232,7 @@
             // Silence may be an outage, whose end must not be missed, and the patience paces these calls too.
             Failure::Unanswered(_) => {
                 (self.reached, self.pressed) = (true, true);
-                self.draw(self.pace.first)
+                self.draw(self.policy.first)
             }
             Failure::Broken(_) => {
                 let left = self.until.saturating_duration_since(now);
@@ -243,7 +243,7 @@
     }
 
     fn widen(&mut self) {
-        self.window = self.window.mul_f64(BACKOFF_WIDEN).min(self.pace.most);
+        self.window = self.window.mul_f64(BACKOFF_WIDEN).min(self.policy.most);
     }
 
     fn draw(&mut self, window: Duration) -> Duration {
--- a/crates/gateway/src/discovery/tests.rs
+++ b/crates/gateway/src/discovery/tests.rs
@@ -1,5 +1,5 @@
-use super::expire;
-use super::pace::*;
+use super::refresh_policy::*;
+use super::watch::expire;
 use irishinge_settings::{Lists, SocketSettings};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, Instant};
 
-fn pace(lists: Lists, gateways: usize, drain_grace_ms: f64) -> Pace {
+fn policy(lists: Lists, gateways: usize, drain_grace_ms: f64) -> RefreshPolicy {
     let settings = SocketSettings {
         conn_idle_ms: 1000.0,
         connect_timeout_ms: 250.0,
@@ -18,14 +18,14 @@
         lists,
         drain_grace_ms,
     };
-    Pace::new(&settings, gateways)
+    RefreshPolicy::new(&settings, gateways)
 }
 
 /// A list holds for so long.
 const HOLDS: Duration = TOLD_AFTER.saturating_sub(MARGIN);
 
 fn asked(gateways: usize, seed: u64, now: Instant) -> Keeper {
-    Keeper::new(pace(Lists::Asked, gateways, 2000.0), seed, now)
+    Keeper::new(policy(Lists::Asked, gateways, 2000.0), seed, now)
 }
 
 /// From the moment at which a watch falls silent to the one at which the list is here again, at the worst: the
@@ -34,8 +34,16 @@
 fn a_pushed_list_is_here_again_inside_the_grace_whatever_became_of_the_watch() {
     for grace_ms in [250.0, 1000.0, 2000.0, 2500.0, 10_000.0] {
         for gateways in [1, 300, 100_000] {
-            let Pace { wait, patience, first_patience, connect_patience, first, most, whole_first, .. } =
-                pace(Lists::Pushed, gateways, grace_ms);
+            let RefreshPolicy {
+                wait,
+                patience,
+                first_patience,
+                connect_patience,
+                first,
+                most,
+                whole_first,
+                ..
+            } = policy(Lists::Pushed, gateways, grace_ms);
             assert!(first_patience == patience && connect_patience == patience);
             let notice = wait + patience;
             let back = most.max(first) + patience;
@@ -130,7 +138,7 @@
     keeper.failed(&Failure::TurnedAway, start + Duration::from_secs(4));
     assert_eq!(keeper.until(), Some(later + TOLD_AFTER_MOVE - MARGIN), "nor by refusals");
     // A pushed list holds for good.
-    let mut keeper = Keeper::new(pace(Lists::Pushed, 300, 2000.0), 5, start);
+    let mut keeper = Keeper::new(policy(Lists::Pushed, 300, 2000.0), 5, start);
     keeper.moved(start);
     keeper.failed(&Failure::Unanswered("silent"), later);
     assert_eq!(keeper.until(), None);
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery/watch.rs
@@ -1,24 +1,15 @@
-//! The list of hosts: its JSON, and the watch that keeps it current.
-mod pace;
-#[cfg(test)]
-mod tests;
-
-pub(crate) use self::pace::Pace;
-use self::pace::{Failure, Keeper};
-use crate::core::Core;
+//! The watch that keeps the endpoint list current.
+use super::endpoint_list::EndpointList;
+use super::refresh_policy::{Failure, Keeper, RefreshPolicy};
 use crate::link::Link;
 use crate::log;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use irishinge_admission::{EndpointEntry, EndpointId, EndpointState, ListKind};
-use irishinge_settings::Names;
-use serde::Deserialize;
+use irishinge_admission::ListKind;
 use std::convert::Infallible;
-use std::hash::Hasher;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -27,98 +18,21 @@
 /// A list may hold this much.
 const LIST_MOST: usize = 4 << 20;
 
-/// A list, or the changes to one, as discovery writes it.
-#[derive(Deserialize)]
-pub(crate) struct List {
-    /// Its version.
-    pub rev: u64,
-    /// It is the whole list.
-    #[serde(default)]
-    pub all: bool,
-    targets: Vec<serde_json::Value>,
-}
+/// Who acts on the endpoint list.
+pub(crate) trait EndpointListObserver {
+    /// Discovery has answered with the whole list or with the changes to it.
+    fn list_received(&self, kind: ListKind, list: EndpointList);
 
-#[derive(Deserialize)]
-struct Target {
-    uid: String,
-    endpoint: SocketAddr,
-    #[serde(default)]
-    az: String,
-    #[serde(default)]
-    model: String,
-    #[serde(default)]
-    pod_group: u64,
-    state: String,
-    #[serde(default)]
-    boot_ms: f64,
-}
-
-/// A host as the module and as the pool want it.
-pub(crate) struct Listed {
-    /// For the module.
-    pub entry: EndpointEntry,
-    /// Where it listens.
-    pub addr: SocketAddr,
-}
-
-/// A host's id must be the same at every gateway, whatever its address there, so it is a hash of the uid.
-fn server_id(uid: &str) -> EndpointId {
-    let mut hasher = fnv::FnvHasher::default();
-    hasher.write(uid.as_bytes());
-    EndpointId(hasher.finish())
-}
-
-impl List {
-    /// Whether it names nobody.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.targets.is_empty()
-    }
+    /// The list may be used until `until`. Called at the start, at each renewal and where the lease is cut short.
+    fn lease_updated(&self, until: Instant);
 
-    /// The hosts of the list. An entry that cannot be read is logged and left out: in a whole list that
-    /// takes the host for gone, which keeps the rules.
-    pub(crate) fn hosts(self, names: &Names, now_ms: f64) -> Vec<Listed> {
-        let read = |value: serde_json::Value| {
-            let listed = serde_json::from_value(value).map_err(|e| e.to_string());
-            match listed.and_then(|t: Target| t.listed(names, now_ms)) {
-                Ok(listed) => Some(listed),
-                Err(message) => {
-                    log::line(format_args!("an entry of the list is left out: {message}"));
-                    None
-                }
-            }
-        };
-        self.targets.into_iter().filter_map(read).collect()
-    }
-}
-
-impl Target {
-    fn listed(self, names: &Names, now_ms: f64) -> Result<Listed, String> {
-        // A zone or kind that the settings do not name is one of its own.
-        let index =
-            |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(names.len());
-        let state = match self.state.as_str() {
-            "up" => EndpointState::Ready,
-            "draining" => EndpointState::Draining,
-            "removed" => EndpointState::Gone,
-            other => return Err(format!("unknown state: {other}")),
-        };
-        let booted = self.boot_ms.is_finite() && self.boot_ms > 0.0;
-        let entry = EndpointEntry {
-            id: server_id(&self.uid),
-            zone: index(&names.zones, &self.az),
-            kind: index(&names.kinds, &self.model),
-            cell: self.pod_group,
-            state,
-            // A start in the future would be a cold host with less than no capacity.
-            started_at_ms: booted.then(|| self.boot_ms.min(now_ms)),
-        };
-        Ok(Listed { entry, addr: self.endpoint })
-    }
+    /// The lease has run out: nothing may be sent by the list until the next one is received.
+    fn lease_expired(&self);
 }
 
 /// What a gateway knows of its watch.
-struct Watch {
-    core: Rc<Core>,
+struct Watch<O> {
+    observer: O,
     /// The version to go on from; none where the whole list is wanted.
     rev: Option<u64>,
     keeper: Keeper,
@@ -132,22 +46,22 @@
 /// what discovery has to write are changes. After an outage, at a new address, and on each new connection to an
 /// agent, it starts again with the whole list. Where lists are asked for, one that was not heard of again in time has
 /// expired: nothing is sent by it until discovery has answered.
-pub(crate) async fn watch(
-    core: Rc<Core>,
+pub(crate) async fn watch_endpoint_list<O: EndpointListObserver + Clone + 'static>(
+    observer: O,
     mut addr: watch::Receiver<SocketAddr>,
     known: Option<u64>,
-    pace: Pace,
+    policy: RefreshPolicy,
     seed: u64,
 ) {
-    let keeper = Keeper::new(pace, seed, Instant::now());
+    let keeper = Keeper::new(policy, seed, Instant::now());
     let (until, holds) = watch::channel(Instant::now());
-    let mut watch = Watch { core, rev: known, keeper, until, well: true };
+    let mut watch = Watch { observer, rev: known, keeper, until, well: true };
     watch.tell_until();
     if watch.keeper.until().is_some() {
-        let core = watch.core.clone();
+        let observer = watch.observer.clone();
         spawn_local(expire(holds, move || {
             log::line("discovery: the list has expired; nothing is sent by it");
-            core.on_list_expired();
+            observer.lease_expired();
         }));
     }
     loop {
@@ -166,7 +80,7 @@
 }
 
 /// Calls `expired` each time that the list has held for as long as it was said to.
-async fn expire(mut holds: watch::Receiver<Instant>, mut expired: impl FnMut()) {
+pub(super) async fn expire(mut holds: watch::Receiver<Instant>, mut expired: impl FnMut()) {
     loop {
         let until = *holds.borrow_and_update();
         tokio::select! {
@@ -183,7 +97,7 @@
     }
 }
 
-impl Watch {
+impl<O: EndpointListObserver> Watch<O> {
     /// Follows one address until that fails, and pauses.
     async fn follow_until_failure(&mut self, addr: SocketAddr) {
         let Err::<Infallible, Failure>(failure) = self.follow(addr).await;
@@ -202,22 +116,22 @@
     /// Tells those who act on it until when the list holds.
     fn tell_until(&self) {
         let Some(until) = self.keeper.until() else { return };
-        self.core.hosts().list_holds(until);
+        self.observer.lease_updated(until);
         self.until.send_if_modified(|told| std::mem::replace(told, until) != until);
     }
 
     /// Calls one address over one connection until that fails.
     async fn follow(&mut self, addr: SocketAddr) -> Result<Infallible, Failure> {
-        let pace = self.keeper.pace;
-        if pace.whole_first {
+        let policy = self.keeper.policy;
+        if policy.whole_first {
             self.rev = None;
         }
         let begun = Instant::now();
-        let connect = timeout(pace.connect_patience, Link::connect(addr)).await;
+        let connect = timeout(policy.connect_patience, Link::connect(addr)).await;
         let connect = connect.map_err(|_| Failure::Unreachable { begun, why: "no connection in time" })?;
         let mut link = connect.map_err(|_| Failure::Unreachable { begun, why: "no connection" })?;
         // Where lists are pushed, the connection and the first call over it share one patience.
-        let called = if pace.whole_first { begun } else { Instant::now() };
+        let called = if policy.whole_first { begun } else { Instant::now() };
         let (mut list, mut late) = match self.call(&mut link, addr, true, called).await {
             Err(Failure::Broken(why)) => return Err(Failure::Unanswered(why)),
             answer => answer?,
@@ -234,7 +148,7 @@
             if !std::mem::replace(&mut self.well, true) {
                 log::line("discovery: the list is here again");
             }
-            self.core.on_list(if list.all { ListKind::Whole } else { ListKind::Changes }, list);
+            self.observer.list_received(if list.all { ListKind::Whole } else { ListKind::Changes }, list);
             (list, late) = self.call(&mut link, addr, false, Instant::now()).await?;
         }
     }
@@ -246,7 +160,7 @@
         addr: SocketAddr,
         first: bool,
         begun: Instant,
-    ) -> Result<(List, Duration), Failure> {
+    ) -> Result<(EndpointList, Duration), Failure> {
         let (wait, patience) = self.keeper.watch(first, begun);
         let (path, wait) = match self.rev {
             Some(rev) => (format!("/v1/servers?after={rev}&wait_ms={}", wait.as_millis()), wait),
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/downstream/server.rs
@@ -43,14 +43,14 @@
 /// Pause after a failed accept: out of descriptors, it would fail again at once.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Connections taken beyond the bound to refuse what comes over them, so that nobody is left without an answer.
-pub(crate) const FURTHER_MOST: usize = 8;
+pub(crate) const MAX_REFUSING_CONNECTIONS: usize = 8;
 /// A usual client writes its first request as soon as it is connected: one that has said nothing for so long
 /// is the first to make room.
 const SILENT: Duration = Duration::from_millis(20);
 /// A connection that has served may be closed once it has been idle for so long.
 const IDLE: Duration = Duration::from_secs(2);
 /// Bytes waiting unread behind a request in work that no usual client sends: one at a time is what they send.
-const FLOOD: usize = 64 * 1024;
+pub(super) const FLOOD: usize = 64 * 1024;
 /// While bytes lie unread behind a request in work, how often they are looked at for whether they are a flood yet.
 /// Only they call for a timer: the socket tells by itself of more bytes, and of a client that leaves, where none wait.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
@@ -66,7 +66,7 @@
 
 /// How far a connection has come.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Stage {
+pub(super) enum Stage {
     /// No whole request has come yet.
     New,
     /// Between requests.
@@ -78,17 +78,17 @@
 }
 
 /// One connection, as the others need to know it.
-struct Connection {
-    stage: Cell<Stage>,
+pub(super) struct Connection {
+    pub(super) stage: Cell<Stage>,
     /// When it came to this stage.
-    since: Cell<Instant>,
-    accepted: Instant,
-    close: Notify,
+    pub(super) since: Cell<Instant>,
+    pub(super) accepted: Instant,
+    pub(super) close: Notify,
     /// Beyond the bound: its requests are refused.
-    refused: bool,
-    stream: Rc<RefCell<TcpStream>>,
+    pub(super) refused: bool,
+    pub(super) stream: Rc<RefCell<TcpStream>>,
     /// So much came behind a request that it was dropped.
-    flooded: Cell<bool>,
+    pub(super) flooded: Cell<bool>,
 }
 
 impl Connection {
@@ -107,7 +107,7 @@
 
     /// Waits until the client has left. hyper sees that only where nothing came behind the request in work, since it
     /// reads no further.
-    async fn left(&self) {
+    pub(super) async fn left(&self) {
         loop {
             // hyper waits for the socket too, in the same task: whoever asks last wakes both.
             let come = poll_fn(|cx| self.stream.borrow().poll_read_ready(cx)).await;
@@ -152,7 +152,7 @@
 }
 
 /// All clients' connections.
-pub(crate) struct Clients {
+pub(crate) struct DownstreamServer {
     core: Rc<Core>,
     settings: Settings,
     /// Refusals may carry `Retry-After`.
@@ -172,7 +172,7 @@
     (StatusCode::BAD_REQUEST, what)
 }
 
-impl Clients {
+impl DownstreamServer {
     /// No connections yet.
     pub(crate) fn new(
         core: Rc<Core>,
@@ -180,7 +180,7 @@
         retry_after: bool,
         most_connections: usize,
     ) -> Rc<Self> {
-        Rc::new(Clients {
+        Rc::new(DownstreamServer {
             core,
             settings,
             retry_after,
@@ -201,7 +201,7 @@
                 Ok((stream, _)) => {
                     let connections = self.connections.borrow().len();
                     let full = connections >= self.most_connections && !self.make_room();
-                    let most = self.most_connections + FURTHER_MOST;
+                    let most = self.most_connections + MAX_REFUSING_CONNECTIONS;
                     if connections >= most && !full {
                         // Whoever makes room closes in its turn, unless it still has a body to read.
                         yield_now().await;
@@ -328,7 +328,7 @@
         let came = Instant::now();
         let (head, body) = request.into_parts();
         if head.uri.path() == "/healthz" {
-            let up = self.core.hosts().any_ready() && !self.draining.get();
+            let up = self.core.has_ready_endpoint() && !self.draining.get();
             return Ok(text(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""));
         }
         let mut request = self.read_head(&head)?;
@@ -554,6 +554,3 @@
     *response.status_mut() = status;
     response
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/gateway/src/clients/tests.rs
+++ b/crates/gateway/src/downstream/tests.rs
@@ -1,6 +1,18 @@
-use super::*;
+use super::server::{Connection, Stage, FLOOD};
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
+use std::future::{poll_fn, Future};
+use std::io;
 use std::io::Write;
 use std::net::TcpStream as Client;
+use std::pin::pin;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::yield_now;
+use tokio::time::Instant;
 
 /// A way for a client to leave.
 type Leave = fn(Client);
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -3,7 +3,7 @@
 mod tests;
 
 use crate::clock::from_ms;
-use crate::discovery::Listed;
+use crate::discovery::DiscoveredEndpoint;
 use crate::link::{Broken, Link, Written};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -152,12 +152,12 @@
     }
 
     /// Takes news of the list in. Idle connections to hosts that take no more work are closed.
-    pub(crate) fn on_list(&self, kind: ListKind, listed: &[Listed]) {
+    pub(crate) fn on_list(&self, kind: ListKind, listed: &[DiscoveredEndpoint]) {
         let mut table = self.table.borrow_mut();
         if kind != ListKind::Changes {
             table.retain(|id, _| listed.iter().any(|l| l.entry.id == *id));
         }
-        for Listed { entry, addr } in listed {
+        for DiscoveredEndpoint { entry, addr } in listed {
             if entry.state == EndpointState::Gone {
                 table.remove(&entry.id);
                 continue;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,22 +1,22 @@
 //! irishinge: an api gateway on real sockets. Starts the parts, tells them of a new configuration on SIGHUP, and
 //! ends them on SIGTERM.
-mod clients;
 mod clock;
 mod config;
 mod core;
 mod counter;
 mod discovery;
+mod downstream;
 mod hosts;
 mod link;
 mod log;
 mod peers;
 
-use crate::clients::Clients;
 use crate::clock::{from_ms, Clock};
 use crate::config::Config;
 use crate::core::Core;
 use crate::counter::Counter;
-use crate::discovery::Pace;
+use crate::discovery::{EndpointListObserver, RefreshPolicy};
+use crate::downstream::DownstreamServer;
 use crate::hosts::{Hosts, REAP_EVERY};
 use crate::peers::Peers;
 use irishinge_admission::{Gateway, ListKind, Settings};
@@ -47,7 +47,7 @@
     + CONFIGURATION
     + SHED
     + counter::CONNECTIONS_MOST
-    + clients::FURTHER_MOST;
+    + downstream::MAX_REFUSING_CONNECTIONS;
 /// Part of the rest that is for clients.
 const CLIENTS_PART: f64 = 0.6;
 /// After SIGTERM new connections are taken for this long: they go on coming for up to 0.4 s. A request that comes
@@ -86,13 +86,14 @@
     // A list with nobody on it is not worth going on from.
     let known = config.known.as_ref().filter(|list| !list.is_empty()).map(|list| list.rev);
     if let Some(known) = config.known {
-        core.on_list(ListKind::Remembered, known);
+        core.list_received(ListKind::Remembered, known);
     }
     let listener = TcpListener::bind(config.listen).await;
     let listener = Rc::new(listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?);
-    let pace = Pace::new(&config.socket_settings, settings.gateways);
+    let pace = RefreshPolicy::new(&config.socket_settings, settings.gateways);
     let (answer_by, write_by) = last_answers(&settings);
-    let clients = Clients::new(core.clone(), settings, config.socket_settings.retry_after, clients_most);
+    let clients =
+        DownstreamServer::new(core.clone(), settings, config.socket_settings.retry_after, clients_most);
 
     let bound = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
     match peers.local_addr() {
@@ -102,7 +103,7 @@
 
     spawn_local(core.clone().run_timers());
     let (discovery, watched) = watch::channel(config.discovery);
-    spawn_local(discovery::watch(core.clone(), watched, known, pace, config.seed));
+    spawn_local(discovery::watch_endpoint_list(core.clone(), watched, known, pace, config.seed));
     spawn_local(reload(hangup, discovery, core.clone()));
     spawn_local({
         let core = core.clone();
--- a/crates/gateway/src/tests.rs
+++ b/crates/gateway/src/tests.rs
@@ -25,7 +25,7 @@
     for sockets in [64, 1024] {
         let room = sockets - OTHER_DESCRIPTORS;
         let clients_most = (room as f64 * CLIENTS_PART) as usize;
-        let clients = clients_most + clients::FURTHER_MOST;
+        let clients = clients_most + downstream::MAX_REFUSING_CONNECTIONS;
         let hosts = room - clients_most;
         let own = STANDARD + RUNTIME + LISTENING + DISCOVERY + CONFIGURATION + SHED;
         assert_eq!(clients + hosts + counter::CONNECTIONS_MOST + own, sockets);
