--- a/crates/gateway/src/discovery/endpoint_list.rs
+++ b/crates/gateway/src/discovery/endpoint_list.rs
@@ -1,5 +1,5 @@
 //! The endpoint list as discovery writes it, and its endpoints as the admission library and the pool take them.
-use crate::log;
+use crate::logging::target;
 use irishinge_admission::{EndpointEntry, EndpointId, EndpointState};
 use irishinge_settings::Names;
 use serde::Deserialize;
@@ -61,7 +61,7 @@
             match listed.and_then(|t: Target| t.listed(names, now_ms)) {
                 Ok(listed) => Some(listed),
                 Err(message) => {
-                    log::line(format_args!("an entry of the list is left out: {message}"));
+                    tracing::warn!(target: target::DISCOVERY, reason = %message, "endpoint entry ignored: it cannot be read");
                     None
                 }
             }
--- a/crates/gateway/src/discovery/watch.rs
+++ b/crates/gateway/src/discovery/watch.rs
@@ -2,7 +2,7 @@
 use super::endpoint_list::EndpointList;
 use super::refresh_policy::{Failure, Keeper, RefreshPolicy};
 use crate::link::Link;
-use crate::log;
+use crate::logging::target;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HOST;
@@ -60,7 +60,10 @@
     if watch.keeper.until().is_some() {
         let observer = watch.observer.clone();
         spawn_local(expire(holds, move || {
-            log::line("discovery: the list has expired; nothing is sent by it");
+            tracing::error!(
+                target: target::DISCOVERY,
+                "endpoint list expired; nothing is sent until discovery answers"
+            );
             observer.lease_expired();
         }));
     }
@@ -106,7 +109,12 @@
             self.rev = None;
         }
         if std::mem::take(&mut self.well) {
-            log::line(format_args!("discovery: {failure}; the list is kept"));
+            tracing::warn!(
+                target: target::DISCOVERY,
+                discovery = %addr,
+                reason = %failure,
+                "discovery failed; the last endpoint list is kept"
+            );
         }
         let pause = self.keeper.failed(&failure, Instant::now());
         self.tell_until();
@@ -146,7 +154,7 @@
             self.keeper.listed(late, Instant::now());
             self.tell_until();
             if !std::mem::replace(&mut self.well, true) {
-                log::line("discovery: the list is here again");
+                tracing::info!(target: target::DISCOVERY, discovery = %addr, "discovery answers again; endpoint list current");
             }
             self.observer.list_received(if list.all { ListKind::Whole } else { ListKind::Changes }, list);
             (list, late) = self.call(&mut link, addr, false, Instant::now()).await?;
