Merge discovery's and the client side's modules with the renamed dispatcher and upstream pool

Both sides gave discovery a trait to report through; discovery's own EndpointListObserver is kept, and the module discovery_events.rs of this side goes.

--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -1,7 +1,7 @@
 //! The only owner of the decision module. It feeds it events with a clock, carries out its actions in order,
 //! and holds the requests, their attempts and the right to answer them.
 use crate::clock::{duration_from_ms, Clock};
-use crate::discovery_events::{DiscoveredEndpoint, EndpointListObserver};
+use crate::discovery::{EndpointList, EndpointListObserver};
 use crate::logging::target;
 use crate::peers::{PeerMessageHandler, Peers};
 use crate::quota_counter::QuotaCounter;
@@ -89,7 +89,7 @@
     state: RefCell<State>,
     rearm: Notify,
     clock: Clock,
-    names: Rc<Names>,
+    names: Names,
     hosts: UpstreamPool,
     peers: Rc<Peers>,
     counter: QuotaCounter,
@@ -100,7 +100,7 @@
     pub(crate) fn new(
         gateway: Gateway,
         clock: Clock,
-        names: Rc<Names>,
+        names: Names,
         hosts: UpstreamPool,
         peers: Rc<Peers>,
         counter: QuotaCounter,
@@ -128,6 +128,11 @@
         &self.names
     }
 
+    /// Whether any endpoint takes requests.
+    pub(crate) fn has_ready_endpoint(&self) -> bool {
+        self.hosts.any_ready()
+    }
+
     /// The hosts.
     pub(crate) fn hosts(&self) -> &UpstreamPool {
         &self.hosts
@@ -399,17 +404,18 @@
 }
 
 impl EndpointListObserver for Rc<Dispatcher> {
-    fn on_endpoint_list(&self, kind: ListKind, endpoints: Vec<DiscoveredEndpoint>) {
+    fn list_received(&self, kind: ListKind, list: EndpointList) {
+        let endpoints = list.endpoints(&self.names, self.clock.now_ms());
         self.hosts.on_list(kind, &endpoints);
         let entries = endpoints.into_iter().map(|endpoint| endpoint.entry).collect();
         self.on_event(Event::EndpointList { kind, entries });
     }
 
-    fn on_lease_extended(&self, until: Instant) {
+    fn lease_updated(&self, until: Instant) {
         self.hosts.list_holds(until);
     }
 
-    fn on_lease_expired(&self) {
+    fn lease_expired(&self) {
         self.on_event(Event::EndpointList { kind: ListKind::Expired, entries: Vec::new() });
     }
 }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,23 +1,21 @@
 //! irishinge: an api gateway on real sockets. Starts the parts, tells them of a new configuration on SIGHUP, and
 //! ends them on SIGTERM.
-mod clients;
 mod clock;
 mod config;
 mod discovery;
-mod discovery_events;
 mod dispatcher;
+mod downstream;
 mod http_connection;
 mod logging;
 mod peers;
 mod quota_counter;
 mod upstream;
 
-use crate::clients::Clients;
 use crate::clock::{duration_from_ms, Clock};
 use crate::config::Config;
-use crate::discovery::{ListDecoder, Pace};
-use crate::discovery_events::EndpointListObserver;
+use crate::discovery::{EndpointListObserver, RefreshPolicy};
 use crate::dispatcher::Dispatcher;
+use crate::downstream::DownstreamServer;
 use crate::logging::target;
 use crate::peers::Peers;
 use crate::quota_counter::QuotaCounter;
@@ -50,7 +48,7 @@
     + CONFIGURATION
     + SHED
     + quota_counter::MAX_CONNECTIONS
-    + clients::FURTHER_MOST;
+    + downstream::MAX_REFUSING_CONNECTIONS;
 /// Part of the rest that is for clients.
 const CLIENTS_PART: f64 = 0.6;
 /// After SIGTERM new connections are taken for this long: they go on coming for up to 0.4 s. A request that comes
@@ -85,19 +83,18 @@
         Peers::bind(config.peer_listen, config.peers, settings.me, settings.peer_messages_per_second).await;
     let peers = Rc::new(peers.map_err(|e| format!("cannot listen for peers: {e}"))?);
     let counter = QuotaCounter::new(config.counter, config.socket_settings.count_limit_ms);
-    let names = Rc::new(config.names);
-    let decoder = ListDecoder { names: names.clone(), clock };
-    let core = Dispatcher::new(gateway, clock, names, hosts, peers.clone(), counter);
+    let core = Dispatcher::new(gateway, clock, config.names, hosts, peers.clone(), counter);
     // A list with nobody on it is not worth going on from.
     let known = config.known.as_ref().filter(|list| !list.is_empty()).map(|list| list.rev);
     if let Some(known) = config.known {
-        core.on_endpoint_list(ListKind::Remembered, decoder.decode(known));
+        core.list_received(ListKind::Remembered, known);
     }
     let listener = TcpListener::bind(config.listen).await;
     let listener = Rc::new(listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?);
-    let pace = Pace::new(&config.socket_settings, settings.gateways);
+    let pace = RefreshPolicy::new(&config.socket_settings, settings.gateways);
     let (answer_by, write_by) = last_answers(&settings);
-    let clients = Clients::new(core.clone(), settings, config.socket_settings.retry_after, clients_most);
+    let clients =
+        DownstreamServer::new(core.clone(), settings, config.socket_settings.retry_after, clients_most);
 
     let bound = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
     match peers.local_addr() {
@@ -107,7 +104,7 @@
 
     spawn_local(core.clone().run_timers());
     let (discovery, watched) = watch::channel(config.discovery);
-    spawn_local(discovery::watch(core.clone(), decoder, watched, known, pace, config.seed));
+    spawn_local(discovery::watch_endpoint_list(core.clone(), watched, known, pace, config.seed));
     spawn_local(reload(hangup, discovery, core.clone()));
     spawn_local({
         let core = core.clone();
