Split the upstream pool, the HTTP connection and the quota counter's calls by concern

upstream.rs held endpoints, idle connections, the descriptor budget, attempts and requests; http_connection.rs held the watched socket and the exchange; and the counter had a second budget of connections of its own. upstream/ is now pool, attempt, request and reuse_delay; http_connection/ is the exchange and observed_stream; connection_budget.rs serves the pool and the counter. The order of socket operations and of polled futures is as before, and nothing is allocated for a request that was not before.

--- /dev/null
+++ b/crates/gateway/src/connection_budget.rs
@@ -0,0 +1,54 @@
+//! A bound on how many connections of one kind are open at once: each takes a file descriptor.
+use crate::http_connection::HttpConnection;
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// The connections of one kind, and how many there may be.
+pub(crate) struct ConnectionBudget {
+    open: Rc<Cell<usize>>,
+    limit: usize,
+}
+
+impl ConnectionBudget {
+    /// None is open yet.
+    pub(crate) fn new(limit: usize) -> Self {
+        ConnectionBudget { open: Rc::default(), limit }
+    }
+
+    /// Whether no further connection may be opened.
+    pub(crate) fn is_exhausted(&self) -> bool {
+        self.open.get() >= self.limit
+    }
+
+    /// The permit for one more connection; none where the budget is exhausted.
+    pub(crate) fn try_acquire(&self) -> Option<ConnectionPermit> {
+        if self.is_exhausted() {
+            return None;
+        }
+        self.open.set(self.open.get() + 1);
+        Some(ConnectionPermit(self.open.clone()))
+    }
+}
+
+/// The right to hold one connection, given back when dropped.
+pub(crate) struct ConnectionPermit(Rc<Cell<usize>>);
+
+impl Drop for ConnectionPermit {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// A connection that counts against a budget until it is dropped.
+pub(crate) struct PooledConnection {
+    /// The connection.
+    pub connection: HttpConnection,
+    _permit: ConnectionPermit,
+}
+
+impl PooledConnection {
+    /// A connection that holds this permit.
+    pub(crate) fn new(connection: HttpConnection, permit: ConnectionPermit) -> Self {
+        PooledConnection { connection, _permit: permit }
+    }
+}
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -130,7 +130,7 @@
 
     /// Whether any endpoint takes requests.
     pub(crate) fn has_ready_endpoint(&self) -> bool {
-        self.hosts.any_ready()
+        self.hosts.has_ready_endpoint()
     }
 
     /// The hosts.
@@ -259,7 +259,7 @@
             let closed = ended.outcome == Outcome::Ok || taken.slot.is_none();
             let took_ms = attempt.sent.elapsed().as_secs_f64() * 1000.0;
             let event = outcome(request, number, attempt.endpoint, took_ms, closed, &ended);
-            if let (Outcome::Ok, Some(answer)) = (ended.outcome, ended.answer) {
+            if let (Outcome::Ok, Some(answer)) = (ended.outcome, ended.response) {
                 if let Some(slot) = taken.slot.take() {
                     slot.give(FinalResponse::Served(answer));
                 }
@@ -340,7 +340,7 @@
             Action::AddToCounter { name, amount, ttl_ms } => {
                 let (core, called) = (self.clone(), Instant::now());
                 spawn_local(async move {
-                    let outcome = core.counter.call(name, amount, ttl_ms).await;
+                    let outcome = core.counter.add(name, amount, ttl_ms).await;
                     let took_ms = called.elapsed().as_secs_f64() * 1000.0;
                     core.on_event(Event::CounterReply { name, outcome, took_ms });
                 });
@@ -388,7 +388,7 @@
         took_ms: f64,
     ) {
         let closed = state.taken.get(&request).is_none_or(|t| t.slot.is_none());
-        let ended = AttemptResult::without_answer(how);
+        let ended = AttemptResult::without_response(how);
         state.events.push_back(outcome(request, number, endpoint, took_ms, closed, &ended));
     }
 
@@ -406,13 +406,13 @@
 impl EndpointListObserver for Rc<Dispatcher> {
     fn list_received(&self, kind: ListKind, list: EndpointList) {
         let endpoints = list.endpoints(&self.names, self.clock.now_ms());
-        self.hosts.on_list(kind, &endpoints);
+        self.hosts.apply_list(kind, &endpoints);
         let entries = endpoints.into_iter().map(|endpoint| endpoint.entry).collect();
         self.on_event(Event::EndpointList { kind, entries });
     }
 
     fn lease_updated(&self, until: Instant) {
-        self.hosts.list_holds(until);
+        self.hosts.set_lease_end(until);
     }
 
     fn lease_expired(&self) {
--- /dev/null
+++ b/crates/gateway/src/http_connection/observed_stream.rs
@@ -0,0 +1,103 @@
+//! A TCP stream that records what passes over it during an exchange, for the questions that hyper does not answer.
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// What is known of a connection's present exchange besides its response.
+#[derive(Default)]
+pub(super) struct ExchangeState {
+    /// A byte of the request was written.
+    pub(super) request_begun: Cell<bool>,
+    /// A byte of the response has arrived.
+    pub(super) response_begun: Cell<bool>,
+    /// The far end has closed, or the connection broke.
+    pub(super) connection_ended: Cell<bool>,
+    /// More has arrived than belonged to the last response.
+    pub(super) surplus_received: Cell<bool>,
+    /// Interim responses that arrived; behind an `Arc` only because hyper calls back through one.
+    pub(super) interim_responses: Arc<AtomicU32>,
+}
+
+impl ExchangeState {
+    /// Begins a new exchange.
+    pub(super) fn reset(&self) {
+        self.request_begun.set(false);
+        self.response_begun.set(false);
+        self.interim_responses.store(0, Relaxed);
+    }
+}
+
+/// A socket that records what passes over it. It is shared so that its connection can look at it while hyper owns the
+/// rest.
+pub(super) struct ObservedStream {
+    stream: Rc<RefCell<TcpStream>>,
+    state: Rc<ExchangeState>,
+}
+
+impl ObservedStream {
+    /// Records what passes over `stream` in `state`.
+    pub(super) fn new(stream: Rc<RefCell<TcpStream>>, state: Rc<ExchangeState>) -> Self {
+        ObservedStream { stream, state }
+    }
+
+    fn with_stream<T>(&self, call: impl FnOnce(Pin<&mut TcpStream>) -> T) -> T {
+        call(Pin::new(&mut *self.stream.borrow_mut()))
+    }
+
+    fn record_write(&self, result: &Poll<io::Result<usize>>) {
+        match result {
+            Poll::Ready(Ok(written)) if *written > 0 => self.state.request_begun.set(true),
+            Poll::Ready(Err(_)) => self.state.connection_ended.set(true),
+            _ => {}
+        }
+    }
+}
+
+impl AsyncRead for ObservedStream {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let result = self.with_stream(|s| s.poll_read(cx, buf));
+        match &result {
+            Poll::Ready(Ok(())) if buf.filled().len() > before => self.state.response_begun.set(true),
+            Poll::Ready(_) => self.state.connection_ended.set(true),
+            Poll::Pending => {}
+        }
+        result
+    }
+}
+
+impl AsyncWrite for ObservedStream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let result = self.with_stream(|s| s.poll_write(cx, buf));
+        self.record_write(&result);
+        result
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = self.with_stream(|s| s.poll_write_vectored(cx, bufs));
+        self.record_write(&result);
+        result
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.borrow().is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.with_stream(|s| s.poll_flush(cx))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.with_stream(|s| s.poll_shutdown(cx))
+    }
+}
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -2,6 +2,7 @@
 //! ends them on SIGTERM.
 mod clock;
 mod config;
+mod connection_budget;
 mod discovery;
 mod dispatcher;
 mod downstream;
@@ -19,7 +20,7 @@
 use crate::logging::target;
 use crate::peers::Peers;
 use crate::quota_counter::QuotaCounter;
-use crate::upstream::{UpstreamPool, REAP_INTERVAL};
+use crate::upstream::{UpstreamPool, IDLE_CHECK_INTERVAL};
 use irishinge_admission::{Gateway, ListKind, Settings};
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -134,7 +135,7 @@
         match Config::load() {
             Ok(config) => {
                 tracing::info!(target: target::LIFECYCLE, discovery = %config.discovery, "configuration reloaded");
-                core.counter().move_to(config.counter);
+                core.counter().set_addr(config.counter);
                 discovery
                     .send_if_modified(|addr| std::mem::replace(addr, config.discovery) != config.discovery);
             }
@@ -146,12 +147,12 @@
 }
 
 async fn reap(core: Rc<Dispatcher>) {
-    let mut ticks = interval(REAP_INTERVAL);
+    let mut ticks = interval(IDLE_CHECK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        core.hosts().reap();
-        core.counter().reap();
+        core.hosts().close_stale_connections();
+        core.counter().close_stale_connections();
     }
 }
 
--- a/crates/gateway/src/quota_counter.rs
+++ b/crates/gateway/src/quota_counter.rs
@@ -1,113 +1,119 @@
-//! Calls to the counter: a few connections, each with one call at a time.
+//! Calls to the quota counter, the service that counts what a whole fleet has used: a few connections, each with one
+//! call at a time.
 use crate::clock::duration_from_ms;
+use crate::connection_budget::{ConnectionBudget, PooledConnection};
 use crate::http_connection::HttpConnection;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HOST;
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use irishinge_admission::CounterOutcome;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
 
-/// Connections at most: part of the descriptors that are neither clients' nor hosts'.
+/// Connections at most: part of the descriptors that are neither clients' nor endpoints'.
 pub(crate) const MAX_CONNECTIONS: usize = 8;
-/// The counter closes a connection that has stood idle for about 10 s or less.
-const IDLE: Duration = Duration::from_secs(3);
-/// An answer is a number.
+/// The counter closes a connection that has been idle for about 10 s or less.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+/// A response is a number.
 const MAX_BODY_BYTES: usize = 256;
 
-struct Idle {
-    link: HttpConnection,
-    place: Place,
+struct IdleConnection {
+    pooled: PooledConnection,
     since: Instant,
 }
 
-/// A connection's place among the few, given back when dropped.
-struct Place(Rc<Cell<usize>>);
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+impl IdleConnection {
+    fn is_fresh(&mut self) -> bool {
+        self.since.elapsed() < IDLE_TIMEOUT && self.pooled.connection.is_usable()
     }
 }
 
-/// The counter, where there is one.
+/// The quota counter, where there is one.
 pub(crate) struct QuotaCounter {
     addr: Cell<Option<SocketAddr>>,
-    limit: Duration,
-    connections: Rc<Cell<usize>>,
-    idle: RefCell<Vec<Idle>>,
+    call_timeout: Duration,
+    budget: ConnectionBudget,
+    idle: RefCell<Vec<IdleConnection>>,
 }
 
 impl QuotaCounter {
-    /// No connections yet; a call is given up after `limit_ms`.
-    pub(crate) fn new(addr: Option<SocketAddr>, limit_ms: f64) -> Self {
+    /// No connections yet; a call is given up after `timeout_ms`.
+    pub(crate) fn new(addr: Option<SocketAddr>, timeout_ms: f64) -> Self {
         QuotaCounter {
             addr: Cell::new(addr),
-            limit: duration_from_ms(limit_ms),
-            connections: Rc::default(),
+            call_timeout: duration_from_ms(timeout_ms),
+            budget: ConnectionBudget::new(MAX_CONNECTIONS),
             idle: RefCell::default(),
         }
     }
 
-    /// Calls go to this address from now on; those that are out end where they are.
-    pub(crate) fn move_to(&self, addr: Option<SocketAddr>) {
+    /// Calls go to this address from now on; those in flight end where they are.
+    pub(crate) fn set_addr(&self, addr: Option<SocketAddr>) {
         if self.addr.replace(addr) != addr {
             self.idle.borrow_mut().clear();
         }
     }
 
-    /// Closes connections that have stood idle for long.
-    pub(crate) fn reap(&self) {
-        self.idle.borrow_mut().retain_mut(|i| i.since.elapsed() < IDLE && i.link.is_usable());
+    /// Closes connections that have been idle for long or that the counter has closed.
+    pub(crate) fn close_stale_connections(&self) {
+        self.idle.borrow_mut().retain_mut(IdleConnection::is_fresh);
     }
 
-    /// Adds an amount to a named number.
-    pub(crate) async fn call(&self, name: u64, amount: f64, ttl_ms: f64) -> CounterOutcome {
-        let until = Instant::now() + self.limit;
+    /// Adds `amount` to the total of this name, which the counter forgets `ttl_ms` later.
+    pub(crate) async fn add(&self, name: u64, amount: f64, ttl_ms: f64) -> CounterOutcome {
+        let deadline = Instant::now() + self.call_timeout;
         let Some(addr) = self.addr.get() else { return CounterOutcome::Rejected };
         let path = format!("/counters/{name:016x}?by={amount:.6}&expire_ms={}", ttl_ms.max(1.0) as u64);
         let request = Request::post(path).header(HOST, addr.to_string()).body(Full::new(Bytes::new()));
         let Ok(request) = request else { return CounterOutcome::Rejected };
-        let Some((mut link, place)) = self.link(addr, until).await else { return CounterOutcome::Rejected };
-        let written = link.written();
-        let answer = timeout_at(until, link.exchange(request, MAX_BODY_BYTES)).await;
-        let Ok(Ok(answer)) = answer else {
+        let Some(mut pooled) = self.acquire(addr, deadline).await else { return CounterOutcome::Rejected };
+        let write_status = pooled.connection.write_status();
+        let response = timeout_at(deadline, pooled.connection.exchange(request, MAX_BODY_BYTES)).await;
+        let Ok(Ok(response)) = response else {
             // What was written, if only in part, may have been added, or may yet be.
-            return if written.any() { CounterOutcome::Unanswered } else { CounterOutcome::Rejected };
-        };
-        let total = std::str::from_utf8(answer.body()).ok().and_then(|t| t.trim().parse::<f64>().ok());
-        let outcome = match (answer.status(), total.filter(|t| t.is_finite())) {
-            (StatusCode::OK, Some(total)) => CounterOutcome::Total(total),
-            // Added, and nobody knows to what; the connection is of no further use.
-            (StatusCode::OK, None) => return CounterOutcome::Unanswered,
-            (StatusCode::SERVICE_UNAVAILABLE | StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND, _) => {
-                CounterOutcome::Rejected
-            }
-            _ => return CounterOutcome::Unanswered,
+            let written = write_status.any_written();
+            return if written { CounterOutcome::Unanswered } else { CounterOutcome::Rejected };
         };
-        if self.addr.get() == Some(addr) && link.is_usable() {
-            self.idle.borrow_mut().push(Idle { link, place, since: Instant::now() });
+        let outcome = outcome_of(&response);
+        // A connection that brought what cannot be understood is of no further use.
+        if !matches!(outcome, CounterOutcome::Unanswered) {
+            self.release(addr, pooled);
         }
         outcome
     }
 
-    /// A connection with no call on it; none where there is none in time.
-    async fn link(&self, addr: SocketAddr, until: Instant) -> Option<(HttpConnection, Place)> {
+    /// A connection with no call on it; none where none comes up in time or too many are open.
+    async fn acquire(&self, addr: SocketAddr, deadline: Instant) -> Option<PooledConnection> {
         while let Some(mut idle) = { self.idle.borrow_mut().pop() } {
-            if idle.since.elapsed() < IDLE && idle.link.is_usable() {
-                return Some((idle.link, idle.place));
+            if idle.is_fresh() {
+                return Some(idle.pooled);
             }
         }
-        if self.connections.get() >= MAX_CONNECTIONS {
-            return None;
+        let permit = self.budget.try_acquire()?;
+        let connection = timeout_at(deadline, HttpConnection::connect(addr)).await.ok()?.ok()?;
+        Some(PooledConnection::new(connection, permit))
+    }
+
+    fn release(&self, addr: SocketAddr, mut pooled: PooledConnection) {
+        if self.addr.get() == Some(addr) && pooled.connection.is_usable() {
+            self.idle.borrow_mut().push(IdleConnection { pooled, since: Instant::now() });
+        }
+    }
+}
+
+fn outcome_of(response: &Response<Bytes>) -> CounterOutcome {
+    let text = std::str::from_utf8(response.body()).ok();
+    let total = text.and_then(|text| text.trim().parse::<f64>().ok()).filter(|total| total.is_finite());
+    match (response.status(), total) {
+        (StatusCode::OK, Some(total)) => CounterOutcome::Total(total),
+        // Added, but the total is unknown.
+        (StatusCode::OK, None) => CounterOutcome::Unanswered,
+        (StatusCode::SERVICE_UNAVAILABLE | StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND, _) => {
+            CounterOutcome::Rejected
         }
-        self.connections.set(self.connections.get() + 1);
-        let place = Place(self.connections.clone());
-        let link = timeout_at(until, HttpConnection::connect(addr)).await.ok()?.ok()?;
-        Some((link, place))
+        _ => CounterOutcome::Unanswered,
     }
 }
--- /dev/null
+++ b/crates/gateway/src/upstream/attempt.rs
@@ -0,0 +1,129 @@
+//! One attempt at a request: a connection, the exchange on it, and what became of it.
+use super::pool::UpstreamPool;
+use super::request::UpstreamRequest;
+use super::MAX_BODY_BYTES;
+use crate::connection_budget::PooledConnection;
+use crate::http_connection::{ExchangeError, WriteStatus};
+use bytes::Bytes;
+use hyper::{Response, StatusCode};
+use irishinge_admission::{EndpointId, Outcome};
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use tokio::time::{timeout_at, Instant};
+
+/// How an attempt ended.
+pub(crate) struct AttemptResult {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The endpoint's whole response, where there is one.
+    pub response: Option<Response<Bytes>>,
+}
+
+impl AttemptResult {
+    /// An end that brought no response.
+    pub(crate) fn without_response(outcome: Outcome) -> Self {
+        AttemptResult { outcome, response: None }
+    }
+
+    /// The true units (`X-Settled`), where the response states them.
+    pub(crate) fn true_units(&self) -> Option<f64> {
+        let text = self.header("x-settled")?;
+        text.trim().parse().ok().filter(|units: &f64| units.is_finite() && *units > 0.0)
+    }
+
+    /// The endpoint's load report (`X-Load-Report`), where the response carries one.
+    pub(crate) fn load(&self) -> Vec<(String, f64)> {
+        let report = self.header("x-load-report").map(serde_json::from_str::<BTreeMap<String, f64>>);
+        report.and_then(Result::ok).into_iter().flatten().collect()
+    }
+
+    fn header(&self, name: &str) -> Option<&str> {
+        let mut values = self.response.as_ref()?.headers().get_all(name).iter();
+        // A header that is repeated is ambiguous and ignored.
+        values.next().filter(|_| values.next().is_none())?.to_str().ok()
+    }
+}
+
+impl UpstreamPool {
+    /// Makes one attempt, until `deadline` at the latest. When its connection is up, `is_wanted` is asked whether the
+    /// request is still to be sent. Dropping the future closes the connection.
+    pub(crate) async fn attempt(
+        &self,
+        endpoint: EndpointId,
+        request: &UpstreamRequest,
+        deadline: Instant,
+        is_wanted: impl Fn() -> bool,
+    ) -> AttemptResult {
+        let write_status = Cell::new(None);
+        let attempt = self.attempt_without_timeout(endpoint, request, deadline, is_wanted, &write_status);
+        match timeout_at(deadline, attempt).await {
+            Ok(result) => result,
+            Err(_) => {
+                let written = write_status.take().is_some_and(|status: WriteStatus| status.any_written());
+                let outcome = if written { Outcome::TimedOut } else { Outcome::ConnectFailed };
+                AttemptResult::without_response(outcome)
+            }
+        }
+    }
+
+    async fn attempt_without_timeout(
+        &self,
+        endpoint: EndpointId,
+        request: &UpstreamRequest,
+        deadline: Instant,
+        is_wanted: impl Fn() -> bool,
+        write_status: &Cell<Option<WriteStatus>>,
+    ) -> AttemptResult {
+        let never_sent = || AttemptResult::without_response(Outcome::ConnectFailed);
+        let Some(addr) = self.ready_addr(endpoint) else { return never_sent() };
+        let Some(mut pooled) = self.acquire(endpoint, addr).await else { return never_sent() };
+        if let Some(outcome) = self.reason_not_to_send(endpoint, addr, is_wanted) {
+            self.release(endpoint, addr, pooled);
+            return AttemptResult::without_response(outcome);
+        }
+        write_status.set(Some(pooled.connection.write_status()));
+        match pooled.connection.exchange(request.to_http(deadline), MAX_BODY_BYTES).await {
+            Ok(response) => {
+                self.release(endpoint, addr, pooled);
+                AttemptResult { outcome: outcome_of(&response), response: Some(response) }
+            }
+            Err(error) => AttemptResult::without_response(outcome_of_failure(&pooled, &error)),
+        }
+    }
+
+    /// The list may have changed while the connection came up: nothing new goes to an endpoint that drains. And the
+    /// client may have left, or have its response from another endpoint, where attempts may not be cancelled.
+    fn reason_not_to_send(
+        &self,
+        endpoint: EndpointId,
+        addr: SocketAddr,
+        is_wanted: impl Fn() -> bool,
+    ) -> Option<Outcome> {
+        if self.is_lease_expired() {
+            return Some(Outcome::TooLate);
+        }
+        let wanted = self.ready_addr(endpoint) == Some(addr) && is_wanted();
+        (!wanted).then_some(Outcome::ConnectFailed)
+    }
+}
+
+fn outcome_of(response: &Response<Bytes>) -> Outcome {
+    let rejected = response.headers().get("x-rejected").is_some_and(|value| value == "1");
+    match response.status() {
+        StatusCode::OK => Outcome::Ok,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Overloaded,
+        _ => Outcome::Error,
+    }
+}
+
+fn outcome_of_failure(pooled: &PooledConnection, error: &ExchangeError) -> Outcome {
+    if !pooled.connection.write_status().any_written() {
+        return Outcome::ConnectFailed;
+    }
+    match error {
+        ExchangeError::ConnectionLost => Outcome::Reset,
+        // The endpoint is up and has responded, if with nothing that can be read.
+        ExchangeError::InvalidResponse => Outcome::Error,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/upstream/pool.rs
@@ -0,0 +1,174 @@
+//! The endpoints' addresses and states, and the idle connections to them.
+use super::reuse_delay::ReuseDelay;
+use crate::clock::duration_from_ms;
+use crate::connection_budget::{ConnectionBudget, ConnectionPermit, PooledConnection};
+use crate::discovery::DiscoveredEndpoint;
+use crate::http_connection::HttpConnection;
+use irishinge_admission::{EndpointId, EndpointState, ListKind};
+use irishinge_settings::SocketSettings;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::{timeout, Instant};
+
+/// An idle connection is closed after this part of the time after which its endpoint would close it: a request that
+/// crosses the endpoint's closing ends as a reset, and may have been processed. Closing sooner costs a large fleet a
+/// handshake each time: its gateways come to an endpoint once in seconds.
+const IDLE_TIMEOUT_FRACTION: f64 = 0.8;
+/// How often idle connections are checked.
+pub(crate) const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(1000);
+
+struct IdleConnection {
+    pooled: PooledConnection,
+    since: Instant,
+}
+
+struct Endpoint {
+    addr: SocketAddr,
+    state: EndpointState,
+    /// The most recently used last.
+    idle: Vec<IdleConnection>,
+}
+
+/// The endpoints that this gateway knows, and its idle connections to them.
+pub(crate) struct UpstreamPool {
+    endpoints: RefCell<HashMap<EndpointId, Endpoint>>,
+    /// Nothing is sent by the list from then on; none before its lease is known.
+    lease_end: Cell<Option<Instant>>,
+    budget: ConnectionBudget,
+    connect_timeout: Duration,
+    idle_timeout: Duration,
+    pub(super) reuse_delay: ReuseDelay,
+}
+
+impl UpstreamPool {
+    /// No endpoints yet; `max_connections` bounds the connections to all of them.
+    pub(crate) fn new(settings: &SocketSettings, max_connections: usize) -> Self {
+        UpstreamPool {
+            endpoints: RefCell::default(),
+            lease_end: Cell::default(),
+            budget: ConnectionBudget::new(max_connections),
+            connect_timeout: duration_from_ms(settings.connect_timeout_ms),
+            idle_timeout: duration_from_ms(settings.conn_idle_ms * IDLE_TIMEOUT_FRACTION),
+            reuse_delay: ReuseDelay::default(),
+        }
+    }
+
+    /// Whether any endpoint takes requests.
+    pub(crate) fn has_ready_endpoint(&self) -> bool {
+        self.endpoints.borrow().values().any(|endpoint| endpoint.state == EndpointState::Ready)
+    }
+
+    /// Applies an endpoint list. Idle connections to endpoints that take no more requests are closed.
+    pub(crate) fn apply_list(&self, kind: ListKind, discovered: &[DiscoveredEndpoint]) {
+        let mut endpoints = self.endpoints.borrow_mut();
+        if kind != ListKind::Changes {
+            endpoints.retain(|id, _| discovered.iter().any(|d| d.entry.id == *id));
+        }
+        for DiscoveredEndpoint { entry, addr } in discovered {
+            if entry.state == EndpointState::Gone {
+                endpoints.remove(&entry.id);
+                continue;
+            }
+            let endpoint = endpoints.entry(entry.id).or_insert_with(|| Endpoint {
+                addr: *addr,
+                state: entry.state,
+                idle: Vec::new(),
+            });
+            if entry.state != EndpointState::Ready || endpoint.addr != *addr {
+                endpoint.idle.clear();
+            }
+            endpoint.addr = *addr;
+            endpoint.state = entry.state;
+        }
+    }
+
+    /// The list may be used until then.
+    pub(crate) fn set_lease_end(&self, until: Instant) {
+        self.lease_end.set(Some(until));
+    }
+
+    pub(super) fn is_lease_expired(&self) -> bool {
+        self.lease_end.get().is_some_and(|until| Instant::now() >= until)
+    }
+
+    /// Closes the idle connections to an endpoint.
+    pub(crate) fn close_idle(&self, endpoint: EndpointId) {
+        if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(&endpoint) {
+            endpoint.idle.clear();
+        }
+    }
+
+    /// Closes idle connections that have grown old or that their endpoint has closed.
+    pub(crate) fn close_stale_connections(&self) {
+        for endpoint in self.endpoints.borrow_mut().values_mut() {
+            endpoint.idle.retain_mut(|idle| self.is_fresh(idle));
+        }
+    }
+
+    /// The address of an endpoint that takes requests.
+    pub(super) fn ready_addr(&self, endpoint: EndpointId) -> Option<SocketAddr> {
+        let endpoints = self.endpoints.borrow();
+        endpoints.get(&endpoint).filter(|e| e.state == EndpointState::Ready).map(|e| e.addr)
+    }
+
+    /// A connection to an endpoint: an idle one, else a new one. None where it does not come up in time, or where as
+    /// many connections as allowed are in use.
+    pub(super) async fn acquire(&self, endpoint: EndpointId, addr: SocketAddr) -> Option<PooledConnection> {
+        if let Some(pooled) = self.take_idle(endpoint) {
+            return Some(pooled);
+        }
+        let permit = self.acquire_permit()?;
+        let connection = timeout(self.connect_timeout, HttpConnection::connect(addr)).await.ok()?.ok()?;
+        Some(PooledConnection::new(connection, permit))
+    }
+
+    /// The most recently used connection that may be reused.
+    fn take_idle(&self, endpoint: EndpointId) -> Option<PooledConnection> {
+        let mut endpoints = self.endpoints.borrow_mut();
+        let endpoint = endpoints.get_mut(&endpoint)?;
+        loop {
+            let reusable = |idle: &IdleConnection| self.reuse_delay.allows_reuse(idle.since, Instant::now());
+            let position = endpoint.idle.iter().rposition(reusable)?;
+            let mut idle = endpoint.idle.remove(position);
+            if self.is_fresh(&mut idle) {
+                return Some(idle.pooled);
+            }
+        }
+    }
+
+    fn is_fresh(&self, idle: &mut IdleConnection) -> bool {
+        idle.since.elapsed() < self.idle_timeout && self.is_usable(&mut idle.pooled.connection)
+    }
+
+    /// Whether a connection may carry another request, now or after the reuse delay.
+    pub(super) fn is_usable(&self, connection: &mut HttpConnection) -> bool {
+        let usable = connection.is_usable();
+        if connection.received_surplus() {
+            self.reuse_delay.begin(Instant::now());
+        }
+        usable
+    }
+
+    /// Keeps a connection with nothing on it for the next request, where its endpoint takes any.
+    pub(super) fn release(&self, endpoint: EndpointId, addr: SocketAddr, mut pooled: PooledConnection) {
+        if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(&endpoint) {
+            let accepts = endpoint.state == EndpointState::Ready && endpoint.addr == addr;
+            if accepts && self.is_usable(&mut pooled.connection) {
+                endpoint.idle.push(IdleConnection { pooled, since: Instant::now() });
+            }
+        }
+    }
+
+    /// The permit for one more connection. Where all are in use, the longest idle connection is closed.
+    fn acquire_permit(&self) -> Option<ConnectionPermit> {
+        if self.budget.is_exhausted() {
+            let mut endpoints = self.endpoints.borrow_mut();
+            let with_idle = endpoints.values_mut().filter(|endpoint| !endpoint.idle.is_empty());
+            let oldest = with_idle.min_by_key(|endpoint| endpoint.idle[0].since)?;
+            oldest.idle.remove(0);
+        }
+        self.budget.try_acquire()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/upstream/request.rs
@@ -0,0 +1,47 @@
+//! A client's request as it goes on to endpoints.
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HeaderValue, CONTENT_TYPE, HOST};
+use hyper::{Method, Request, Uri};
+use tokio::time::Instant;
+
+/// What of a client's request goes on to an endpoint.
+pub(crate) struct UpstreamRequest {
+    /// The method.
+    pub method: Method,
+    /// Path and query, unchanged.
+    pub uri: Uri,
+    /// `Host`, as the client gave it.
+    pub host: HeaderValue,
+    /// `X-Call-Id`, unchanged.
+    pub call_id: HeaderValue,
+    /// `Idempotency-Key`, unchanged.
+    pub idempotency_key: Option<HeaderValue>,
+    /// The body's type.
+    pub content_type: Option<HeaderValue>,
+    /// The body, unchanged.
+    pub body: Bytes,
+}
+
+impl UpstreamRequest {
+    /// The request of one attempt, whose `X-Budget` says how long is left until `deadline`.
+    pub(super) fn to_http(&self, deadline: Instant) -> Request<Full<Bytes>> {
+        let seconds_left = deadline.saturating_duration_since(Instant::now()).as_secs_f64();
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let headers = request.headers_mut();
+        headers.insert(HOST, self.host.clone());
+        headers.insert("x-call-id", self.call_id.clone());
+        if let Some(key) = &self.idempotency_key {
+            headers.insert("idempotency-key", key.clone());
+        }
+        if let Some(content_type) = &self.content_type {
+            headers.insert(CONTENT_TYPE, content_type.clone());
+        }
+        if let Ok(budget) = HeaderValue::from_str(&format!("{seconds_left:.3}")) {
+            headers.insert("x-budget", budget);
+        }
+        request
+    }
+}
--- a/crates/gateway/src/upstream/tests.rs
+++ b/crates/gateway/src/upstream/tests.rs
@@ -1,9 +1,19 @@
+use super::reuse_delay::{ReuseDelay, DELAY_PERIOD, REUSE_DELAY};
 use super::*;
+use crate::discovery::DiscoveredEndpoint;
+use crate::http_connection::HttpConnection;
+use bytes::Bytes;
+use hyper::header::HeaderValue;
+use hyper::{Method, Uri};
 use irishinge_admission::EndpointEntry;
+use irishinge_admission::{EndpointId, EndpointState, ListKind, Outcome};
+use irishinge_settings::SocketSettings;
 use std::io::{Read, Write};
+use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
-fn hosts() -> UpstreamPool {
+fn pool() -> UpstreamPool {
     let settings = SocketSettings {
         conn_idle_ms: 60_000.0,
         connect_timeout_ms: 60_000.0,
@@ -17,41 +27,41 @@
 
 #[test]
 fn once_more_came_than_an_answer_connections_rest_for_a_while_and_else_they_do_not() {
-    let (wary, now) = (ReuseDelay::default(), Instant::now());
-    assert!(wary.rested(now, now), "nothing has happened");
-    wary.begin(now);
+    let (reuse_delay, now) = (ReuseDelay::default(), Instant::now());
+    assert!(reuse_delay.allows_reuse(now, now), "nothing has happened");
+    reuse_delay.begin(now);
     let answered = now + Duration::from_secs(1);
-    assert!(!wary.rested(answered, answered));
-    assert!(!wary.rested(answered, answered + REST / 2));
-    assert!(wary.rested(answered, answered + REST));
-    let later = now + WARY;
-    assert!(wary.rested(later, later), "it is over");
+    assert!(!reuse_delay.allows_reuse(answered, answered));
+    assert!(!reuse_delay.allows_reuse(answered, answered + REUSE_DELAY / 2));
+    assert!(reuse_delay.allows_reuse(answered, answered + REUSE_DELAY));
+    let later = now + DELAY_PERIOD;
+    assert!(reuse_delay.allows_reuse(later, later), "it is over");
 }
 
 /// The second copy is there when the connection is put by, or comes when it lies there, or is no answer at all.
 #[tokio::test]
 async fn more_than_an_answer_makes_wary_whenever_it_comes() {
     for more in [false, true] {
-        let hosts = hosts();
+        let pool = pool();
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("bound");
         let (link, accepted) = tokio::join!(HttpConnection::connect(addr), listener.accept());
         let (mut link, (far, _)) = (link.expect("a connection"), accepted.expect("a connection"));
         let mut far = far.into_std().expect("a socket");
         far.set_nonblocking(false).expect("a socket");
-        assert!(hosts.is_usable(&mut link));
+        assert!(pool.is_usable(&mut link));
         if more {
             far.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("written");
         }
         // The close comes behind it: once seen, all has come.
         far.shutdown(std::net::Shutdown::Write).expect("a close");
-        while hosts.is_usable(&mut link) {
+        while pool.is_usable(&mut link) {
             tokio::task::yield_now().await;
         }
         drop(link);
         assert!(matches!(far.read(&mut [0; 16]), Ok(0) | Err(_)));
         let now = Instant::now();
-        assert_eq!(hosts.wary.rested(now, now), !more);
+        assert_eq!(pool.reuse_delay.allows_reuse(now, now), !more);
     }
 }
 
@@ -60,12 +70,12 @@
 #[tokio::test]
 async fn nothing_is_sent_by_a_list_that_has_expired() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let (hosts, addr, id) = (hosts(), listener.local_addr().expect("bound"), EndpointId(1));
+    let (pool, addr, id) = (pool(), listener.local_addr().expect("bound"), EndpointId(1));
     let state = EndpointState::Ready;
     let entry = EndpointEntry { id, zone: 0, kind: 0, cell: 0, state, started_at_ms: None };
-    hosts.on_list(ListKind::Whole, &[DiscoveredEndpoint { entry, addr }]);
+    pool.apply_list(ListKind::Whole, &[DiscoveredEndpoint { entry, addr }]);
     let value = || HeaderValue::from_static("a");
-    let call = UpstreamRequest {
+    let request = UpstreamRequest {
         method: Method::GET,
         uri: Uri::from_static("/"),
         host: value(),
@@ -77,19 +87,19 @@
     let until = Instant::now() + Duration::from_secs(60);
     // It expires once the attempt has begun, whose connection is then kept for the next.
     for pooled in [false, true] {
-        hosts.list_holds(until);
-        let attempt = hosts.attempt(id, &call, until, || true);
-        hosts.list_holds(Instant::now());
+        pool.set_lease_end(until);
+        let attempt = pool.attempt(id, &request, until, || true);
+        pool.set_lease_end(Instant::now());
         assert_eq!(attempt.await.outcome, Outcome::TooLate, "pooled: {pooled}");
     }
     let (far, _) = listener.accept().await.expect("a connection");
-    hosts.close_idle(id);
+    pool.close_idle(id);
     let mut far = far.into_std().expect("a socket");
     far.set_nonblocking(false).expect("a socket");
     assert!(matches!(far.read(&mut [0; 16]), Ok(0)), "nothing was written");
     // With a list that holds the same attempt is sent.
-    hosts.list_holds(until);
-    let (attempt, answered) = tokio::join!(hosts.attempt(id, &call, until, || true), async {
+    pool.set_lease_end(until);
+    let (attempt, answered) = tokio::join!(pool.attempt(id, &request, until, || true), async {
         let (far, _) = listener.accept().await?;
         // It may be called readable before it is.
         while far.try_read(&mut [0; 4096]).is_err() {
