Split the dispatcher into calls, timers and actions, and name what peers send and receive

One file of 430 lines held the requests in work, the timers and the execution of every action, with parameters of six figures passed from function to function. dispatcher/ is now active_call (Responder, Attempt, ActiveCall, EndedAttempt), timers (TimerQueue) and actions; a bool that said whether the timer task must wake is the enum Rearm. The dispatcher no longer hands out its pool and counter. peers.rs sends, receives and limits its rate under those names. The order of events, actions and socket operations is as before.

--- /dev/null
+++ b/crates/gateway/src/dispatcher/actions.rs
@@ -0,0 +1,105 @@
+//! Carries out what the decision library asks for.
+use super::active_call::{Attempt, EndedAttempt, FinalResponse};
+use super::timers::Due;
+use super::{Dispatcher, State};
+use crate::logging::target;
+use irishinge_admission::{Action, EndpointId, Event, Outcome, RequestId};
+use std::rc::Rc;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+
+impl Dispatcher {
+    /// Carries out one action. Events that it brings about at once are queued in `state`.
+    pub(super) fn carry_out(self: &Rc<Self>, state: &mut State, action: Action) {
+        match action {
+            Action::Send { request, endpoint, timeout_ms } => self.send(state, request, endpoint, timeout_ms),
+            Action::Reject { request, retry_after_ms } => {
+                respond(state, request, FinalResponse::Rejected { retry_after_ms });
+            }
+            Action::Fail { request } => respond(state, request, FinalResponse::Failed),
+            Action::Cancel { request, attempt } => cancel(state, request, attempt as usize),
+            Action::SetTimer { at_ms, token } => {
+                self.schedule(state, self.clock.instant(at_ms), Due::Timer(token));
+            }
+            Action::SendPeerMessage { to, body } => self.peers.send(to, &body),
+            Action::CloseIdle { endpoint } => self.upstream.close_idle(endpoint),
+            Action::Log { line } => tracing::warn!(target: target::DISPATCHER, "{line}"),
+            Action::Probe { endpoint } => refuse_probe(state, endpoint),
+            Action::AddToCounter { name, amount, ttl_ms } => self.add_to_counter(name, amount, ttl_ms),
+            // The list is always watched, so there is nothing to start or to fetch.
+            Action::Subscribe { .. } | Action::FetchList => {}
+        }
+    }
+
+    fn send(self: &Rc<Self>, state: &mut State, request: RequestId, endpoint: EndpointId, timeout_ms: f64) {
+        let Some(call) = state.calls.get_mut(&request) else {
+            return tracing::error!(
+                target: target::DISPATCHER,
+                request = %format_args!("{:016x}", request.0),
+                endpoint = %format_args!("{:016x}", endpoint.0),
+                "attempt asked for after the request was over"
+            );
+        };
+        let index = call.next_attempt_index();
+        if !call.awaits_response() {
+            call.push_attempt(None);
+            let ended = EndedAttempt { request, index, endpoint, took_ms: 0.0, request_answered: true };
+            return state.events.push_back(ended.into_event_without_response(Outcome::TooLate));
+        }
+        let sent_at = Instant::now();
+        let deadline = call.attempt_deadline(sent_at, timeout_ms);
+        let (dispatcher, upstream_request) = (self.clone(), call.request.clone());
+        let task = spawn_local(async move {
+            let is_wanted = || dispatcher.awaits_response(request);
+            let result = dispatcher.upstream.attempt(endpoint, &upstream_request, deadline, is_wanted).await;
+            dispatcher.on_attempt_end(request, index, result);
+        });
+        call.push_attempt(Some(Attempt { endpoint, sent_at, task: task.abort_handle() }));
+    }
+
+    fn add_to_counter(self: &Rc<Self>, name: u64, amount: f64, ttl_ms: f64) {
+        let (dispatcher, called_at) = (self.clone(), Instant::now());
+        spawn_local(async move {
+            let outcome = dispatcher.quota_counter.add(name, amount, ttl_ms).await;
+            let took_ms = called_at.elapsed().as_secs_f64() * 1000.0;
+            dispatcher.on_event(Event::CounterReply { name, outcome, took_ms });
+        });
+    }
+}
+
+/// Gives a request its final response, unless it has one.
+fn respond(state: &mut State, request: RequestId, response: FinalResponse) {
+    let Some(call) = state.calls.get_mut(&request) else { return };
+    if let Some(responder) = call.take_responder() {
+        responder.respond(response);
+    }
+    if call.is_over() {
+        state.calls.remove(&request);
+    }
+}
+
+/// Ends an attempt in flight.
+fn cancel(state: &mut State, request: RequestId, index: usize) {
+    let Some(call) = state.calls.get_mut(&request) else { return };
+    let Some(attempt) = call.take_attempt(index) else { return };
+    attempt.task.abort();
+    let ended = EndedAttempt {
+        request,
+        index,
+        endpoint: attempt.endpoint,
+        took_ms: attempt.elapsed_ms(),
+        request_answered: !call.awaits_response(),
+    };
+    state.events.push_back(ended.into_event_without_response(Outcome::Cancelled));
+}
+
+/// The decision library asks for no probes today. Should it, it learns that this one led to nothing.
+fn refuse_probe(state: &mut State, endpoint: EndpointId) {
+    tracing::error!(
+        target: target::DISPATCHER,
+        endpoint = %format_args!("{:016x}", endpoint.0),
+        "probe asked for, which this gateway does not make"
+    );
+    let outcome = Outcome::TooLate;
+    state.events.push_back(Event::ProbeDone { endpoint, outcome, took_ms: 0.0, load: Vec::new() });
+}
--- /dev/null
+++ b/crates/gateway/src/dispatcher/mod.rs
@@ -0,0 +1,223 @@
+//! The only owner of the decision library. The dispatcher feeds it events with a clock, carries out its actions in
+//! order, and holds the requests in work, their attempts and the right to answer them.
+mod actions;
+mod active_call;
+mod timers;
+
+pub(crate) use self::active_call::FinalResponse;
+use self::active_call::{ActiveCall, EndedAttempt};
+use self::timers::{Due, Rearm, TimerQueue};
+use crate::clock::{duration_from_ms, Clock};
+use crate::discovery::{EndpointList, EndpointListObserver};
+use crate::peers::{PeerMessageHandler, Peers};
+use crate::quota_counter::QuotaCounter;
+use crate::upstream::{AttemptResult, UpstreamPool, UpstreamRequest};
+use irishinge_admission::{Event, Gateway, ListKind, Outcome, Request, RequestId};
+use irishinge_settings::Names;
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::{oneshot, Notify};
+use tokio::time::Instant;
+
+/// So long before a client's time runs out the dispatcher itself answers. The decision library answers sooner; this
+/// guards the rule that no request is lost, whatever the library does.
+const RESPONSE_GUARD_MS: f64 = 5.0;
+
+/// What changes with events.
+struct State {
+    gateway: Gateway,
+    events: VecDeque<Event>,
+    calls: HashMap<RequestId, ActiveCall>,
+    timers: TimerQueue,
+}
+
+/// Dispatches requests to endpoints as the decision library says; all of it on one thread.
+pub(crate) struct Dispatcher {
+    state: RefCell<State>,
+    /// Wakes the timer task.
+    rearm: Notify,
+    clock: Clock,
+    names: Names,
+    upstream: UpstreamPool,
+    peers: Rc<Peers>,
+    quota_counter: QuotaCounter,
+}
+
+impl Dispatcher {
+    /// A dispatcher that has received nothing yet.
+    pub(crate) fn new(
+        gateway: Gateway,
+        clock: Clock,
+        names: Names,
+        upstream: UpstreamPool,
+        peers: Rc<Peers>,
+        quota_counter: QuotaCounter,
+    ) -> Rc<Self> {
+        let state =
+            State { gateway, events: VecDeque::new(), calls: HashMap::new(), timers: TimerQueue::default() };
+        Rc::new(Dispatcher {
+            state: RefCell::new(state),
+            rearm: Notify::new(),
+            clock,
+            names,
+            upstream,
+            peers,
+            quota_counter,
+        })
+    }
+
+    /// The names of classes and plans.
+    pub(crate) fn names(&self) -> &Names {
+        &self.names
+    }
+
+    /// Whether any endpoint takes requests.
+    pub(crate) fn has_ready_endpoint(&self) -> bool {
+        self.upstream.has_ready_endpoint()
+    }
+
+    /// The quota counter is at this address from now on.
+    pub(crate) fn set_quota_counter_addr(&self, addr: Option<SocketAddr>) {
+        self.quota_counter.set_addr(addr);
+    }
+
+    /// Closes idle connections that have grown old or that their far end has closed.
+    pub(crate) fn close_stale_connections(&self) {
+        self.upstream.close_stale_connections();
+        self.quota_counter.close_stale_connections();
+    }
+
+    /// Takes a request in, and returns where its final response will arrive. None where a request of its id is still
+    /// in work: the client is owed one response, and sending the same request twice could have its effect twice.
+    pub(crate) fn on_request(
+        self: &Rc<Self>,
+        request: Request,
+        upstream_request: UpstreamRequest,
+    ) -> Option<oneshot::Receiver<FinalResponse>> {
+        let (sender, receiver) = oneshot::channel();
+        {
+            let mut state = self.state.borrow_mut();
+            if state.calls.contains_key(&request.id) {
+                return None;
+            }
+            let deadline = Instant::now() + duration_from_ms(request.time_left_ms);
+            let guard = Instant::now() + duration_from_ms(request.time_left_ms - RESPONSE_GUARD_MS);
+            state.calls.insert(request.id, ActiveCall::new(sender, upstream_request, deadline));
+            self.schedule(&mut state, guard, Due::ResponseGuard(request.id));
+        }
+        self.on_event(Event::Request(request));
+        Some(receiver)
+    }
+
+    /// The client has gone; nothing happens where its request has been answered.
+    pub(crate) fn on_client_gone(self: &Rc<Self>, request: RequestId) {
+        let responder = self.state.borrow_mut().calls.get_mut(&request).and_then(ActiveCall::take_responder);
+        if responder.is_some() {
+            self.on_event(Event::ClientGone { request });
+            self.forget_if_over(request);
+        }
+    }
+
+    /// Gives every request that is still open its final response: the process is about to end.
+    pub(crate) fn answer_all(self: &Rc<Self>) {
+        let open: Vec<RequestId> = self.state.borrow().calls.keys().copied().collect();
+        open.into_iter().for_each(|request| self.give_up(request));
+    }
+
+    /// Whether a request still waits for its response.
+    fn awaits_response(&self, request: RequestId) -> bool {
+        self.state.borrow().calls.get(&request).is_some_and(ActiveCall::awaits_response)
+    }
+
+    fn schedule(&self, state: &mut State, at: Instant, due: Due) {
+        if state.timers.push(at, due) == Rearm::Needed {
+            self.rearm.notify_one();
+        }
+    }
+
+    /// The final guard: answers a request that nobody has answered. It is rejected only if nothing was sent.
+    fn give_up(self: &Rc<Self>, request: RequestId) {
+        let (responder, was_attempted) = {
+            let mut state = self.state.borrow_mut();
+            let Some(call) = state.calls.get_mut(&request) else { return };
+            let Some(responder) = call.take_responder() else { return };
+            (responder, call.was_attempted())
+        };
+        responder.respond(match was_attempted {
+            true => FinalResponse::Failed,
+            false => FinalResponse::Rejected { retry_after_ms: None },
+        });
+        self.on_event(Event::ClientGone { request });
+        self.forget_if_over(request);
+    }
+
+    fn on_attempt_end(self: &Rc<Self>, request: RequestId, index: usize, result: AttemptResult) {
+        let event = {
+            let mut state = self.state.borrow_mut();
+            let Some(call) = state.calls.get_mut(&request) else { return };
+            let Some(attempt) = call.take_attempt(index) else { return };
+            let ended = EndedAttempt {
+                request,
+                index,
+                endpoint: attempt.endpoint,
+                took_ms: attempt.elapsed_ms(),
+                request_answered: result.outcome == Outcome::Ok || !call.awaits_response(),
+            };
+            let event = ended.into_event(&result);
+            if let (Outcome::Ok, Some(response)) = (result.outcome, result.response) {
+                if let Some(responder) = call.take_responder() {
+                    responder.respond(FinalResponse::Served(response));
+                }
+            }
+            event
+        };
+        self.on_event(event);
+        self.forget_if_over(request);
+    }
+
+    /// Drops what is kept of a request once it is answered and has no attempt in flight.
+    fn forget_if_over(&self, request: RequestId) {
+        let mut state = self.state.borrow_mut();
+        if state.calls.get(&request).is_some_and(ActiveCall::is_over) {
+            state.calls.remove(&request);
+        }
+    }
+
+    /// Delivers an event to the decision library, and those that carrying out its actions brings about.
+    fn on_event(self: &Rc<Self>, event: Event) {
+        let mut state = self.state.borrow_mut();
+        let mut actions = Vec::new();
+        state.events.push_back(event);
+        while let Some(event) = state.events.pop_front() {
+            state.gateway.on_event(self.clock.now_ms(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(&mut state, action);
+            }
+        }
+    }
+}
+
+impl EndpointListObserver for Rc<Dispatcher> {
+    fn list_received(&self, kind: ListKind, list: EndpointList) {
+        let endpoints = list.endpoints(&self.names, self.clock.now_ms());
+        self.upstream.apply_list(kind, &endpoints);
+        let entries = endpoints.into_iter().map(|endpoint| endpoint.entry).collect();
+        self.on_event(Event::EndpointList { kind, entries });
+    }
+
+    fn lease_updated(&self, until: Instant) {
+        self.upstream.set_lease_end(until);
+    }
+
+    fn lease_expired(&self) {
+        self.on_event(Event::EndpointList { kind: ListKind::Expired, entries: Vec::new() });
+    }
+}
+
+impl PeerMessageHandler for Rc<Dispatcher> {
+    fn on_peer_message(&self, from: usize, body: String) {
+        self.on_event(Event::PeerMessage { from, body });
+    }
+}
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -109,7 +109,7 @@
     spawn_local(reload(hangup, discovery, core.clone()));
     spawn_local({
         let core = core.clone();
-        async move { peers.listen(core).await }
+        async move { peers.receive(core).await }
     });
     spawn_local(reap(core.clone()));
     let accepting = spawn_local(clients.clone().accept(listener.clone()));
@@ -135,7 +135,7 @@
         match Config::load() {
             Ok(config) => {
                 tracing::info!(target: target::LIFECYCLE, discovery = %config.discovery, "configuration reloaded");
-                core.counter().set_addr(config.counter);
+                core.set_quota_counter_addr(config.counter);
                 discovery
                     .send_if_modified(|addr| std::mem::replace(addr, config.discovery) != config.discovery);
             }
@@ -151,8 +151,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        core.hosts().close_stale_connections();
-        core.counter().close_stale_connections();
+        core.close_stale_connections();
     }
 }
 
