--- a/crates/admission/tests/it/main.rs
+++ b/crates/admission/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod endpoint_selection;
 mod gossip;
 mod in_flight_band;
+mod limits;
 mod open_limit;
 mod outlier_detection;
 mod quota;
--- a/crates/admission/tests/it/quota_counter.rs
+++ b/crates/admission/tests/it/quota_counter.rs
@@ -113,3 +113,88 @@
     println!("{mean:.1} on the mean");
     assert!(mean < 310.0, "{mean}");
 }
+
+/// One gateway of a fleet that counts at the shared counter, whose replies the test gives itself.
+struct CountingGateway {
+    gateway: SingleGateway,
+}
+
+/// A call to the counter.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct CounterCall {
+    name: u64,
+    amount: f64,
+}
+
+impl CountingGateway {
+    fn new(plan: PlanSettings) -> Self {
+        let settings =
+            Settings { peer_messages_allowed: false, counter_allowed: true, ..fleet_settings(12, plan) };
+        let mut gateway = SingleGateway::started_at(settings, SEED, 0.0);
+        gateway.update_endpoints(warm_endpoints(40));
+        CountingGateway { gateway }
+    }
+
+    fn reply(&mut self, call: CounterCall, outcome: CounterOutcome) -> Vec<Action> {
+        self.gateway.event(Event::CounterReply { name: call.name, outcome, took_ms: 4.0 })
+    }
+}
+
+fn counter_calls(actions: &[Action]) -> Vec<CounterCall> {
+    let call = |action: &Action| match *action {
+        Action::AddToCounter { name, amount, .. } => Some(CounterCall { name, amount }),
+        _ => None,
+    };
+    actions.iter().filter_map(call).collect()
+}
+
+/// A gateway raises a count that lies behind the clock and finds that others raised it meanwhile, by a part of what
+/// it raised. Gives the calls that follow, in parts of the raise.
+fn calls_after_a_raise_by_others_too(part_by_others: f64) -> Vec<f64> {
+    let mut counting = CountingGateway::new(plan(2.0, 8.0));
+    counting.gateway.now_ms = 45_000.0;
+    let asked = counter_calls(&counting.gateway.submit().actions);
+    assert_eq!(asked.iter().map(|call| call.amount).collect::<Vec<_>>(), [1.0]);
+    let raised = counter_calls(&counting.reply(asked[0], CounterOutcome::Total(1.0)));
+    assert_eq!(raised.len(), 1, "the count is far behind the clock");
+    let raise = raised[0].amount;
+    assert!(raise > 8.0, "more than a burst: {raise}");
+    let total = 1.0 + raise + part_by_others * raise;
+    let following = counter_calls(&counting.reply(raised[0], CounterOutcome::Total(total)));
+    following.iter().map(|call| call.amount / raise).collect()
+}
+
+/// Two gateways that find the count behind at once both raise it. What others add for requests meanwhile is far less
+/// than a raise; half of one tells the two apart.
+#[test]
+fn takes_its_raise_back_when_others_raised_the_count_by_more_than_half_as_much() {
+    for part_by_others in [0.0, 0.45, 0.49] {
+        assert_eq!(calls_after_a_raise_by_others_too(part_by_others), [], "{part_by_others}");
+    }
+    for part_by_others in [0.51, 0.55, 1.0] {
+        assert_eq!(calls_after_a_raise_by_others_too(part_by_others), [-1.0], "{part_by_others}");
+    }
+}
+
+/// Were it none, a gateway would not learn that the counter answers again.
+#[test]
+fn asks_a_silent_counter_about_one_request_in_twenty() {
+    const REQUESTS: usize = 20_000;
+    let mut counting = CountingGateway::new(plan(2.0, 8.0));
+    let mut calls = 0;
+    // The first 200 requests bring the sampling fraction down.
+    for n in 0..200 + REQUESTS {
+        counting.gateway.now_ms += 5.0;
+        counting.gateway.customer += 1;
+        let mut actions = counting.gateway.submit().actions;
+        for call in counter_calls(&actions) {
+            calls += usize::from(n >= 200);
+            actions.extend(counting.reply(call, CounterOutcome::Unanswered));
+        }
+        for sent in sends(&actions) {
+            counting.gateway.end_attempt(sent, 0, Outcome::Ok, 5.0);
+        }
+    }
+    // A twentieth of 20,000 is 1000, with a standard deviation of 31.
+    assert!((900..=1100).contains(&calls), "{calls} of {REQUESTS}");
+}
