Split an endpoint's record into own health, observed health and response time

The record of an endpoint was one type with seventeen fields and forty methods, in which health as own attempts show it, health as the fleet observes it, and the relative response time were told apart by prefixes only. Each is a type with a file of its own now, so that a decision says which of them it goes by. The spans of smoothing are given to the table once, at the start, and not with each call. The last "a endpoint" of the interface's comments is mended too.

--- a/crates/admission/src/action.rs
+++ b/crates/admission/src/action.rs
@@ -32,12 +32,12 @@
         /// The attempt's number.
         attempt: u32,
     },
-    /// Probe a endpoint.
+    /// Probe an endpoint.
     Probe {
         /// The endpoint.
         endpoint: EndpointId,
     },
-    /// Close idle connections to a endpoint.
+    /// Close idle connections to an endpoint.
     CloseIdle {
         /// The endpoint.
         endpoint: EndpointId,
--- a/crates/admission/src/coordination/observations.rs
+++ b/crates/admission/src/coordination/observations.rs
@@ -7,10 +7,10 @@
 use crate::messages::observation::{Observation, ObservationKind, ResponseTimeCode};
 use crate::policy::outlier_detection::{
     CLASS_FAILURE_GAIN, EJECTION_JITTER, MAX_CLASS_FAILURE_FRACTION, MAX_OBSERVATIONS, MAX_RELATIVE_SAMPLE,
-    OBSERVATION_SPAN_S, OBSERVED_RESPONSE_TIMES, SCOPED_EJECTION,
+    OBSERVATION_SPAN_S, OBSERVED_RESPONSE_TIME_GAIN, SCOPED_EJECTION,
 };
 use crate::policy::quota_owner::QUOTA_RATE_SPAN_S;
-use crate::state::endpoint::EjectionScope;
+use crate::state::observed_health::EjectionScope;
 
 impl Gateway {
     /// Records what an own attempt's end shows of its endpoint.
@@ -18,7 +18,7 @@
         if end.outcome == Outcome::Ok {
             self.gossip.answer_rate.add(1.0, self.clock.now_ms, QUOTA_RATE_SPAN_S);
             if let Some(endpoint) = self.endpoints.get_mut(end.endpoint) {
-                endpoint.relax_scoped_ejections(class, plan);
+                endpoint.observed.relax_ejections(class, plan);
             }
         }
         let objective_fraction = end.took_ms / self.settings.classes[class].latency_objective_ms;
@@ -63,7 +63,7 @@
     fn apply_rejection(&mut self, tag: u32, plan: usize) {
         let (now_ms, jitter) = (self.clock.now_ms, self.observation_jitter(tag));
         if let Some(endpoint) = self.endpoints.get_by_tag_mut(tag) {
-            endpoint.eject_scope(EjectionScope::Plan(plan), now_ms, SCOPED_EJECTION, jitter);
+            endpoint.observed.eject(EjectionScope::Plan(plan), now_ms, SCOPED_EJECTION, jitter);
         }
     }
 
@@ -72,10 +72,9 @@
     fn apply_failure(&mut self, tag: u32, class: usize) {
         let (now_ms, jitter) = (self.clock.now_ms, self.observation_jitter(tag));
         let Some(endpoint) = self.endpoints.get_by_tag_mut(tag) else { return };
-        endpoint.record_missed_response();
-        let failed_fraction = endpoint.record_class_result(class, true, CLASS_FAILURE_GAIN);
+        let failed_fraction = endpoint.observed.record_failure(class, CLASS_FAILURE_GAIN);
         if failed_fraction > MAX_CLASS_FAILURE_FRACTION {
-            endpoint.eject_scope(EjectionScope::Class(class), now_ms, SCOPED_EJECTION, jitter);
+            endpoint.observed.eject(EjectionScope::Class(class), now_ms, SCOPED_EJECTION, jitter);
         }
     }
 
@@ -83,13 +82,12 @@
     fn apply_answer(&mut self, tag: u32, class: usize, response_time: ResponseTimeCode) {
         let now_ms = self.clock.now_ms;
         let Some(endpoint) = self.endpoints.get_by_tag_mut(tag) else { return };
-        endpoint.record_observed_response(now_ms);
-        endpoint.record_class_result(class, false, CLASS_FAILURE_GAIN);
+        endpoint.observed.record_response(class, now_ms, CLASS_FAILURE_GAIN);
         self.outliers.record_observed_response(now_ms, OBSERVATION_SPAN_S);
         let objective_fraction = response_time.objective_fraction();
         let relative = self.latency.relative_to_mean(objective_fraction);
         let baseline = self.latency.kind_baseline(endpoint.kind());
-        endpoint.record_observed_response_time(now_ms, relative, baseline, OBSERVED_RESPONSE_TIMES);
+        endpoint.response_time.record_observed(now_ms, relative, baseline, OBSERVED_RESPONSE_TIME_GAIN);
         if endpoint.has_warmed_up(now_ms, self.settings.warm_up_ms) {
             let sample = relative.min(MAX_RELATIVE_SAMPLE);
             self.latency.record_kind_response_time(endpoint.kind(), sample);
--- a/crates/admission/src/endpoint_records.rs
+++ b/crates/admission/src/endpoint_records.rs
@@ -8,9 +8,8 @@
 use crate::mechanism::percentile::percentile;
 use crate::policy::outlier_detection::{
     EJECTION, EJECTION_JITTER, ERROR_GAIN, IDLE_AGE_FRACTION, MAX_RESPONSE_SAMPLE,
-    OVERLOAD_EJECTION_FRACTION, OWN_RESPONSE_TIMES, TYPICAL_AGE_PERCENTILE,
+    OVERLOAD_EJECTION_FRACTION, OWN_RESPONSE_TIME_GAIN, TYPICAL_AGE_PERCENTILE,
 };
-use crate::policy::slow_start::SEND_RATE_SPAN_S;
 use crate::state::endpoint::Endpoint;
 use crate::state::slow_start::WarmUpBudget;
 
@@ -30,13 +29,13 @@
         }
         let Some(endpoint) = self.endpoints.get_mut(end.endpoint) else { return };
         endpoint.remove_in_flight(end.request, end.attempt);
-        endpoint.record_outcome(end.outcome, now_ms, ERROR_GAIN);
+        endpoint.health.record_outcome(end.outcome, now_ms, ERROR_GAIN);
         if end.outcome == Outcome::Overloaded && is_small_fleet {
-            endpoint.pause_until(now_ms + OVERLOAD_EJECTION_FRACTION * EJECTION.base_ms * jitter);
+            endpoint.health.pause_until(now_ms + OVERLOAD_EJECTION_FRACTION * EJECTION.base_ms * jitter);
         }
         if self.is_failure(end, class) {
             if let Some(endpoint) = self.endpoints.get_mut(end.endpoint) {
-                endpoint.eject(now_ms, EJECTION, jitter);
+                endpoint.health.eject(now_ms, EJECTION, jitter);
             }
         }
         self.endpoints.remove_if_finished(end.endpoint);
@@ -48,18 +47,19 @@
         let objective_fraction = end.took_ms / self.settings.classes[class].latency_objective_ms;
         let relative = end.took_ms / self.latency.expected_ms(class);
         let Some(endpoint) = self.endpoints.get_mut(end.endpoint) else { return };
-        let is_fully_warm = endpoint.has_warmed_up(now_ms, self.settings.warm_up_ms);
+        let unanswered_ms = endpoint.health.unanswered_ms(now_ms);
+        let has_warmed_up = endpoint.has_warmed_up(now_ms, self.settings.warm_up_ms);
         match end.outcome {
             Outcome::Ok => {
-                endpoint.record_own_response_time(now_ms, relative, OWN_RESPONSE_TIMES);
-                if is_fully_warm {
+                endpoint.response_time.record_own(unanswered_ms, relative, OWN_RESPONSE_TIME_GAIN);
+                if has_warmed_up {
                     self.latency.record_response_ms(class, end.took_ms);
                     self.latency.record_own_fraction(objective_fraction);
                 }
             }
             Outcome::Overloaded => self.latency.record_own_fraction(1.0),
             Outcome::TimedOut => {
-                endpoint.record_own_time_out(now_ms, relative, OWN_RESPONSE_TIMES);
+                endpoint.response_time.record_own_time_out(unanswered_ms, relative, OWN_RESPONSE_TIME_GAIN);
                 self.latency.record_own_fraction_at_least(objective_fraction.min(1.0));
             }
             _ => {}
@@ -71,8 +71,8 @@
     fn learn_mean_response_time(&mut self, end: &AttemptEnd, class: usize) {
         let now_ms = self.clock.now_ms;
         let Some(endpoint) = self.endpoints.get(end.endpoint) else { return };
-        let is_fully_warm = endpoint.has_warmed_up(now_ms, self.settings.warm_up_ms);
-        if end.outcome == Outcome::Ok && is_fully_warm {
+        let has_warmed_up = endpoint.has_warmed_up(now_ms, self.settings.warm_up_ms);
+        if end.outcome == Outcome::Ok && has_warmed_up {
             let max_ms = MAX_RESPONSE_SAMPLE * self.latency.expected_ms(class);
             self.latency.record_response_ms(class, end.took_ms.min(max_ms));
         }
@@ -97,11 +97,11 @@
         }
         for (id, budget) in budgets {
             if let Some(endpoint) = self.endpoints.get_mut(id) {
-                endpoint.refill_warm_up_tokens(now_ms, budget);
+                endpoint.warm_up_tokens.refill(now_ms, budget);
             }
         }
         let warm = self.endpoints.ready().filter(|e| !self.is_warming_up(e));
-        let rates: Vec<_> = warm.map(|e| (e.kind(), e.send_rate(now_ms, SEND_RATE_SPAN_S))).collect();
+        let rates: Vec<_> = warm.map(|e| (e.kind(), e.send_rate(now_ms))).collect();
         self.slow_start.set_warm_send_rates(rates.into_iter());
     }
 
--- a/crates/admission/src/event.rs
+++ b/crates/admission/src/event.rs
@@ -1,7 +1,7 @@
 //! Events that come in at a gateway.
 use crate::id::{CustomerId, EndpointId, RequestId};
 
-/// What the list says of a endpoint.
+/// What the list says of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointState {
     /// Takes work.
@@ -34,7 +34,7 @@
 pub enum ListKind {
     /// Changed lines only.
     Changes,
-    /// All lines; a endpoint not among them is gone.
+    /// All lines; an endpoint not among them is gone.
     Whole,
     /// All lines as last held before a restart.
     Remembered,
--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -11,15 +11,19 @@
     MAX_WATERMARK, MAX_WATERMARK_RISE, MIN_REFILL_FACTOR, PROMPT_FRACTION, SATURATED_FILL, SLUGGISH_FRACTION,
     UNGATED_FILL, WATERMARK_STEP_OBJECTIVES,
 };
-use crate::policy::outlier_detection::{INITIAL_OBJECTIVE_FRACTION, LATENCY_GAINS};
+use crate::policy::outlier_detection::{
+    INITIAL_OBJECTIVE_FRACTION, LATENCY_GAINS, RESPONSE_TIME_HALF_LIFE_MS,
+};
 use crate::policy::quota_owner::{
     MIN_QUOTA_MESSAGE_FRACTION, MIN_RESPONSE_WAIT_MS, QUOTA_MESSAGE_FRACTION, QUOTA_RATE_SPAN_S,
     RESPONSE_WAIT_FRACTION, SUSPECT_MS,
 };
 use crate::policy::retry::MAX_RETRY_TOKENS;
+use crate::policy::slow_start::SEND_RATE_SPAN_S;
 use crate::settings::{Settings, SettingsError};
 use crate::state::band::InFlightBand;
 use crate::state::customer::{CustomerTable, QuotaCounter, QuotaOwner};
+use crate::state::endpoint::EndpointSmoothing;
 use crate::state::endpoint_table::EndpointTable;
 use crate::state::latency_model::LatencyModel;
 use crate::state::outlier_detector::OutlierDetector;
@@ -88,6 +92,10 @@
                 ..InFlightBand::default()
             },
             latency: LatencyModel::new(objectives_ms, INITIAL_OBJECTIVE_FRACTION, LATENCY_GAINS),
+            endpoints: EndpointTable::new(EndpointSmoothing {
+                response_time_half_life_ms: RESPONSE_TIME_HALF_LIFE_MS,
+                send_rate_span_s: SEND_RATE_SPAN_S,
+            }),
             retries: RetryBudget { tokens: MAX_RETRY_TOKENS / 2.0 },
             peers: PeerTable { by_index: peers, message_tokens: 10.0, ..PeerTable::default() },
             quota_counter: QuotaCounter { sampling_fraction: 1.0, ..QuotaCounter::default() },
--- a/crates/admission/src/id.rs
+++ b/crates/admission/src/id.rs
@@ -8,6 +8,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CustomerId(pub u64);
 
-/// A endpoint's id, the same at every gateway and after a restart of its process.
+/// An endpoint's id, the same at every gateway and after a restart of its process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct EndpointId(pub u64);
--- a/crates/admission/src/lifecycle.rs
+++ b/crates/admission/src/lifecycle.rs
@@ -8,7 +8,6 @@
 use crate::policy::dispatch::ATTEMPT_TIMEOUT_OBJECTIVES;
 use crate::policy::in_flight_band::MAX_CREDIT_OVERDRAFT;
 use crate::policy::retry::{MAX_RETRY_TOKENS, RETRY_TOKENS_PER_REQUEST};
-use crate::policy::slow_start::SEND_RATE_SPAN_S;
 use crate::state::endpoint::InFlightAttempt;
 use crate::state::request::{ActiveRequest, Attempt, QuotaState};
 
@@ -25,11 +24,11 @@
         let first = active.attempts.is_empty();
         self.band.dispatch_credit = (self.band.dispatch_credit - 1.0).max(-MAX_CREDIT_OVERDRAFT);
         if let Some(budget) = budget {
-            endpoint.take_warm_up_token(self.clock.now_ms, budget);
+            endpoint.warm_up_tokens.take(self.clock.now_ms, budget);
         }
         let attempt = active.attempts.len() as u32;
         let in_flight = InFlightAttempt { sent_ms: self.clock.now_ms, request: id, attempt };
-        endpoint.record_sent(in_flight, SEND_RATE_SPAN_S);
+        endpoint.record_sent(in_flight);
         active.attempts.push(Attempt {
             endpoint: endpoint_id,
             zone: endpoint.zone(),
--- a/crates/admission/src/policy/endpoint_selection.rs
+++ b/crates/admission/src/policy/endpoint_selection.rs
@@ -2,11 +2,11 @@
 use crate::gateway::Gateway;
 use crate::id::{EndpointId, RequestId};
 use crate::mechanism::weighted_choice::{inverse_cost_weights, weighted_choice};
-use crate::policy::outlier_detection::{MIN_HEALTHY_FRACTION, RESPONSE_TIME_HALF_LIFE_MS};
+use crate::policy::outlier_detection::MIN_HEALTHY_FRACTION;
 use crate::policy::slow_start::{WARM_UP_BUDGET_FRACTION, WARM_UP_WEIGHT};
 use crate::settings::Idempotency;
 use crate::state::candidate::{Candidate, ZoneCapacity};
-use crate::state::endpoint::{EjectionScope, Endpoint};
+use crate::state::endpoint::Endpoint;
 use crate::state::request::ActiveRequest;
 
 /// Largest part of its attempts that a gateway of a large fleet sends within its zone: the rest shows it how
@@ -49,16 +49,16 @@
         let mut cost = (endpoint.in_flight().len() as f64 + 1.0) / self.warm_fraction(endpoint);
         cost *= if active.was_sent_to(endpoint.id()) { REPEAT_COST } else { 1.0 };
         cost *= if endpoint.zone() == self.settings.zone { 1.0 } else { REMOTE_ZONE_COST };
-        cost *= endpoint.own_relative_response_time(now_ms, RESPONSE_TIME_HALF_LIFE_MS);
+        cost *= endpoint.response_time.own(endpoint.health.unanswered_ms(now_ms));
         if let Some(budget) = self.warm_up_budget(endpoint) {
-            if endpoint.warm_up_tokens(now_ms, budget) < 1.0 {
+            if endpoint.warm_up_tokens.available(now_ms, budget) < 1.0 {
                 return None;
             }
             // The rarer the tokens, the likelier one is used.
             cost *= (WARM_UP_BUDGET_FRACTION * budget.max_tokens).min(1.0);
         }
         // After a failure one attempt at a time probes whether the endpoint is well again.
-        let is_probed = endpoint.consecutive_failures() > 0 && !endpoint.in_flight().is_empty();
+        let is_probed = endpoint.health.consecutive_failures() > 0 && !endpoint.in_flight().is_empty();
         let is_outlier = self.is_outlier(endpoint) || is_probed;
         Some(Candidate { endpoint, cost, is_outlier, is_unresponsive: false })
     }
@@ -81,12 +81,11 @@
         let request = &active.request;
         let is_idempotent = self.settings.classes[request.class].idempotency == Idempotency::Idempotent;
         // Only requests that may be repeated probe an endpoint that leaves others without a response.
-        let is_unresponsive =
-            if is_idempotent { self.is_unresponsive(endpoint) } else { endpoint.missed_responses() > 0 };
+        let must_not_probe = !is_idempotent && endpoint.observed.missed_responses() > 0;
+        let is_unresponsive = must_not_probe || self.is_unresponsive(endpoint);
         let is_outlier = self.is_outlier(endpoint)
-            || endpoint.is_scope_ejected(EjectionScope::Class(request.class), self.clock.now_ms)
-            || endpoint.is_scope_ejected(EjectionScope::Plan(request.plan), self.clock.now_ms)
-            || is_unresponsive && !is_idempotent;
+            || endpoint.observed.is_ejected_for(request.class, request.plan, self.clock.now_ms)
+            || must_not_probe;
         // Little in flight at an endpoint that is warming up is no reason to send it more than its part.
         let is_warming_up = self.is_warming_up(endpoint);
         let least_in_flight = if is_warming_up { mean_warm_in_flight } else { 0.0 };
--- a/crates/admission/src/policy/in_flight_band.rs
+++ b/crates/admission/src/policy/in_flight_band.rs
@@ -59,8 +59,9 @@
     pub(crate) fn band_load(&self) -> (f64, u32) {
         let (mut parts, mut out) = (0.0, 0);
         for endpoint in self.endpoints.iter() {
-            let backing_off = endpoint.consecutive_failures() > 0 && endpoint.is_ejected(self.clock.now_ms);
-            let marked = endpoint.is_any_class_ejected(self.clock.now_ms);
+            let backing_off =
+                endpoint.health.consecutive_failures() > 0 && endpoint.health.is_ejected(self.clock.now_ms);
+            let marked = endpoint.observed.is_any_class_ejected(self.clock.now_ms);
             // What is out at the clearly slow swells the stock as if the rest were full.
             let slow =
                 !self.coordination.is_broadcast() && self.kind_deviation(endpoint).excess > CLEARLY_SLOW;
--- a/crates/admission/src/policy/outlier_detection.rs
+++ b/crates/admission/src/policy/outlier_detection.rs
@@ -2,12 +2,12 @@
 use crate::event::{AttemptEnd, Outcome};
 use crate::gateway::Gateway;
 use crate::mechanism::backoff::BackoffLimits;
-use crate::state::endpoint::{Endpoint, KindDeviation, ResponseTimeSmoothing};
+use crate::state::endpoint::Endpoint;
 use crate::state::latency_model::LatencyGains;
+use crate::state::relative_response_time::KindDeviation;
 
 /// Usual response times without an answer that count as a stall: with several attempts in flight, with one,
-/// and for an attempt that was given up to count as a failure. A usual one is at least this many typical
-/// ages.
+/// and for an attempt given up to count as a failure. A usual one is at least this many typical ages.
 const STALL_RESPONSE_TIMES: f64 = 2.5;
 const SINGLE_STALL_RESPONSE_TIMES: f64 = 5.0;
 const FAILED_RESPONSE_TIMES: f64 = 3.0;
@@ -19,14 +19,12 @@
 /// Part of the endpoints that must be healthy for an outlier to be at fault itself: else the cause is shared.
 pub(crate) const MIN_HEALTHY_FRACTION: f64 = 0.25;
 
-/// Relative response times return to what is usual with this half-life: slow endpoints are tried again.
+/// Half-life with which a relative response time returns to what is usual: slow endpoints are tried again.
 pub(crate) const RESPONSE_TIME_HALF_LIFE_MS: f64 = 4000.0;
 
-/// Smoothing of relative response times of own attempts, and of those that the fleet observed.
-pub(crate) const OWN_RESPONSE_TIMES: ResponseTimeSmoothing =
-    ResponseTimeSmoothing { gain: 0.1, half_life_ms: RESPONSE_TIME_HALF_LIFE_MS };
-pub(crate) const OBSERVED_RESPONSE_TIMES: ResponseTimeSmoothing =
-    ResponseTimeSmoothing { gain: 0.12, half_life_ms: RESPONSE_TIME_HALF_LIFE_MS };
+/// Weights of a new sample in that value: of an own attempt, and of one that the fleet observed.
+pub(crate) const OWN_RESPONSE_TIME_GAIN: f64 = 0.1;
+pub(crate) const OBSERVED_RESPONSE_TIME_GAIN: f64 = 0.12;
 
 /// Response time in parts of the objective that is assumed at the start, and the weights of new samples.
 pub(crate) const INITIAL_OBJECTIVE_FRACTION: f64 = 0.15;
@@ -50,14 +48,12 @@
 pub(crate) const MAX_CLASS_FAILURE_FRACTION: f64 = 0.5;
 
 /// Typical age of attempts in flight, as a percentile over the endpoints: less than the median, since a zone
-/// of two may be gone with its work in flight. An endpoint without any counts with this part of the mean
-/// response time.
+/// of two may be gone with its work in flight. One without any counts with part of the mean response time.
 pub(crate) const TYPICAL_AGE_PERCENTILE: usize = 40;
 pub(crate) const IDLE_AGE_FRACTION: f64 = 0.5;
 
-/// Weight of each error and each broken connection, and the part of these from which an endpoint fails:
-/// errors are answers; a connection that breaks is not yet an endpoint that does while it answers over
-/// others.
+/// Weight of each error and each broken connection, and the fraction of these from which an endpoint fails: a
+/// connection that breaks is not yet an endpoint that does, while it answers over others.
 pub(crate) const ERROR_GAIN: f64 = 0.1;
 const MAX_ERROR_FRACTION: f64 = 0.3;
 const MAX_BROKEN_FRACTION: f64 = 0.5;
@@ -94,22 +90,24 @@
         let per_endpoint = observed / self.endpoints.len().max(1) as f64;
         let limit_ms = (1000.0 * UNRESPONSIVE_OBSERVATIONS / per_endpoint.max(1e-3)).min(MAX_UNRESPONSIVE_MS);
         !self.coordination.is_broadcast()
-            && endpoint.missed_responses() >= MIN_MISSED_RESPONSES
-            && endpoint.unobserved_ms(now_ms) > limit_ms
+            && endpoint.observed.missed_responses() >= MIN_MISSED_RESPONSES
+            && endpoint.observed.unanswered_ms(now_ms) > limit_ms
     }
 
     /// Judged by symptoms: gone with work in flight, ejected after failures, or stalled for longer than
     /// chance explains (a hung machine, a cut link, a pause).
     pub(crate) fn is_outlier(&self, endpoint: &Endpoint) -> bool {
-        endpoint.is_gone() || endpoint.is_ejected(self.clock.now_ms) || self.stall_ratio(endpoint) > 1.0
+        endpoint.is_gone()
+            || endpoint.health.is_ejected(self.clock.now_ms)
+            || self.stall_ratio(endpoint) > 1.0
     }
 
     /// Time without any answer while work is in flight, in parts of what counts as a stall. It is measured
     /// against the age of this gateway's attempts everywhere: where all endpoints slow down, none is stalled.
     pub(crate) fn stall_ratio(&self, endpoint: &Endpoint) -> f64 {
         let Some(oldest_sent_ms) = endpoint.oldest_sent_ms() else { return 0.0 };
-        let stalled_ms = self.clock.now_ms - oldest_sent_ms.max(endpoint.answered_ms());
-        let relative = endpoint.last_relative_response_time().max(1.0);
+        let stalled_ms = self.clock.now_ms - oldest_sent_ms.max(endpoint.health.answered_ms());
+        let relative = endpoint.response_time.last().max(1.0);
         let usual_ms = self.usual_ms(self.mean_response_ms()) * relative / self.warm_fraction(endpoint);
         let in_flight = endpoint.in_flight().len() as f64;
         stalled_ms / usual_ms * (in_flight / SINGLE_STALL_RESPONSE_TIMES).min(1.0 / STALL_RESPONSE_TIMES)
@@ -124,15 +122,17 @@
     /// an answer is the endpoint's own fault only where attempts elsewhere are not as old.
     pub(crate) fn is_failure(&self, end: &AttemptEnd, class: usize) -> bool {
         let Some(endpoint) = self.endpoints.get(end.endpoint) else { return false };
-        let unanswered_ms = endpoint.unanswered_ms(self.clock.now_ms);
+        let health = &endpoint.health;
+        let unanswered_ms = health.unanswered_ms(self.clock.now_ms);
         let response_ms = self.latency.expected_ms(class);
         let is_long = end.took_ms > FAILED_RESPONSE_TIMES * self.usual_ms(response_ms);
-        let error_fraction = endpoint.error_fraction();
         match end.outcome {
             Outcome::Ok | Outcome::Overloaded | Outcome::TooLate => false,
-            Outcome::Error => error_fraction > MAX_ERROR_FRACTION || endpoint.consecutive_failures() > 0,
+            Outcome::Error => {
+                health.error_fraction() > MAX_ERROR_FRACTION || health.consecutive_failures() > 0
+            }
             Outcome::ConnectFailed | Outcome::Reset => {
-                error_fraction > MAX_BROKEN_FRACTION || unanswered_ms > response_ms.max(end.took_ms)
+                health.error_fraction() > MAX_BROKEN_FRACTION || unanswered_ms > response_ms.max(end.took_ms)
             }
             Outcome::TimedOut if !self.coordination.is_broadcast() => unanswered_ms > end.took_ms,
             Outcome::TimedOut | Outcome::Cancelled => unanswered_ms > end.took_ms && is_long,
@@ -142,8 +142,7 @@
     /// How far an endpoint's response time, as the fleet observes it, is beyond what is usual of its kind.
     pub(crate) fn kind_deviation(&self, endpoint: &Endpoint) -> KindDeviation {
         let baseline = self.latency.kind_baseline(endpoint.kind()).max(0.1);
-        let observed =
-            endpoint.observed_relative_response_time(self.clock.now_ms, baseline, RESPONSE_TIME_HALF_LIFE_MS);
+        let observed = endpoint.response_time.observed(self.clock.now_ms, baseline);
         KindDeviation { baseline, excess: (observed / baseline / CLEARLY_SLOW).max(1.0) }
     }
 }
--- a/crates/admission/src/policy/retry.rs
+++ b/crates/admission/src/policy/retry.rs
@@ -4,7 +4,8 @@
 use crate::id::RequestId;
 use crate::messages::observation::ObservationKind;
 use crate::settings::{DedupGroup, Idempotency};
-use crate::state::endpoint::{EjectionScope, Endpoint};
+use crate::state::endpoint::Endpoint;
+use crate::state::observed_health::EjectionScope;
 use crate::state::request::ActiveRequest;
 
 /// Further attempts earned by each first one, and the most that may be saved up.
@@ -100,7 +101,7 @@
                 limit.max(LONG_OBJECTIVE_FRACTION * self.settings.classes[class].latency_objective_ms);
             for (number, attempt) in (0u32..).zip(&active.attempts).filter(|(_, a)| a.pending) {
                 let Some(endpoint) = self.endpoints.get(attempt.endpoint) else { continue };
-                let marked = endpoint.is_scope_ejected(EjectionScope::Class(class), self.clock.now_ms);
+                let marked = endpoint.observed.is_ejected(EjectionScope::Class(class), self.clock.now_ms);
                 let age = self.clock.now_ms - attempt.sent_ms;
                 let silent = self.is_outlier(endpoint) || self.is_unresponsive(endpoint);
                 if silent || age > limit * if marked { 1.0 } else { STALLED_FACTOR } {
--- a/crates/admission/src/settings.rs
+++ b/crates/admission/src/settings.rs
@@ -96,13 +96,13 @@
     pub max_retry_after_ms: f64,
     /// Most units one request counts.
     pub max_units: f64,
-    /// Sends to a endpoint must stop this long after it is told to drain or gone.
+    /// Sends to an endpoint must stop this long after it is told to drain or gone.
     pub drain_grace_ms: f64,
-    /// Part of its capacity that a endpoint has at its start, at least.
+    /// Part of its capacity that an endpoint has at its start, at least.
     pub cold_start_fraction: f64,
-    /// A endpoint is warm after this time at the latest.
+    /// An endpoint is warm after this time at the latest.
     pub warm_up_ms: f64,
-    /// A cold endpoint sent more than this multiple of its present capacity falls over ...
+    /// An endpoint that is warming up and is sent more than this multiple of its present capacity falls over ...
     pub overload_multiple: f64,
     /// ... when it lasts this long.
     pub overload_window_ms: f64,
--- /dev/null
+++ b/crates/admission/src/state/endpoint_health.rs
@@ -0,0 +1,76 @@
+//! An endpoint's health as this gateway's own attempts show it.
+use crate::event::Outcome;
+use crate::mechanism::backoff::{Backoff, BackoffLimits};
+use crate::mechanism::smoothing::smooth;
+
+/// An endpoint's health as this gateway's own attempts show it.
+#[derive(Debug)]
+pub(crate) struct EndpointHealth {
+    /// When an own attempt was last answered.
+    answered_ms: f64,
+    /// Fraction of own attempts that ended in errors or broken connections, smoothed.
+    error_fraction: f64,
+    /// How long the endpoint is left alone after failures.
+    ejection: Backoff,
+}
+
+impl EndpointHealth {
+    /// A healthy endpoint, taken to have answered at `now_ms`.
+    pub(crate) fn new(now_ms: f64) -> Self {
+        EndpointHealth { answered_ms: now_ms, error_fraction: 0.0, ejection: Backoff::default() }
+    }
+
+    /// Records how an own attempt ended. An answer of any kind is a sign of life; errors and broken connections
+    /// count by `error_gain` in the smoothed fraction.
+    pub(crate) fn record_outcome(&mut self, outcome: Outcome, now_ms: f64, error_gain: f64) {
+        match outcome {
+            Outcome::Ok => {
+                self.answered_ms = now_ms;
+                self.ejection.reset_failures();
+                self.error_fraction *= 1.0 - error_gain;
+            }
+            Outcome::Error => {
+                self.answered_ms = now_ms;
+                smooth(&mut self.error_fraction, 1.0, error_gain);
+            }
+            Outcome::Overloaded => self.answered_ms = now_ms,
+            Outcome::ConnectFailed | Outcome::Reset => smooth(&mut self.error_fraction, 1.0, error_gain),
+            Outcome::TimedOut | Outcome::Cancelled | Outcome::TooLate => {}
+        }
+    }
+
+    /// Fraction of own attempts that ended in errors or broken connections, smoothed.
+    pub(crate) fn error_fraction(&self) -> f64 {
+        self.error_fraction
+    }
+
+    /// When an own attempt was last answered.
+    pub(crate) fn answered_ms(&self) -> f64 {
+        self.answered_ms
+    }
+
+    /// Time since an own attempt was last answered.
+    pub(crate) fn unanswered_ms(&self, now_ms: f64) -> f64 {
+        now_ms - self.answered_ms
+    }
+
+    /// Failures in a row that each led to an ejection.
+    pub(crate) fn consecutive_failures(&self) -> u32 {
+        self.ejection.failures()
+    }
+
+    /// Whether the endpoint is left alone.
+    pub(crate) fn is_ejected(&self, now_ms: f64) -> bool {
+        self.ejection.is_active(now_ms)
+    }
+
+    /// Leaves the endpoint alone after a failure, the longer the more failures came before.
+    pub(crate) fn eject(&mut self, now_ms: f64, limits: BackoffLimits, jitter: f64) {
+        self.ejection.record_failure(now_ms, limits, jitter);
+    }
+
+    /// Leaves the endpoint alone until a time without counting a failure.
+    pub(crate) fn pause_until(&mut self, until_ms: f64) {
+        self.ejection.pause_until(until_ms);
+    }
+}
--- a/crates/admission/src/state/endpoint_table.rs
+++ b/crates/admission/src/state/endpoint_table.rs
@@ -2,7 +2,7 @@
 use crate::event::{EndpointEntry, ListKind};
 use crate::id::EndpointId;
 use crate::mechanism::splitmix64::{short_tag, SplitMix64};
-use crate::state::endpoint::Endpoint;
+use crate::state::endpoint::{Endpoint, EndpointSmoothing};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The endpoints of the list, and those gone from it that still have own attempts in flight.
@@ -13,9 +13,15 @@
     id_by_tag: BTreeMap<u32, EndpointId>,
     /// The list is too old to send by.
     list_expired: bool,
+    smoothing: EndpointSmoothing,
 }
 
 impl EndpointTable {
+    /// A table without endpoints.
+    pub(crate) fn new(smoothing: EndpointSmoothing) -> Self {
+        EndpointTable { smoothing, ..EndpointTable::default() }
+    }
+
     /// Takes in an update of the list. The random numbers decide with what part of a token an endpoint starts
     /// to warm up: else all gateways had their first one at the same time.
     pub(crate) fn apply_list(
@@ -40,7 +46,7 @@
             match self.by_id.get_mut(&entry.id) {
                 Some(endpoint) => endpoint.update(entry, now_ms, tokens),
                 None => {
-                    self.by_id.insert(entry.id, Endpoint::new(entry, now_ms, tokens));
+                    self.by_id.insert(entry.id, Endpoint::new(entry, now_ms, tokens, self.smoothing));
                 }
             }
         }
