Split discovery into policy, schedule, lease and back-off, with typed errors

`Pace` and `Keeper` held the policy, the back-off, the lease on the list and the schedule in one, under names of their own, and a failure was a text. refresh_policy.rs now has the times by how lists come, list_lease.rs until when a list may be used, lease_expiry.rs the task that reports its end, backoff.rs the jittered window, refresh_schedule.rs what follows from a call's result, watch.rs the calls, error.rs `DiscoveryError` and its cause (thiserror). Pairs that left a function are structs (`CallTimes`, `ListResponse`), flags are enums (`CallPosition`). Constants keep their values, and the order of random draws and of socket operations is as before. The reason in the line `discovery failed` now has its cause.

Tests moved from discovery::tests, assertions unchanged (the long simulation is cut into short functions):

| before | now | | --- | --- | | a_pushed_list_is_here_again_inside_the_grace_whatever_became_of_the_watch | refresh_policy::pushed_list_is_refreshed_within_the_grace_after_any_failure_of_the_watch | | a_list_that_is_asked_for_is_here_again_before_it_has_expired | refresh_schedule::requested_list_is_refreshed_before_its_lease_expires | | pauses_are_drawn_from_a_window_that_widens_up_to_its_bound_and_narrows_with_lists | refresh_schedule::backoff_window_widens_with_refusals_up_to_its_bound_and_narrows_with_lists | | what_cannot_be_reached_is_called_often_enough_for_the_list_to_hold_through_any_outage | list_lease::lease_stays_valid_through_an_outage_of_any_length | | only_a_list_a_refusal_or_an_outage_in_which_nothing_was_reached_renews_a_list | list_lease::lease_is_renewed_only_by_a_list_a_refusal_or_an_outage_in_which_nothing_is_reached | | a_list_holds_through_refusals_for_as_long_as_an_outage_and_not_for_good | list_lease::lease_is_renewed_by_refusals_for_as_long_as_an_outage_and_no_longer | | an_expired_list_is_told_once_until_it_is_renewed | lease_expiry::lease_expiry_is_reported_once_until_the_lease_is_renewed | | a_fleet_of_any_size_comes_back_to_a_discovery_of_any_capacity | fleet_recovery::fleet_of_any_size_recovers_with_a_discovery_of_any_capacity | | a_hundred_gateways_that_start_at_once_all_get_through_to_a_slow_discovery | fleet_recovery::hundred_gateways_that_start_at_once_all_get_a_list_from_a_slow_discovery |

--- a/crates/gateway/src/discovery/endpoint_list.rs
+++ b/crates/gateway/src/discovery/endpoint_list.rs
@@ -5,92 +5,114 @@
 use serde::Deserialize;
 use std::hash::Hasher;
 use std::net::SocketAddr;
+use thiserror::Error;
 
-/// A list, or the changes to one, as discovery writes it.
+/// The endpoint list, or the changes to it, in discovery's JSON. The configuration's `known` has the same form.
 #[derive(Deserialize)]
 pub(crate) struct EndpointList {
-    /// Its version.
-    pub rev: u64,
-    /// It is the whole list.
-    #[serde(default)]
-    pub all: bool,
-    targets: Vec<serde_json::Value>,
+    /// The version of the list.
+    #[serde(rename = "rev")]
+    pub revision: u64,
+    /// Whether this is the whole list and not only changes.
+    #[serde(default, rename = "all")]
+    pub is_whole: bool,
+    /// Parsed one by one, so that a malformed record does not spoil the others.
+    #[serde(rename = "targets")]
+    records: Vec<serde_json::Value>,
 }
 
+/// One endpoint in discovery's JSON.
 #[derive(Deserialize)]
-struct Target {
+struct EndpointRecord {
     uid: String,
-    endpoint: SocketAddr,
-    #[serde(default)]
-    az: String,
-    #[serde(default)]
-    model: String,
-    #[serde(default)]
-    pod_group: u64,
+    #[serde(rename = "endpoint")]
+    address: SocketAddr,
+    #[serde(default, rename = "az")]
+    zone: String,
+    #[serde(default, rename = "model")]
+    machine_kind: String,
+    #[serde(default, rename = "pod_group")]
+    cell: u64,
     state: String,
-    #[serde(default)]
-    boot_ms: f64,
+    /// When it started, in Unix milliseconds; 0 where that is not known.
+    #[serde(default, rename = "boot_ms")]
+    started_at_ms: f64,
 }
 
-/// A host as the module and as the pool want it.
+/// Why a record of the list cannot be used.
+#[derive(Debug, Error)]
+enum EndpointRecordError {
+    #[error(transparent)]
+    Malformed(#[from] serde_json::Error),
+    #[error("unknown state: {0}")]
+    UnknownState(String),
+}
+
+/// An endpoint that discovery has named.
 pub(crate) struct DiscoveredEndpoint {
-    /// For the module.
+    /// What the admission library knows of it.
     pub entry: EndpointEntry,
     /// Where it listens.
-    pub addr: SocketAddr,
-}
-
-/// A host's id must be the same at every gateway, whatever its address there, so it is a hash of the uid.
-fn endpoint_id(uid: &str) -> EndpointId {
-    let mut hasher = fnv::FnvHasher::default();
-    hasher.write(uid.as_bytes());
-    EndpointId(hasher.finish())
+    pub address: SocketAddr,
 }
 
 impl EndpointList {
-    /// Whether it names nobody.
+    /// Whether the list names no endpoint.
     pub(crate) fn is_empty(&self) -> bool {
-        self.targets.is_empty()
+        self.records.is_empty()
     }
 
-    /// The hosts of the list. An entry that cannot be read is logged and left out: in a whole list that
-    /// takes the host for gone, which keeps the rules.
+    /// The endpoints of the list, at `now_ms` in Unix milliseconds.
+    ///
+    /// A record that cannot be used is logged and left out. Its endpoint then counts as absent from a whole list,
+    /// and nothing is sent to it.
     pub(crate) fn endpoints(self, names: &Names, now_ms: f64) -> Vec<DiscoveredEndpoint> {
-        let read = |value: serde_json::Value| {
-            let listed = serde_json::from_value(value).map_err(|e| e.to_string());
-            match listed.and_then(|t: Target| t.listed(names, now_ms)) {
-                Ok(listed) => Some(listed),
-                Err(message) => {
-                    tracing::warn!(target: target::DISCOVERY, reason = %message, "endpoint entry ignored: it cannot be read");
-                    None
-                }
+        let parse = |record| match EndpointRecord::parse(record).and_then(|r| r.into_endpoint(names, now_ms))
+        {
+            Ok(endpoint) => Some(endpoint),
+            Err(error) => {
+                tracing::warn!(target: target::DISCOVERY, reason = %error, "endpoint entry ignored: it cannot be read");
+                None
             }
         };
-        self.targets.into_iter().filter_map(read).collect()
+        self.records.into_iter().filter_map(parse).collect()
     }
 }
 
-impl Target {
-    fn listed(self, names: &Names, now_ms: f64) -> Result<DiscoveredEndpoint, String> {
-        // A zone or kind that the settings do not name is one of its own.
-        let index =
-            |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(names.len());
+impl EndpointRecord {
+    fn parse(record: serde_json::Value) -> Result<Self, EndpointRecordError> {
+        Ok(serde_json::from_value(record)?)
+    }
+
+    fn into_endpoint(self, names: &Names, now_ms: f64) -> Result<DiscoveredEndpoint, EndpointRecordError> {
         let state = match self.state.as_str() {
             "up" => EndpointState::Ready,
             "draining" => EndpointState::Draining,
             "removed" => EndpointState::Gone,
-            other => return Err(format!("unknown state: {other}")),
+            _ => return Err(EndpointRecordError::UnknownState(self.state)),
         };
-        let booted = self.boot_ms.is_finite() && self.boot_ms > 0.0;
+        let has_start = self.started_at_ms.is_finite() && self.started_at_ms > 0.0;
         let entry = EndpointEntry {
             id: endpoint_id(&self.uid),
-            zone: index(&names.zones, &self.az),
-            kind: index(&names.kinds, &self.model),
-            cell: self.pod_group,
+            zone: index_or_unnamed(&names.zones, &self.zone),
+            kind: index_or_unnamed(&names.kinds, &self.machine_kind),
+            cell: self.cell,
             state,
-            // A start in the future would be a cold host with less than no capacity.
-            started_at_ms: booted.then(|| self.boot_ms.min(now_ms)),
+            // With a start in the future, slow start would count a negative capacity.
+            started_at_ms: has_start.then(|| self.started_at_ms.min(now_ms)),
         };
-        Ok(DiscoveredEndpoint { entry, addr: self.endpoint })
+        Ok(DiscoveredEndpoint { entry, address: self.address })
     }
 }
+
+/// The index of a zone or machine kind. All that the settings do not name share the index after the last name.
+fn index_or_unnamed(names: &[String], name: &str) -> usize {
+    names.iter().position(|n| n == name).unwrap_or(names.len())
+}
+
+/// The FNV-1a hash of the uid: an endpoint's id must be the same at every gateway, whatever its address there.
+fn endpoint_id(uid: &str) -> EndpointId {
+    let mut hasher = fnv::FnvHasher::default();
+    hasher.write(uid.as_bytes());
+    EndpointId(hasher.finish())
+}
--- /dev/null
+++ b/crates/gateway/src/discovery/refresh_schedule.rs
@@ -0,0 +1,163 @@
+//! When to call discovery next, and how long to wait for it, after what the calls so far have brought.
+use super::backoff::Backoff;
+use super::error::DiscoveryError;
+use super::list_lease::ListLease;
+use super::refresh_policy::RefreshPolicy;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Room for a connection and a response before the list expires, where discovery is not overloaded.
+pub(super) const RESPONSE_ALLOWANCE: Duration = Duration::from_millis(1250);
+/// The same while discovery is overloaded: watches wait for longer, which is fewer calls, and leave so much for
+/// their responses to wait in discovery's queue.
+const OVERLOADED_RESPONSE_ALLOWANCE: Duration = Duration::from_millis(1000);
+/// A response that is later than this has waited in a queue: discovery is overloaded.
+const OVERLOADED_DELAY: Duration = Duration::from_millis(250);
+/// After a watch that broke, the window of pauses leaves room for a response before the list expires, but is never
+/// narrower than this, since the watches of the whole fleet may have broken at once.
+pub(super) const MIN_RETRY_WINDOW: Duration = Duration::from_millis(250);
+/// The widest window after a refusal while the list may be used. A call that was refused just before discovery came
+/// back, this pause and a response then end before changes count as known and the drain grace is over.
+pub(super) const MAX_REFUSAL_BACKOFF: Duration = Duration::from_millis(4250);
+
+/// Which call on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CallPosition {
+    /// The first, which may be the first of a whole fleet at once.
+    First,
+    /// Any later one.
+    Later,
+}
+
+/// The times of one call.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct CallTimes {
+    /// How long discovery may hold the call back while nothing changes.
+    pub(super) wait: Duration,
+    /// How long after that the response may take.
+    pub(super) response_timeout: Duration,
+}
+
+/// The state of a watch's times.
+pub(super) struct RefreshSchedule {
+    policy: RefreshPolicy,
+    /// None where the list never expires.
+    lease: Option<ListLease>,
+    backoff: Backoff,
+    /// The last call was refused, left without a response or answered late.
+    is_overloaded: bool,
+}
+
+impl RefreshSchedule {
+    /// The schedule at the start of a process: the list that is known counts as current.
+    pub(super) fn new(policy: RefreshPolicy, seed: u64, now: Instant) -> Self {
+        RefreshSchedule {
+            policy,
+            lease: policy.lease_duration.map(|duration| ListLease::new(duration, now)),
+            backoff: Backoff::new(policy.initial_backoff, policy.max_backoff, seed),
+            is_overloaded: false,
+        }
+    }
+
+    /// The policy that it goes by.
+    pub(super) fn policy(&self) -> &RefreshPolicy {
+        &self.policy
+    }
+
+    /// When the list expires; none where it never does.
+    pub(super) fn list_expires_at(&self) -> Option<Instant> {
+        self.lease.as_ref().map(ListLease::expires_at)
+    }
+
+    /// The times of a call that begins at `now`.
+    pub(super) fn call_times(&self, position: CallPosition, now: Instant) -> CallTimes {
+        let policy = &self.policy;
+        let may_be_queued = position == CallPosition::First || self.is_overloaded;
+        let response_timeout =
+            if may_be_queued { policy.queued_response_timeout } else { policy.response_timeout };
+        // Longer waits are fewer calls. A gateway whose list expires meanwhile sends nothing until the response.
+        let allowance = if self.is_overloaded {
+            OVERLOADED_RESPONSE_ALLOWANCE
+        } else {
+            response_timeout + MIN_RETRY_WINDOW + RESPONSE_ALLOWANCE
+        };
+        let wait = match &self.lease {
+            Some(lease) => lease.remaining(now).saturating_sub(allowance).min(policy.watch_wait),
+            None => policy.watch_wait,
+        };
+        CallTimes { wait, response_timeout }
+    }
+
+    /// A list has come, even if without changes, `delay` after it was due.
+    pub(super) fn on_list(&mut self, delay: Duration, now: Instant) {
+        if let Some(lease) = &mut self.lease {
+            lease.renew(now);
+        }
+        self.is_overloaded = delay > OVERLOADED_DELAY;
+        self.backoff.narrow();
+    }
+
+    /// Discovery has another address from `now` on.
+    pub(super) fn on_address_change(&mut self, now: Instant) {
+        if let Some(lease) = &mut self.lease {
+            lease.shorten_after_move(now);
+        }
+        self.is_overloaded = false;
+        self.backoff.reset();
+    }
+
+    /// A call has failed. Returns the pause before the next one.
+    pub(super) fn on_error(&mut self, error: &DiscoveryError, now: Instant) -> Duration {
+        let Some(lease) = &mut self.lease else { return self.pause_and_widen() };
+        match error {
+            // Calls to what cannot be reached cost it nothing, and its return must not be missed.
+            DiscoveryError::Unreachable { attempted_at, .. } => {
+                lease.renew_in_outage(*attempted_at, now);
+                self.backoff.draw_pause(self.backoff.initial_window())
+            }
+            DiscoveryError::Refused => {
+                self.is_overloaded = true;
+                lease.renew_after_refusal(now);
+                let list_is_valid = lease.is_valid(now);
+                self.pause_after_refusal(list_is_valid)
+            }
+            // Silence may be an outage, whose end must not be missed. The response timeout limits the rate of calls.
+            DiscoveryError::NoList(_) => {
+                self.is_overloaded = true;
+                lease.record_reached_without_list();
+                self.backoff.draw_pause(self.backoff.initial_window())
+            }
+            DiscoveryError::WatchInterrupted(_) => {
+                let remaining = lease.remaining(now);
+                self.pause_after_interruption(remaining)
+            }
+        }
+    }
+
+    fn pause_and_widen(&mut self) -> Duration {
+        let window = self.backoff.window();
+        self.backoff.widen();
+        self.backoff.draw_pause(window)
+    }
+
+    fn pause_after_refusal(&mut self, list_is_valid: bool) -> Duration {
+        let mut window = self.backoff.window();
+        self.backoff.widen();
+        if list_is_valid {
+            window = window.min(MAX_REFUSAL_BACKOFF);
+        } else {
+            // Nothing is sent meanwhile, so there is less of a hurry.
+            self.backoff.widen();
+        }
+        self.backoff.draw_pause(window)
+    }
+
+    /// `remaining` is how long the list may still be used.
+    fn pause_after_interruption(&mut self, remaining: Duration) -> Duration {
+        let mut window = self.backoff.window();
+        if !remaining.is_zero() {
+            window = window.min(remaining.saturating_sub(RESPONSE_ALLOWANCE).max(MIN_RETRY_WINDOW));
+        }
+        self.backoff.draw_pause(window)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/discovery/tests/lease_expiry.rs
@@ -0,0 +1,34 @@
+use crate::discovery::lease_expiry::report_lease_expiry;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// In simulated time: once for each expiry, not while the lease is renewed, and not where it is renewed at the very
+/// moment of expiry.
+#[tokio::test(start_paused = true)]
+async fn lease_expiry_is_reported_once_until_the_lease_is_renewed() {
+    let second = Duration::from_secs(1);
+    let mut until = Instant::now() + second;
+    let (renew, expires_at) = watch::channel(until);
+    let reported = Arc::new(AtomicUsize::new(0));
+    let counted = reported.clone();
+    tokio::spawn(report_lease_expiry(expires_at, move || _ = counted.fetch_add(1, Relaxed)));
+    for _ in 0..10 {
+        sleep_until(until).await;
+        until += second;
+        renew.send_replace(until);
+    }
+    tokio::task::yield_now().await;
+    assert_eq!(reported.load(Relaxed), 0);
+    // The lease is cut short.
+    renew.send_replace(until - second / 2);
+    sleep_until(until - second / 4).await;
+    assert_eq!(reported.load(Relaxed), 1);
+    sleep(100 * second).await;
+    assert_eq!(reported.load(Relaxed), 1);
+    renew.send_replace(Instant::now() + second);
+    sleep(2 * second).await;
+    assert_eq!(reported.load(Relaxed), 2);
+}
--- /dev/null
+++ b/crates/gateway/src/discovery/tests/mod.rs
@@ -0,0 +1,50 @@
+//! The tests of discovery, by concern, and what they share.
+mod fleet_recovery;
+mod lease_expiry;
+mod list_lease;
+mod refresh_policy;
+mod refresh_schedule;
+
+use super::error::{CallError, DiscoveryError};
+use super::refresh_policy::RefreshPolicy;
+use super::refresh_schedule::RefreshSchedule;
+use irishinge_settings::{Lists, SocketSettings};
+use std::io;
+use tokio::time::Instant;
+
+fn policy(lists: Lists, gateways: usize, drain_grace_ms: f64) -> RefreshPolicy {
+    let settings = SocketSettings {
+        conn_idle_ms: 1000.0,
+        connect_timeout_ms: 250.0,
+        retry_after: true,
+        count_limit_ms: 50.0,
+        lists,
+        drain_grace_ms,
+    };
+    RefreshPolicy::new(&settings, gateways)
+}
+
+fn schedule_for_requested_lists(gateways: usize, seed: u64, now: Instant) -> RefreshSchedule {
+    RefreshSchedule::new(policy(Lists::Asked, gateways, 2000.0), seed, now)
+}
+
+/// Discovery is down: an attempt to connect that began then has failed.
+fn unreachable(attempted_at: Instant) -> DiscoveryError {
+    let cause = CallError::ConnectFailed(io::ErrorKind::ConnectionRefused.into());
+    DiscoveryError::Unreachable { attempted_at, cause }
+}
+
+/// A first call was left without a response.
+fn silent_call() -> DiscoveryError {
+    DiscoveryError::NoList(CallError::ResponseTimedOut)
+}
+
+/// A watch was left without a response.
+fn silent_watch() -> DiscoveryError {
+    DiscoveryError::WatchInterrupted(CallError::ResponseTimedOut)
+}
+
+/// The connection of a watch broke.
+fn reset_watch() -> DiscoveryError {
+    DiscoveryError::WatchInterrupted(CallError::ConnectionBroken)
+}
--- /dev/null
+++ b/crates/gateway/src/discovery/tests/refresh_policy.rs
@@ -0,0 +1,23 @@
+use super::policy;
+use irishinge_settings::Lists;
+use std::time::Duration;
+
+/// The worst case from a watch that falls silent to the next list: the watch has just been opened, the pause is the
+/// longest, and the connection and the list take their whole timeout.
+#[test]
+fn pushed_list_is_refreshed_within_the_grace_after_any_failure_of_the_watch() {
+    for grace_ms in [250.0, 1000.0, 2000.0, 2500.0, 10_000.0] {
+        for gateways in [1, 300, 100_000] {
+            let policy = policy(Lists::Pushed, gateways, grace_ms);
+            let timeout = policy.response_timeout;
+            assert!(policy.queued_response_timeout == timeout && policy.connect_timeout == timeout);
+            let notice = policy.watch_wait + timeout;
+            let back = policy.max_backoff.max(policy.initial_backoff) + timeout;
+            let room = Duration::from_secs_f64(grace_ms / 1000.0).mul_f64(0.9);
+            assert!(notice + back < room, "{grace_ms}: {notice:?} and {back:?}");
+            // The same where a first call has just been left silent, at discovery's return or at a new address.
+            assert!(timeout + back < room, "{grace_ms}: {timeout:?} and {back:?}");
+            assert!(policy.whole_list_first, "versions may have begun anew");
+        }
+    }
+}
--- a/crates/gateway/src/discovery/watch.rs
+++ b/crates/gateway/src/discovery/watch.rs
@@ -1,65 +1,49 @@
-//! The watch that keeps the endpoint list current.
+//! The watch that keeps the endpoint list current: one call after another over one connection to discovery, each
+//! held back by discovery until something changes or the wait is over.
 use super::endpoint_list::EndpointList;
-use super::refresh_policy::{Failure, Keeper, RefreshPolicy};
+use super::error::{CallError, DiscoveryError};
+use super::lease_expiry::report_lease_expiry;
+use super::observer::EndpointListObserver;
+use super::refresh_policy::RefreshPolicy;
+use super::refresh_schedule::{CallPosition, RefreshSchedule};
 use crate::link::Link;
 use crate::logging::target;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HOST;
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use irishinge_admission::ListKind;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
-/// A list may hold this much.
-const LIST_MOST: usize = 4 << 20;
+/// The longest list that is read, in bytes.
+const MAX_LIST_BYTES: usize = 4 << 20;
 
-/// Who acts on the endpoint list.
-pub(crate) trait EndpointListObserver {
-    /// Discovery has answered with the whole list or with the changes to it.
-    fn list_received(&self, kind: ListKind, list: EndpointList);
-
-    /// The list may be used until `until`. Called at the start, at each renewal and where the lease is cut short.
-    fn lease_updated(&self, until: Instant);
-
-    /// The lease has run out: nothing may be sent by the list until the next one is received.
-    fn lease_expired(&self);
-}
-
-/// What a gateway knows of its watch.
-struct Watch<O> {
-    observer: O,
-    /// The version to go on from; none where the whole list is wanted.
-    rev: Option<u64>,
-    keeper: Keeper,
-    /// Until when the list holds, for `expire`.
-    until: watch::Sender<Instant>,
-    /// The last call brought a list. While none does, only the first failure is told.
-    well: bool,
-}
-
-/// Keeps the list current, for good. Where lists are asked for it goes on from the version that is known, so that
-/// what discovery has to write are changes. After an outage, at a new address, and on each new connection to an
-/// agent, it starts again with the whole list. Where lists are asked for, one that was not heard of again in time has
-/// expired: nothing is sent by it until discovery has answered.
+/// Keeps the endpoint list current, for good; `address` is discovery's, which a reload may change.
+///
+/// Where lists are asked for, the watch starts from `known_revision`, so that discovery has only changes to write. It
+/// starts again with the whole list after an outage, at a new address and, where lists are pushed, on each
+/// connection. A list that is asked for is on a lease: when that runs out, nothing may be sent until discovery has
+/// answered.
 pub(crate) async fn watch_endpoint_list<O: EndpointListObserver + Clone + 'static>(
     observer: O,
-    mut addr: watch::Receiver<SocketAddr>,
-    known: Option<u64>,
+    mut address: watch::Receiver<SocketAddr>,
+    known_revision: Option<u64>,
     policy: RefreshPolicy,
     seed: u64,
 ) {
-    let keeper = Keeper::new(policy, seed, Instant::now());
-    let (until, holds) = watch::channel(Instant::now());
-    let mut watch = Watch { observer, rev: known, keeper, until, well: true };
-    watch.tell_until();
-    if watch.keeper.until().is_some() {
-        let observer = watch.observer.clone();
-        spawn_local(expire(holds, move || {
+    let schedule = RefreshSchedule::new(policy, seed, Instant::now());
+    let (lease_end, lease_ends) = watch::channel(Instant::now());
+    let mut list_watch =
+        EndpointListWatch { observer, revision: known_revision, schedule, lease_end, is_healthy: true };
+    list_watch.publish_lease();
+    if policy.lease_duration.is_some() {
+        let observer = list_watch.observer.clone();
+        spawn_local(report_lease_expiry(lease_ends, move || {
             tracing::error!(
                 target: target::DISCOVERY,
                 "endpoint list expired; nothing is sent until discovery answers"
@@ -68,124 +52,151 @@
         }));
     }
     loop {
-        let now = *addr.borrow_and_update();
-        // A new address ends a call and a pause alike: the old one may never tell anything again.
-        let moved = tokio::select! {
-            () = watch.follow_until_failure(now) => false,
-            Ok(()) = addr.changed() => true,
+        let current = *address.borrow_and_update();
+        // A new address ends a call and a pause alike: the old discovery may never answer again.
+        let has_moved = tokio::select! {
+            () = list_watch.follow_until_error(current) => false,
+            Ok(()) = address.changed() => true,
         };
-        if moved {
-            watch.rev = None;
-            watch.keeper.moved(Instant::now());
-            watch.tell_until();
+        if has_moved {
+            list_watch.on_address_change();
         }
     }
 }
 
-/// Calls `expired` each time that the list has held for as long as it was said to.
-pub(super) async fn expire(mut holds: watch::Receiver<Instant>, mut expired: impl FnMut()) {
-    loop {
-        let until = *holds.borrow_and_update();
-        tokio::select! {
-            biased;
-            changed = holds.changed() => match changed {
-                Ok(()) => continue,
-                Err(_) => return,
-            },
-            () = sleep_until(until) => expired(),
-        }
-        if holds.changed().await.is_err() {
-            return;
-        }
-    }
+/// The state of the watch.
+struct EndpointListWatch<O> {
+    observer: O,
+    /// The version to ask for changes from; none where the whole list is wanted.
+    revision: Option<u64>,
+    schedule: RefreshSchedule,
+    /// When the lease runs out, for the task that reports it.
+    lease_end: watch::Sender<Instant>,
+    /// The last call brought a list. Only the first failure after a list is logged.
+    is_healthy: bool,
 }
 
-impl<O: EndpointListObserver> Watch<O> {
-    /// Follows one address until that fails, and pauses.
-    async fn follow_until_failure(&mut self, addr: SocketAddr) {
-        let Err::<Infallible, Failure>(failure) = self.follow(addr).await;
-        // What turns a call away is overrun, and what is known of the list holds on.
-        if !matches!(failure, Failure::TurnedAway) {
-            self.rev = None;
+/// A list and how late it was.
+struct ListResponse {
+    list: EndpointList,
+    /// The time it took beyond the wait that was asked for.
+    delay: Duration,
+}
+
+impl<O: EndpointListObserver> EndpointListWatch<O> {
+    /// Follows discovery at one address until that fails, then pauses.
+    async fn follow_until_error(&mut self, address: SocketAddr) {
+        let Err::<Infallible, DiscoveryError>(error) = self.follow(address).await;
+        // Discovery that refuses calls is overloaded: asking for changes only costs it less.
+        if !matches!(error, DiscoveryError::Refused) {
+            self.revision = None;
         }
-        if std::mem::take(&mut self.well) {
+        if std::mem::take(&mut self.is_healthy) {
             tracing::warn!(
                 target: target::DISCOVERY,
-                discovery = %addr,
-                reason = %failure,
+                discovery = %address,
+                reason = %error,
                 "discovery failed; the last endpoint list is kept"
             );
         }
-        let pause = self.keeper.failed(&failure, Instant::now());
-        self.tell_until();
+        let pause = self.schedule.on_error(&error, Instant::now());
+        self.publish_lease();
         sleep(pause).await;
     }
 
-    /// Tells those who act on it until when the list holds.
-    fn tell_until(&self) {
-        let Some(until) = self.keeper.until() else { return };
-        self.observer.lease_updated(until);
-        self.until.send_if_modified(|told| std::mem::replace(told, until) != until);
+    fn on_address_change(&mut self) {
+        self.revision = None;
+        self.schedule.on_address_change(Instant::now());
+        self.publish_lease();
+    }
+
+    /// Publishes until when the list may be used.
+    fn publish_lease(&self) {
+        let Some(expires_at) = self.schedule.list_expires_at() else { return };
+        self.observer.lease_updated(expires_at);
+        self.lease_end.send_if_modified(|known| std::mem::replace(known, expires_at) != expires_at);
     }
 
-    /// Calls one address over one connection until that fails.
-    async fn follow(&mut self, addr: SocketAddr) -> Result<Infallible, Failure> {
-        let policy = self.keeper.policy;
-        if policy.whole_first {
-            self.rev = None;
+    /// Calls discovery at one address over one connection until that fails.
+    async fn follow(&mut self, address: SocketAddr) -> Result<Infallible, DiscoveryError> {
+        let whole_list_first = self.schedule.policy().whole_list_first;
+        if whole_list_first {
+            self.revision = None;
         }
-        let begun = Instant::now();
-        let connect = timeout(policy.connect_patience, Link::connect(addr)).await;
-        let connect = connect.map_err(|_| Failure::Unreachable { begun, why: "no connection in time" })?;
-        let mut link = connect.map_err(|_| Failure::Unreachable { begun, why: "no connection" })?;
-        // Where lists are pushed, the connection and the first call over it share one patience.
-        let called = if policy.whole_first { begun } else { Instant::now() };
-        let (mut list, mut late) = match self.call(&mut link, addr, true, called).await {
-            Err(Failure::Broken(why)) => return Err(Failure::Unanswered(why)),
-            answer => answer?,
-        };
+        let started = Instant::now();
+        let mut connection = self.connect(address, started).await?;
+        // Where lists are pushed, the connection and the first call over it share one timeout.
+        let called = if whole_list_first { started } else { Instant::now() };
+        let first = self.call(&mut connection, address, CallPosition::First, called).await;
+        let mut response = first.map_err(|error| match error {
+            DiscoveryError::WatchInterrupted(cause) => DiscoveryError::NoList(cause),
+            other => other,
+        })?;
         loop {
-            // What is older than the version asked from was overtaken, or versions have begun anew. A change to
-            // another list than the one known must not be taken in: only the whole list tells.
-            if self.rev.is_some_and(|known| list.rev < known) {
-                return Err(Failure::Broken("a version that goes back"));
-            }
-            self.rev = Some(list.rev);
-            self.keeper.listed(late, Instant::now());
-            self.tell_until();
-            if !std::mem::replace(&mut self.well, true) {
-                tracing::info!(target: target::DISCOVERY, discovery = %addr, "discovery answers again; endpoint list current");
-            }
-            self.observer.list_received(if list.all { ListKind::Whole } else { ListKind::Changes }, list);
-            (list, late) = self.call(&mut link, addr, false, Instant::now()).await?;
+            self.accept(response, address)?;
+            response = self.call(&mut connection, address, CallPosition::Later, Instant::now()).await?;
         }
     }
 
-    /// One call, for what is newer than a version or for the whole list; its patience has run since `begun`.
+    async fn connect(&self, address: SocketAddr, started: Instant) -> Result<Link, DiscoveryError> {
+        let unreachable = |cause| DiscoveryError::Unreachable { attempted_at: started, cause };
+        let connected = timeout(self.schedule.policy().connect_timeout, Link::connect(address)).await;
+        connected
+            .map_err(|_| unreachable(CallError::ConnectTimedOut))?
+            .map_err(|error| unreachable(CallError::ConnectFailed(error)))
+    }
+
+    /// Takes a list in and reports it.
+    fn accept(&mut self, response: ListResponse, address: SocketAddr) -> Result<(), DiscoveryError> {
+        let ListResponse { list, delay } = response;
+        // A response older than the version asked from was overtaken, or versions have begun anew. Its changes may be
+        // to another list than the known one, so only the whole list helps.
+        if self.revision.is_some_and(|known| list.revision < known) {
+            return Err(DiscoveryError::WatchInterrupted(CallError::RevisionWentBack));
+        }
+        self.revision = Some(list.revision);
+        self.schedule.on_list(delay, Instant::now());
+        self.publish_lease();
+        if !std::mem::replace(&mut self.is_healthy, true) {
+            tracing::info!(target: target::DISCOVERY, discovery = %address, "discovery answers again; endpoint list current");
+        }
+        let kind = if list.is_whole { ListKind::Whole } else { ListKind::Changes };
+        self.observer.list_received(kind, list);
+        Ok(())
+    }
+
+    /// Makes one call, for what is newer than the known version or for the whole list. Its timeout runs from `started`.
     async fn call(
         &self,
-        link: &mut Link,
-        addr: SocketAddr,
-        first: bool,
-        begun: Instant,
-    ) -> Result<(EndpointList, Duration), Failure> {
-        let (wait, patience) = self.keeper.watch(first, begun);
-        let (path, wait) = match self.rev {
-            Some(rev) => (format!("/v1/servers?after={rev}&wait_ms={}", wait.as_millis()), wait),
+        connection: &mut Link,
+        address: SocketAddr,
+        position: CallPosition,
+        started: Instant,
+    ) -> Result<ListResponse, DiscoveryError> {
+        let times = self.schedule.call_times(position, started);
+        let (path, wait) = match self.revision {
+            Some(revision) => {
+                (format!("/v1/servers?after={revision}&wait_ms={}", times.wait.as_millis()), times.wait)
+            }
             None => ("/v1/servers".to_string(), Duration::ZERO),
         };
-        let request = Request::get(path).header(HOST, addr.to_string()).body(Full::new(Bytes::new()));
-        let request = request.map_err(|_| Failure::Broken("a call that cannot be written"))?;
-        let answer = timeout_at(begun + wait + patience, link.exchange(request, LIST_MOST)).await;
-        let answer = answer.map_err(|_| Failure::Broken("no answer in time"))?;
-        let answer = answer.map_err(|_| Failure::Broken("the connection broke"))?;
-        match answer.status() {
-            StatusCode::OK => {}
-            StatusCode::SERVICE_UNAVAILABLE => return Err(Failure::TurnedAway),
-            _ => return Err(Failure::Unanswered("an answer other than 200")),
-        }
-        let list = serde_json::from_slice(answer.body());
-        let list = list.map_err(|_| Failure::Unanswered("a list that cannot be read"))?;
-        Ok((list, begun.elapsed().saturating_sub(wait)))
+        let request = Request::get(path).header(HOST, address.to_string()).body(Full::new(Bytes::new()));
+        let request = request.map_err(|error| DiscoveryError::WatchInterrupted(error.into()))?;
+        let deadline = started + wait + times.response_timeout;
+        let response = timeout_at(deadline, connection.exchange(request, MAX_LIST_BYTES)).await;
+        let response = response
+            .map_err(|_| DiscoveryError::WatchInterrupted(CallError::ResponseTimedOut))?
+            .map_err(|_| DiscoveryError::WatchInterrupted(CallError::ConnectionBroken))?;
+        let list = parse_list(&response)?;
+        Ok(ListResponse { list, delay: started.elapsed().saturating_sub(wait) })
+    }
+}
+
+fn parse_list(response: &Response<Bytes>) -> Result<EndpointList, DiscoveryError> {
+    match response.status() {
+        StatusCode::OK => {}
+        StatusCode::SERVICE_UNAVAILABLE => return Err(DiscoveryError::Refused),
+        other => return Err(DiscoveryError::NoList(CallError::UnexpectedStatus(other))),
     }
+    serde_json::from_slice(response.body()).map_err(|error| DiscoveryError::NoList(error.into()))
 }
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -157,7 +157,7 @@
         if kind != ListKind::Changes {
             table.retain(|id, _| listed.iter().any(|l| l.entry.id == *id));
         }
-        for DiscoveredEndpoint { entry, addr } in listed {
+        for DiscoveredEndpoint { entry, address: addr } in listed {
             if entry.state == EndpointState::Gone {
                 table.remove(&entry.id);
                 continue;
--- a/crates/gateway/src/hosts/tests.rs
+++ b/crates/gateway/src/hosts/tests.rs
@@ -63,7 +63,7 @@
     let (hosts, addr, id) = (hosts(), listener.local_addr().expect("bound"), EndpointId(1));
     let state = EndpointState::Ready;
     let entry = EndpointEntry { id, zone: 0, kind: 0, cell: 0, state, started_at_ms: None };
-    hosts.on_list(ListKind::Whole, &[DiscoveredEndpoint { entry, addr }]);
+    hosts.on_list(ListKind::Whole, &[DiscoveredEndpoint { entry, address: addr }]);
     let value = || HeaderValue::from_static("a");
     let call = Call {
         method: Method::GET,
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -85,7 +85,7 @@
     let counter = Counter::new(config.counter, config.socket_settings.count_limit_ms);
     let core = Core::new(gateway, clock, config.names, hosts, peers.clone(), counter);
     // A list with nobody on it is not worth going on from.
-    let known = config.known.as_ref().filter(|list| !list.is_empty()).map(|list| list.rev);
+    let known = config.known.as_ref().filter(|list| !list.is_empty()).map(|list| list.revision);
     if let Some(known) = config.known {
         core.list_received(ListKind::Remembered, known);
     }
