--- a/crates/gateway/src/discovery/refresh_policy.rs
+++ b/crates/gateway/src/discovery/refresh_policy.rs
@@ -1,7 +1,7 @@
 //! The times of a watch, by how lists come: pushed by an agent on the gateway's own machine, or asked for from one
 //! service for the whole fleet.
 use super::list_lease::LEASE_DURATION;
-use crate::clock::from_ms;
+use crate::clock::duration_from_ms;
 use irishinge_settings::{Lists, SocketSettings};
 use std::time::Duration;
 
@@ -54,7 +54,7 @@
     /// The policy that the settings ask for, in a fleet of `gateways`.
     pub(crate) fn new(settings: &SocketSettings, gateways: usize) -> Self {
         match settings.lists {
-            Lists::Pushed => Self::for_pushed_lists(from_ms(settings.drain_grace_ms)),
+            Lists::Pushed => Self::for_pushed_lists(duration_from_ms(settings.drain_grace_ms)),
             Lists::Asked => Self::for_requested_lists(gateways),
         }
     }
--- a/crates/gateway/src/discovery/watch.rs
+++ b/crates/gateway/src/discovery/watch.rs
@@ -6,7 +6,7 @@
 use super::observer::EndpointListObserver;
 use super::refresh_policy::RefreshPolicy;
 use super::refresh_schedule::{CallPosition, RefreshSchedule};
-use crate::link::Link;
+use crate::http_connection::HttpConnection;
 use crate::logging::target;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -138,9 +138,10 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr, started: Instant) -> Result<Link, DiscoveryError> {
+    async fn connect(&self, address: SocketAddr, started: Instant) -> Result<HttpConnection, DiscoveryError> {
         let unreachable = |cause| DiscoveryError::Unreachable { attempted_at: started, cause };
-        let connected = timeout(self.schedule.policy().connect_timeout, Link::connect(address)).await;
+        let connected =
+            timeout(self.schedule.policy().connect_timeout, HttpConnection::connect(address)).await;
         connected
             .map_err(|_| unreachable(CallError::ConnectTimedOut))?
             .map_err(|error| unreachable(CallError::ConnectFailed(error)))
@@ -168,7 +169,7 @@
     /// Makes one call, for what is newer than the known version or for the whole list. Its timeout runs from `started`.
     async fn call(
         &self,
-        connection: &mut Link,
+        connection: &mut HttpConnection,
         address: SocketAddr,
         position: CallPosition,
         started: Instant,
