Split the downstream server into listener, connections, request parsing and responses

Errors of a request are `RequestError` with status and text, both unchanged; they are formatted nowhere, so it has no Display.

Tests of downstream::tests, assertions unchanged:

| before | now | | --- | --- | | a_client_that_leaves_is_seen_by_its_socket_and_not_by_the_clock | client_that_leaves_is_noticed_by_its_socket_and_not_by_a_timer | | a_client_that_leaves_behind_unread_bytes_is_seen_within_50_ms | client_that_leaves_unread_bytes_behind_is_noticed_within_50_ms |

--- /dev/null
+++ b/crates/gateway/src/downstream/connection_table.rs
@@ -0,0 +1,98 @@
+//! The open connections of clients, and which of them makes room for a new one.
+use super::connection::{Connection, ConnectionStage};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// A usual client writes its first request as soon as it is connected: one that has been silent for so long is the
+/// first to make room.
+const MIN_SILENCE: Duration = Duration::from_millis(20);
+/// A connection that has served may be closed once it has been idle for so long.
+const MIN_IDLE: Duration = Duration::from_secs(2);
+
+/// A connection's number, in the order of their coming.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct ConnectionId(u64);
+
+/// All open connections.
+#[derive(Default)]
+pub(super) struct ConnectionTable {
+    connections: RefCell<BTreeMap<ConnectionId, Rc<Connection>>>,
+    next_id: Cell<u64>,
+    connection_ended: Notify,
+}
+
+/// Whether a connection could be closed to make room for another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Eviction {
+    /// One was told to close.
+    Evicted,
+    /// All carry requests.
+    NoneFree,
+}
+
+impl ConnectionTable {
+    /// How many connections are open.
+    pub(super) fn len(&self) -> usize {
+        self.connections.borrow().len()
+    }
+
+    /// Adds a connection.
+    pub(super) fn insert(&self, connection: Rc<Connection>) -> ConnectionId {
+        let id = ConnectionId(self.next_id.get());
+        self.next_id.set(id.0 + 1);
+        self.connections.borrow_mut().insert(id, connection);
+        id
+    }
+
+    /// Removes a connection that has ended.
+    pub(super) fn remove(&self, id: ConnectionId) {
+        self.connections.borrow_mut().remove(&id);
+        self.connection_ended.notify_one();
+    }
+
+    /// Asks the connections that have had a request to close once they have answered what they have taken.
+    pub(super) fn request_close_of_used(&self) {
+        let connections = self.connections.borrow();
+        let used = connections.values().filter(|c| c.stage() != ConnectionStage::AwaitingFirstRequest);
+        used.for_each(|connection| connection.request_close());
+    }
+
+    /// Asks all connections to close once they have answered what they have taken.
+    pub(super) fn request_close_of_all(&self) {
+        self.connections.borrow().values().for_each(|connection| connection.request_close());
+    }
+
+    /// Waits until no connection is open. For one waiter only.
+    pub(super) async fn all_ended(&self) {
+        while !self.connections.borrow().is_empty() {
+            self.connection_ended.notified().await;
+        }
+    }
+
+    /// Makes room for a new connection: closes one that connected and stays silent, else one that has served and
+    /// stood idle for long, else whichever has carried no request for longest.
+    pub(super) fn evict_one(&self) -> Eviction {
+        let connections = self.connections.borrow();
+        let order = |connection: &Connection| {
+            let min_age = match connection.stage() {
+                ConnectionStage::AwaitingFirstRequest => MIN_SILENCE,
+                _ => MIN_IDLE,
+            };
+            let is_recent = connection.stage_since().elapsed() < min_age;
+            (is_recent, connection.stage(), connection.stage_since())
+        };
+        let carries_no_request = |connection: &&Rc<Connection>| {
+            matches!(connection.stage(), ConnectionStage::AwaitingFirstRequest | ConnectionStage::Idle)
+        };
+        match connections.values().filter(carries_no_request).min_by_key(|connection| order(connection)) {
+            Some(connection) => {
+                connection.evict();
+                Eviction::Evicted
+            }
+            None => Eviction::NoneFree,
+        }
+    }
+}
--- a/crates/gateway/src/downstream/mod.rs
+++ b/crates/gateway/src/downstream/mod.rs
@@ -1,6 +1,26 @@
-//! The downstream side: the connections of the gateway's clients, their requests and the answers to them.
+//! The downstream side: the connections of the gateway's clients, their requests and the responses to them.
+//!
+//! - [`listener`]: accepts connections, within a bound.
+//! - [`server`]: serves each accepted connection, and drains them all at the end.
+//! - [`connection_table`]: the open connections, and which one makes room for a new one.
+//! - [`connection`]: one connection's stage, and how the departure of its client is noticed; [`flood`] discards what a
+//!   client sends without waiting for a response.
+//! - [`handler`]: takes a request from its head to its response: [`request`] and [`metering`] parse it, [`response`]
+//!   writes what the dispatcher decided.
+mod connection;
+mod connection_table;
+mod flood;
+mod handler;
+mod listener;
+mod metering;
+mod request;
+mod request_body;
+mod request_error;
+mod response;
 mod server;
+mod shared_stream;
 #[cfg(test)]
 mod tests;
 
-pub(crate) use self::server::{DownstreamServer, MAX_REFUSING_CONNECTIONS};
+pub(crate) use self::listener::MAX_REFUSING_CONNECTIONS;
+pub(crate) use self::server::{DownstreamServer, DownstreamSettings};
--- /dev/null
+++ b/crates/gateway/src/downstream/request.rs
@@ -0,0 +1,125 @@
+//! Parses the head of a request into what the admission library and the upstream side take.
+use super::metering::Metering;
+use super::request_error::RequestError;
+use crate::upstream::UpstreamRequest;
+use bytes::Bytes;
+use hyper::header::{HeaderMap, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
+use hyper::http::request::Parts;
+use hyper::Method;
+use irishinge_admission::{CustomerId, Idempotency, Request, RequestId, Settings};
+use irishinge_settings::Names;
+
+/// Headers that say what a request is. One that stands there twice says two things.
+const SINGLE_HEADERS: [&str; 7] =
+    ["host", "x-call-id", "x-call-class", "x-contract", "x-budget", "x-metering", "idempotency-key"];
+/// Customers are numbers below this.
+const CUSTOMER_ID_END: u64 = 1 << 33;
+
+/// Parses a request's head. A malformed one touches no state.
+///
+/// # Errors
+///
+/// What is wrong with it, by the first check that fails.
+pub(super) fn parse_request(
+    head: &Parts,
+    settings: &Settings,
+    names: &Names,
+) -> Result<Request, RequestError> {
+    let headers = &head.headers;
+    let customer = parse_customer(head.uri.path())?;
+    check_framing(headers)?;
+    let id = header(headers, "x-call-id").and_then(parse_hex).ok_or(RequestError::InvalidCallId)?;
+    let class = header(headers, "x-call-class").ok_or(RequestError::MissingClass)?;
+    let class = index_of(&names.classes, class).ok_or(RequestError::UnknownClass)?;
+    let plan = header(headers, "x-contract").ok_or(RequestError::MissingPlan)?;
+    let plan = index_of(&names.plans, plan).ok_or(RequestError::UnknownPlan)?;
+    let class_settings = &settings.classes[class];
+    check_idempotency(head, class_settings.idempotency)?;
+    let budget_s = parse_budget_s(headers)?;
+    let metering = header(headers, "x-metering").and_then(|text| Metering::parse(text, settings));
+    let metering = metering.ok_or(RequestError::InvalidMetering)?;
+    Ok(Request {
+        id: RequestId(id),
+        class,
+        plan,
+        customer,
+        time_left_ms: (budget_s * 1000.0).min(class_settings.deadline_ms),
+        units: metering.units,
+        spread: metering.spread,
+        first: metering.first,
+        repeat: headers.get("x-again").is_some_and(|value| value == "1"),
+        write: class_settings.idempotency != Idempotency::Idempotent,
+    })
+}
+
+/// What goes on to an endpoint, unchanged.
+///
+/// # Errors
+///
+/// When a header that endpoints need is missing.
+pub(super) fn upstream_request(mut head: Parts, body: Bytes) -> Result<UpstreamRequest, RequestError> {
+    let headers = &mut head.headers;
+    Ok(UpstreamRequest {
+        host: headers.remove(HOST).ok_or(RequestError::MissingHost)?,
+        call_id: headers.remove("x-call-id").ok_or(RequestError::MissingCallId)?,
+        idempotency_key: headers.remove("idempotency-key"),
+        content_type: headers.remove(CONTENT_TYPE),
+        method: head.method,
+        uri: head.uri,
+        body,
+    })
+}
+
+/// The customer of `/api/` and 16 hexadecimal digits.
+fn parse_customer(path: &str) -> Result<CustomerId, RequestError> {
+    let customer = path.strip_prefix("/api/").ok_or(RequestError::UnknownPath)?;
+    let customer = parse_hex(customer).filter(|id| *id < CUSTOMER_ID_END);
+    customer.map(CustomerId).ok_or(RequestError::InvalidCustomer)
+}
+
+/// Clients declare a body's length. One declared in two ways may hide a second request in the body, and hyper leaves
+/// only the transfer encoding of the two to be seen here.
+fn check_framing(headers: &HeaderMap) -> Result<(), RequestError> {
+    if headers.contains_key(TRANSFER_ENCODING) {
+        return Err(RequestError::LengthRequired);
+    }
+    if SINGLE_HEADERS.iter().any(|name| headers.get_all(*name).iter().nth(1).is_some()) {
+        return Err(RequestError::RepeatedHeader);
+    }
+    Ok(())
+}
+
+/// Checks the method and the key that the class asks for.
+fn check_idempotency(head: &Parts, idempotency: Idempotency) -> Result<(), RequestError> {
+    let method = match idempotency {
+        Idempotency::Idempotent => Method::GET,
+        _ => Method::POST,
+    };
+    if head.method != method {
+        return Err(RequestError::WrongMethod);
+    }
+    let needs_key = matches!(idempotency, Idempotency::IdempotencyKey { .. });
+    if needs_key && !head.headers.contains_key("idempotency-key") {
+        return Err(RequestError::MissingIdempotencyKey);
+    }
+    Ok(())
+}
+
+fn parse_budget_s(headers: &HeaderMap) -> Result<f64, RequestError> {
+    let budget_s: Option<f64> = header(headers, "x-budget").and_then(|text| text.parse().ok());
+    budget_s.filter(|s| s.is_finite() && *s > 0.0).ok_or(RequestError::InvalidBudget)
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn index_of(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|n| n == name)
+}
+
+/// A number of exactly 16 hexadecimal digits.
+fn parse_hex(text: &str) -> Option<u64> {
+    let is_hex = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    is_hex.then(|| u64::from_str_radix(text, 16).ok())?
+}
--- /dev/null
+++ b/crates/gateway/src/downstream/request_body.rs
@@ -0,0 +1,34 @@
+//! Reads the body of a request, within bounds of length and time.
+use super::request_error::RequestError;
+use crate::upstream::MAX_BODY_BYTES;
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::Method;
+use tokio::time::{timeout_at, Instant};
+
+/// Reads a body that is not empty.
+///
+/// # Errors
+///
+/// When the body is not allowed, too long, late or broken.
+pub(super) async fn read_body(
+    body: Incoming,
+    method: &Method,
+    deadline: Instant,
+) -> Result<Bytes, RequestError> {
+    // A body whose declared length is too large is not waited for.
+    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
+        return Err(RequestError::BodyTooLarge);
+    }
+    if *method == Method::GET {
+        return Err(RequestError::BodyOnGet);
+    }
+    let body = timeout_at(deadline, Limited::new(body, MAX_BODY_BYTES).collect()).await;
+    let body = body.map_err(|_| RequestError::BodyTimedOut)?;
+    let body = body.map_err(|error| match error.is::<LengthLimitError>() {
+        true => RequestError::BodyTooLarge,
+        false => RequestError::UnreadableBody,
+    })?;
+    Ok(body.to_bytes())
+}
--- a/crates/gateway/src/downstream/tests.rs
+++ b/crates/gateway/src/downstream/tests.rs
@@ -1,23 +1,22 @@
-use super::server::{Connection, Stage, FLOOD};
+use super::connection::{Connection, ConnectionRole, ConnectionStage};
+use super::flood::MIN_FLOOD_BYTES;
 use socket2::SockRef;
-use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
 use std::io;
 use std::io::Write;
 use std::net::TcpStream as Client;
 use std::pin::pin;
-use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
 use tokio::task::yield_now;
 use tokio::time::Instant;
 
 /// A way for a client to leave.
 type Leave = fn(Client);
 
-const WAYS: [(&str, Leave); 3] = [("closes", drop), ("resets", reset), ("ends its sending", half_close)];
+const WAYS_TO_LEAVE: [(&str, Leave); 3] =
+    [("closes", drop), ("resets", reset), ("ends its sending", half_close)];
 
 fn reset(client: Client) {
     SockRef::from(&client).set_linger(Some(Duration::ZERO)).expect("a socket");
@@ -35,33 +34,28 @@
     let (stream, _) = listener.accept().await.expect("a connection");
     // hyper has read all there was.
     assert_eq!(stream.try_read(&mut [0]).map_err(|e| e.kind()), Err(io::ErrorKind::WouldBlock));
-    let now = Instant::now();
-    let connection = Connection {
-        stage: Cell::new(Stage::Busy),
-        since: Cell::new(now),
-        accepted: now,
-        close: Notify::new(),
-        refused: false,
-        stream: Rc::new(RefCell::new(stream)),
-        flooded: Cell::new(false),
-    };
+    let connection = Connection::new(stream, ConnectionRole::Serving);
+    connection.enter(ConnectionStage::Active);
     (connection, client)
 }
 
-/// How long, by a clock that only goes on when nothing is left to do but wait for it, it takes to see a client
-/// leave that was waited for when `before` had been written and then wrote `behind`.
-async fn seen_after(leave: Leave, before: &[u8], behind: usize) -> Duration {
+/// How long it takes, in simulated time, to notice that a client leaves. It had written `before` when the wait for it
+/// began, and then wrote `behind` bytes.
+async fn noticed_after(leave: Leave, before: &[u8], behind: usize) -> Duration {
     let (connection, mut client) = connected().await;
     client.write_all(before).expect("the socket takes it");
-    let mut left = pin!(connection.left());
+    let mut left = pin!(connection.client_left());
     for _ in 0..10 {
-        assert!(poll_fn(|cx| Poll::Ready(left.as_mut().poll(cx).is_pending())).await, "nobody has left");
+        assert!(
+            poll_fn(|cx| Poll::Ready(left.as_mut().poll(cx).is_pending())).await,
+            "the client has not left"
+        );
         yield_now().await;
     }
     // What does not fit the two sockets is not written.
     client.set_nonblocking(true).expect("a socket");
     let mut rest = behind;
-    while let Some(n) = client.write(&vec![b'x'; rest.min(FLOOD)]).ok().filter(|n| *n > 0) {
+    while let Some(n) = client.write(&vec![b'x'; rest.min(MIN_FLOOD_BYTES)]).ok().filter(|n| *n > 0) {
         rest -= n;
     }
     let start = Instant::now();
@@ -71,19 +65,19 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_client_that_leaves_is_seen_by_its_socket_and_not_by_the_clock() {
-    for (name, leave) in WAYS {
-        assert_eq!(seen_after(leave, b"", 0).await, Duration::ZERO, "{name}");
-        assert_eq!(seen_after(leave, b"", 10).await, Duration::ZERO, "{name}, its last words unread");
+async fn client_that_leaves_is_noticed_by_its_socket_and_not_by_a_timer() {
+    for (name, leave) in WAYS_TO_LEAVE {
+        assert_eq!(noticed_after(leave, b"", 0).await, Duration::ZERO, "{name}");
+        assert_eq!(noticed_after(leave, b"", 10).await, Duration::ZERO, "{name}, its last bytes unread");
     }
 }
 
-/// What it wrote lies there unread, or still on its way: a leave must be seen within 100 ms.
+/// What it wrote lies there unread, or is still on its way: its departure must be noticed within 100 ms.
 #[tokio::test(start_paused = true)]
-async fn a_client_that_leaves_behind_unread_bytes_is_seen_within_50_ms() {
-    for (name, leave) in WAYS {
-        for behind in [0, 10, FLOOD / 2, 2 * FLOOD, 16 << 20] {
-            let time = seen_after(leave, b"GET /", behind).await;
+async fn client_that_leaves_unread_bytes_behind_is_noticed_within_50_ms() {
+    for (name, leave) in WAYS_TO_LEAVE {
+        for behind in [0, 10, MIN_FLOOD_BYTES / 2, 2 * MIN_FLOOD_BYTES, 16 << 20] {
+            let time = noticed_after(leave, b"GET /", behind).await;
             assert!(time <= Duration::from_millis(50), "{name} behind {behind} bytes: {time:?}");
         }
     }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -15,7 +15,7 @@
 use crate::config::Config;
 use crate::discovery::{EndpointListObserver, RefreshPolicy};
 use crate::dispatcher::Dispatcher;
-use crate::downstream::DownstreamServer;
+use crate::downstream::{DownstreamServer, DownstreamSettings};
 use crate::logging::target;
 use crate::peers::Peers;
 use crate::quota_counter::QuotaCounter;
@@ -93,8 +93,12 @@
     let listener = Rc::new(listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?);
     let pace = RefreshPolicy::new(&config.socket_settings, settings.gateways);
     let (answer_by, write_by) = last_answers(&settings);
-    let clients =
-        DownstreamServer::new(core.clone(), settings, config.socket_settings.retry_after, clients_most);
+    let downstream_settings = DownstreamSettings {
+        admission: settings,
+        sends_retry_after: config.socket_settings.retry_after,
+        max_connections: clients_most,
+    };
+    let clients = DownstreamServer::new(core.clone(), downstream_settings);
 
     let bound = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
     match peers.local_addr() {
