--- a/crates/admission/src/coordination/gossip.rs
+++ b/crates/admission/src/coordination/gossip.rs
@@ -2,7 +2,8 @@
 use crate::action::Action;
 use crate::gateway::Gateway;
 use crate::mechanism::decaying_rate::DecayingRate;
-use crate::messages::gossip::{GossipMessage, Observation};
+use crate::messages::gossip::GossipMessage;
+use crate::messages::observation::Observation;
 use crate::policy::coordination::{MEAN_GAIN_PER_SECOND, RECEIVED_MEAN_GAIN};
 use crate::policy::in_flight_band::MAX_WATERMARK;
 use crate::policy::outlier_detection::MAX_OBSERVATIONS;
@@ -70,7 +71,7 @@
         let rate = self.gossip.answer_rate.now(self.clock.now_ms, QUOTA_RATE_SPAN_S);
         self.gossip.mean_answer_rate +=
             (1.0 - (-MEAN_GAIN_PER_SECOND * seconds).exp()) * (rate - self.gossip.mean_answer_rate);
-        if !self.settings.peer_messages_allowed {
+        if !self.coordination.exchanges_gossip() {
             // Nobody tells: the own part of the fleet stands for the others'.
             (self.gossip.received_stock, self.gossip.received_answer_rate) =
                 (self.gossip.mean_stock, self.gossip.mean_answer_rate);
--- a/crates/admission/src/policy/quota_counter.rs
+++ b/crates/admission/src/policy/quota_counter.rs
@@ -1,5 +1,6 @@
 //! Quotas held through the shared counter, where gateways may not send each other messages.
 use crate::action::Action;
+use crate::coordination::Coordination;
 use crate::event::CounterOutcome;
 use crate::gateway::Gateway;
 use crate::id::RequestId;
@@ -37,21 +38,22 @@
     let soft = plan.over_quota_value > plan.over_quota_cost
         && plan.open_limit == 0
         && plan.ceiling_rate_per_second <= 0.0;
-    QuotaState::Beyond { ceiling: soft }
+    QuotaState::OverQuota { within_ceiling: soft }
 }
 
 impl Gateway {
     /// Puts a held request's question to whoever can tell of its quota: the keeper, the counter, or where
     /// neither may be asked nobody, and each gateway grants what it would alone.
     pub(crate) fn check_quota(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        if self.settings.peer_messages_allowed {
-            self.request_quota(id, 0, actions);
-        } else if self.settings.counter_allowed {
-            self.request_from_counter(id, actions);
-        } else if let Some(active) = self.requests.active.get_mut(&id) {
-            active.within_quota = true;
-            let (tag, r) = (active.tag, active.request.clone());
-            self.customer_entry(tag, r.plan, r.first, r.spread.clamp(1, self.settings.gateways));
+        match self.coordination {
+            Coordination::Gossip => self.request_quota(id, 0, actions),
+            Coordination::Counter => self.request_from_counter(id, actions),
+            Coordination::Broadcast | Coordination::Isolated => {
+                let Some(active) = self.requests.active.get_mut(&id) else { return };
+                active.within_quota = true;
+                let (tag, r) = (active.tag, active.request.clone());
+                self.customer_entry(tag, r.plan, r.first, r.spread.clamp(1, self.settings.gateways));
+            }
         }
     }
 
@@ -69,7 +71,7 @@
         let short = customer.tokens_at_most(&plan, now).is_some_and(|most| most < r.units);
         // A try again, where clients mark it, is most likely one of a customer beyond its quota.
         let part = if r.repeat { 1.0 } else { self.quota_counter.sampling_fraction };
-        let asks = !short && self.random_fraction() < part;
+        let asks = !short && self.random.next_fraction() < part;
         // What is not asked about goes on, and what is asked about takes its units too.
         let takes = r.units * (1.0 / part).min(MAX_SAMPLE_WEIGHT);
         if let Some(customer) = self.customers.by_tag.get_mut(&tag).filter(|_| asks) {
@@ -79,45 +81,12 @@
         (active.within_quota, active.ample) = (!short, true);
         active.quota = match (short, asks) {
             (true, _) => beyond(&plan),
-            (_, true) => QuotaState::Counting,
-            _ => QuotaState::Counted { asked: false },
+            (_, true) => QuotaState::AwaitingCounter,
+            _ => QuotaState::AdmittedByCounter { asked: false },
         };
         self.call_counter(tag, actions);
     }
 
-    /// Makes a customer's next call. It has one out at a time, so that each answer belongs to one question.
-    pub(crate) fn call_counter(&mut self, tag: u64, actions: &mut Vec<Action>) {
-        let (name, _) = count_now(tag, self.clock.now_ms);
-        let Some(customer) = self.customers.by_tag.get_mut(&tag) else { return };
-        let count = &mut customer.count;
-        while count.calling.is_none() {
-            let call = match count.queue.pop_front() {
-                // Its client has gone, or its time is over.
-                Some(Call::Ask { id, .. })
-                    if !self
-                        .requests
-                        .active
-                        .get(&id)
-                        .is_some_and(|o| !o.answered && o.quota == QuotaState::Counting) =>
-                {
-                    continue
-                }
-                Some(call) => call,
-                None if count.owed != 0.0 => Call::Settle,
-                None => return,
-            };
-            let more = match call {
-                Call::Ask { takes, .. } => takes,
-                Call::Raise { by, .. } => by,
-                Call::Settle => 0.0,
-            };
-            let owed = std::mem::take(&mut count.owed);
-            count.calling = Some((call, owed));
-            self.quota_counter.calls.insert(name, tag);
-            actions.push(Action::AddToCounter { name, amount: more + owed, ttl_ms: COUNT_EPOCH_MS });
-        }
-    }
-
     /// Takes the counter's answer to a customer's call.
     pub(crate) fn on_counter_reply(&mut self, name: u64, outcome: CounterOutcome, actions: &mut Vec<Action>) {
         let Some(tag) = self.quota_counter.calls.remove(&name) else { return };
@@ -186,13 +155,16 @@
     ) {
         let (now, granted) = (self.clock.now_ms, level >= units);
         let back = self.refund(units);
-        let active =
-            self.requests.active.get_mut(&id).filter(|o| !o.answered && o.quota == QuotaState::Counting);
+        let active = self
+            .requests
+            .active
+            .get_mut(&id)
+            .filter(|o| !o.answered && o.quota == QuotaState::AwaitingCounter);
         let taken = granted && active.is_some();
         if let Some(active) = active {
             active.within_quota = granted;
             active.ample = level > AMPLE_FRACTION * plan.burst_units;
-            active.quota = if granted { QuotaState::Counted { asked: true } } else { beyond(plan) };
+            active.quota = if granted { QuotaState::AdmittedByCounter { asked: true } } else { beyond(plan) };
         }
         if let Some(customer) = self.customers.by_tag.get_mut(&tag) {
             customer.count.level = Some((level - if taken { takes } else { takes - units }, now));
@@ -205,7 +177,7 @@
     /// counter can't answer all, the same part of them is made, and each stands for the others.
     pub(crate) fn refund(&mut self, units: f64) -> f64 {
         let part = self.quota_counter.sampling_fraction.max(1.0 / MAX_SAMPLE_WEIGHT);
-        Some(units / part).filter(|_| self.random_fraction() < part).unwrap_or(0.0)
+        Some(units / part).filter(|_| self.random.next_fraction() < part).unwrap_or(0.0)
     }
 
     /// Puts right what a request took in the end: all of it where it was never sent. The true units, where
--- a/crates/admission/src/policy/retry.rs
+++ b/crates/admission/src/policy/retry.rs
@@ -1,9 +1,8 @@
 //! Further attempts: idempotency, retry budget, hedging.
 use crate::action::Action;
-use crate::event::{AttemptEnd, Outcome};
 use crate::gateway::{Gateway, UPKEEP_MS};
 use crate::id::RequestId;
-use crate::messages::gossip::{SEEN_CLASS, SEEN_FAILED};
+use crate::messages::observation::ObservationKind;
 use crate::settings::{DedupGroup, Idempotency};
 use crate::state::endpoint::{EjectionScope, Endpoint};
 use crate::state::request::ActiveRequest;
@@ -68,8 +67,10 @@
         if self.outliers.correlated_failure {
             return;
         }
-        let mut stuck = if self.gossip_mode() { self.stalled_attempts() } else { Vec::new() };
-        for endpoint in self.endpoints.by_id.values().filter(|s| !self.gossip_mode() && self.is_outlier(s)) {
+        let mut stuck = if self.coordination.is_broadcast() { Vec::new() } else { self.stalled_attempts() };
+        for endpoint in
+            self.endpoints.by_id.values().filter(|s| self.coordination.is_broadcast() && self.is_outlier(s))
+        {
             stuck.extend(endpoint.in_flight.iter().map(|o| (o.1, o.2)));
         }
         for (id, attempt) in stuck {
@@ -109,24 +110,11 @@
                     stuck.push((*id, number));
                 }
                 if age > limit && age < limit + UPKEEP_MS {
-                    marks.push((attempt.endpoint, SEEN_CLASS * class as u32 + SEEN_FAILED));
+                    marks.push((attempt.endpoint, ObservationKind::Failed { class }));
                 }
             }
         }
         marks.iter().for_each(|m| self.record_observation(m.0, m.1));
         stuck
     }
-
-    pub(crate) fn on_attempt_end(&mut self, end: &AttemptEnd, actions: &mut Vec<Action>) {
-        let (id, outcome) = (end.request, end.outcome);
-        let Some((class, plan)) = self.settle_attempt(end) else { return };
-        self.record_attempt_end(end, class, plan);
-        let Some(active) = self.requests.active.get_mut(&id) else { return };
-        let waits = active.attempts.iter().any(|a| a.pending);
-        if end.closed || outcome == Outcome::Ok || active.answered {
-            self.close(id, actions);
-        } else if !waits && (outcome == Outcome::TooLate || !self.retry(id, actions)) {
-            self.finish(id, None, actions);
-        }
-    }
 }
--- a/crates/gateway/src/discovery/endpoint_list.rs
+++ b/crates/gateway/src/discovery/endpoint_list.rs
@@ -94,8 +94,9 @@
         let has_start = self.started_at_ms.is_finite() && self.started_at_ms > 0.0;
         let entry = EndpointEntry {
             id: endpoint_id(&self.uid),
-            zone: index_or_unnamed(&names.zones, &self.zone),
-            kind: index_or_unnamed(&names.kinds, &self.machine_kind),
+            // All zones and kinds that the settings do not name share the index after the last name.
+            zone: names.zone_index(&self.zone).unwrap_or(names.zones.len()),
+            kind: names.machine_kind_index(&self.machine_kind).unwrap_or(names.machine_kinds.len()),
             cell: self.cell,
             state,
             // With a start in the future, slow start would count a negative capacity.
@@ -105,11 +106,6 @@
     }
 }
 
-/// The index of a zone or machine kind. All that the settings do not name share the index after the last name.
-fn index_or_unnamed(names: &[String], name: &str) -> usize {
-    names.iter().position(|n| n == name).unwrap_or(names.len())
-}
-
 /// The FNV-1a hash of the uid: an endpoint's id must be the same at every gateway, whatever its address there.
 fn endpoint_id(uid: &str) -> EndpointId {
     let mut hasher = fnv::FnvHasher::default();
--- a/crates/gateway/src/discovery/tests/list_lease.rs
+++ b/crates/gateway/src/discovery/tests/list_lease.rs
@@ -6,7 +6,7 @@
 };
 use crate::discovery::refresh_policy::CONNECT_TIMEOUT;
 use crate::discovery::refresh_schedule::{CallPosition, CallTimes, RefreshSchedule, RESPONSE_ALLOWANCE};
-use irishinge_settings::Lists;
+use irishinge_settings::DiscoveryMode;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -64,7 +64,7 @@
         "refusals do not renew it either"
     );
     // A pushed list never expires.
-    let mut schedule = RefreshSchedule::new(policy(Lists::Pushed, 300, 2000.0), 5, start);
+    let mut schedule = RefreshSchedule::new(policy(DiscoveryMode::Pushed, 300, 2000.0), 5, start);
     schedule.on_address_change(start);
     schedule.on_error(&silent_call(), later);
     assert_eq!(schedule.list_expires_at(), None);
--- a/crates/gateway/src/discovery/tests/refresh_policy.rs
+++ b/crates/gateway/src/discovery/tests/refresh_policy.rs
@@ -1,5 +1,5 @@
 use super::policy;
-use irishinge_settings::Lists;
+use irishinge_settings::DiscoveryMode;
 use std::time::Duration;
 
 /// The worst case from a watch that falls silent to the next list: the watch has just been opened, the pause is the
@@ -8,7 +8,7 @@
 fn pushed_list_is_refreshed_within_the_grace_after_any_failure_of_the_watch() {
     for grace_ms in [250.0, 1000.0, 2000.0, 2500.0, 10_000.0] {
         for gateways in [1, 300, 100_000] {
-            let policy = policy(Lists::Pushed, gateways, grace_ms);
+            let policy = policy(DiscoveryMode::Pushed, gateways, grace_ms);
             let timeout = policy.response_timeout;
             assert!(policy.queued_response_timeout == timeout && policy.connect_timeout == timeout);
             let notice = policy.watch_wait + timeout;
--- a/crates/gateway/src/downstream/request.rs
+++ b/crates/gateway/src/downstream/request.rs
@@ -30,9 +30,9 @@
     check_framing(headers)?;
     let id = header(headers, "x-call-id").and_then(parse_hex).ok_or(RequestError::InvalidCallId)?;
     let class = header(headers, "x-call-class").ok_or(RequestError::MissingClass)?;
-    let class = index_of(&names.classes, class).ok_or(RequestError::UnknownClass)?;
+    let class = names.class_index(class).map_err(|_| RequestError::UnknownClass)?;
     let plan = header(headers, "x-contract").ok_or(RequestError::MissingPlan)?;
-    let plan = index_of(&names.plans, plan).ok_or(RequestError::UnknownPlan)?;
+    let plan = names.plan_index(plan).map_err(|_| RequestError::UnknownPlan)?;
     let class_settings = &settings.classes[class];
     check_idempotency(head, class_settings.idempotency)?;
     let budget_s = parse_budget_s(headers)?;
@@ -114,10 +114,6 @@
     headers.get(name)?.to_str().ok()
 }
 
-fn index_of(names: &[String], name: &str) -> Option<usize> {
-    names.iter().position(|n| n == name)
-}
-
 /// A number of exactly 16 hexadecimal digits.
 fn parse_hex(text: &str) -> Option<u64> {
     let is_hex = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -83,7 +83,7 @@
     let peers =
         Peers::bind(config.peer_listen, config.peers, settings.me, settings.peer_messages_per_second).await;
     let peers = Rc::new(peers.map_err(|e| format!("cannot listen for peers: {e}"))?);
-    let counter = QuotaCounter::new(config.counter, config.socket_settings.count_limit_ms);
+    let counter = QuotaCounter::new(config.counter, config.socket_settings.counter_timeout_ms);
     let core = Dispatcher::new(gateway, clock, config.names, hosts, peers.clone(), counter);
     // A list with nobody on it is not worth going on from.
     let known = config.known.as_ref().filter(|list| !list.is_empty()).map(|list| list.revision);
@@ -96,7 +96,7 @@
     let (answer_by, write_by) = last_answers(&settings);
     let downstream_settings = DownstreamSettings {
         admission: settings,
-        sends_retry_after: config.socket_settings.retry_after,
+        sends_retry_after: config.socket_settings.retry_after_enabled,
         max_connections: clients_most,
     };
     let clients = DownstreamServer::new(core.clone(), downstream_settings);
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -50,7 +50,7 @@
             lease_end: Cell::default(),
             budget: ConnectionBudget::new(max_connections),
             connect_timeout: duration_from_ms(settings.connect_timeout_ms),
-            idle_timeout: duration_from_ms(settings.conn_idle_ms * IDLE_TIMEOUT_FRACTION),
+            idle_timeout: duration_from_ms(settings.idle_connection_timeout_ms * IDLE_TIMEOUT_FRACTION),
             reuse_delay: ReuseDelay::default(),
         }
     }
