Pin request parsing, error texts, metering and eviction of connections in unit tests

What a malformed request is answered, and which connection makes room, was held by tests on sockets only, and the texts by none. 18 new tests in downstream/tests, by concern: the status and text of each RequestError, the fields and errors of a request's head, the bounds of X-Metering, the order in which connections make room, what counts as a flood. The two tests of a client's departure move to client_departure.rs unchanged. CallError keeps the cause of a failed exchange.

--- a/crates/gateway/src/discovery/error.rs
+++ b/crates/gateway/src/discovery/error.rs
@@ -1,4 +1,5 @@
 //! Why discovery gave no list: what was reached, which the schedule and the lease go by, and what went wrong.
+use crate::http_connection::ExchangeError;
 use std::io;
 use thiserror::Error;
 use tokio::time::Instant;
@@ -37,8 +38,8 @@
     InvalidRequest(#[from] hyper::http::Error),
     #[error("no response in time")]
     ResponseTimedOut,
-    #[error("connection broke before the response")]
-    ConnectionBroken,
+    #[error("no valid response: {0}")]
+    ExchangeFailed(#[from] ExchangeError),
     #[error("unexpected status {0}")]
     UnexpectedStatus(hyper::StatusCode),
     #[error("list cannot be read: {0}")]
--- a/crates/gateway/src/discovery/tests/mod.rs
+++ b/crates/gateway/src/discovery/tests/mod.rs
@@ -8,6 +8,7 @@
 use super::error::{CallError, DiscoveryError};
 use super::refresh_policy::RefreshPolicy;
 use super::refresh_schedule::RefreshSchedule;
+use crate::http_connection::ExchangeError;
 use irishinge_settings::{DiscoveryMode, SocketSettings};
 use std::io;
 use tokio::time::Instant;
@@ -46,5 +47,5 @@
 
 /// The connection of a watch broke.
 fn reset_watch() -> DiscoveryError {
-    DiscoveryError::WatchInterrupted(CallError::ConnectionBroken)
+    DiscoveryError::WatchInterrupted(CallError::ExchangeFailed(ExchangeError::ConnectionLost))
 }
--- a/crates/gateway/src/discovery/watch.rs
+++ b/crates/gateway/src/discovery/watch.rs
@@ -187,7 +187,7 @@
         let response = timeout_at(deadline, connection.exchange(request, MAX_LIST_BYTES)).await;
         let response = response
             .map_err(|_| DiscoveryError::WatchInterrupted(CallError::ResponseTimedOut))?
-            .map_err(|_| DiscoveryError::WatchInterrupted(CallError::ConnectionBroken))?;
+            .map_err(|error| DiscoveryError::WatchInterrupted(error.into()))?;
         let list = parse_list(&response)?;
         Ok(ListResponse { list, delay: started.elapsed().saturating_sub(wait) })
     }
--- a/crates/gateway/src/downstream/tests.rs
+++ b/crates/gateway/src/downstream/tests/client_departure.rs
@@ -1,14 +1,12 @@
-use super::connection::{Connection, ConnectionRole, ConnectionStage};
-use super::flood::MIN_FLOOD_BYTES;
+use super::active_connection;
+use crate::downstream::flood::MIN_FLOOD_BYTES;
 use socket2::SockRef;
 use std::future::{poll_fn, Future};
-use std::io;
 use std::io::Write;
 use std::net::TcpStream as Client;
 use std::pin::pin;
 use std::task::Poll;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::task::yield_now;
 use tokio::time::Instant;
 
@@ -28,21 +26,10 @@
     std::mem::forget(client);
 }
 
-async fn connected() -> (Connection, Client) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let client = Client::connect(listener.local_addr().expect("bound")).expect("a connection");
-    let (stream, _) = listener.accept().await.expect("a connection");
-    // hyper has read all there was.
-    assert_eq!(stream.try_read(&mut [0]).map_err(|e| e.kind()), Err(io::ErrorKind::WouldBlock));
-    let connection = Connection::new(stream, ConnectionRole::Serving);
-    connection.enter(ConnectionStage::Active);
-    (connection, client)
-}
-
 /// How long it takes, in simulated time, to notice that a client leaves. It had written `before` when the wait for it
 /// began, and then wrote `behind` bytes.
 async fn noticed_after(leave: Leave, before: &[u8], behind: usize) -> Duration {
-    let (connection, mut client) = connected().await;
+    let (connection, mut client) = active_connection().await;
     client.write_all(before).expect("the socket takes it");
     let mut left = pin!(connection.client_left());
     for _ in 0..10 {
--- /dev/null
+++ b/crates/gateway/src/downstream/tests/eviction.rs
@@ -0,0 +1,80 @@
+use super::socket_pair;
+use crate::downstream::connection::{Connection, ConnectionRole, ConnectionStage};
+use crate::downstream::connection_table::{ConnectionTable, Eviction};
+use std::net::TcpStream as Client;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::advance;
+
+/// A table of connections whose clients stay connected.
+#[derive(Default)]
+struct Fixture {
+    table: ConnectionTable,
+    clients: Vec<Client>,
+}
+
+impl Fixture {
+    /// Adds a connection that comes to a stage now.
+    async fn add(&mut self, stage: ConnectionStage) -> Rc<Connection> {
+        let (stream, client) = socket_pair().await;
+        let connection = Rc::new(Connection::new(stream, ConnectionRole::Serving));
+        connection.enter(stage);
+        self.table.insert(connection.clone());
+        self.clients.push(client);
+        connection
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn silent_new_connection_makes_room_before_one_that_is_idle_for_long() {
+    let mut fixture = Fixture::default();
+    let idle = fixture.add(ConnectionStage::Idle).await;
+    advance(Duration::from_secs(3)).await;
+    let silent = fixture.add(ConnectionStage::AwaitingFirstRequest).await;
+    advance(Duration::from_millis(10)).await;
+    let later = fixture.add(ConnectionStage::AwaitingFirstRequest).await;
+    advance(Duration::from_millis(15)).await;
+    assert_eq!(fixture.table.evict_one(), Eviction::Evicted);
+    assert_eq!(silent.stage(), ConnectionStage::Discarded);
+    assert_eq!(idle.stage(), ConnectionStage::Idle);
+    assert_eq!(later.stage(), ConnectionStage::AwaitingFirstRequest);
+}
+
+#[tokio::test(start_paused = true)]
+async fn connection_that_is_idle_for_long_makes_room_before_one_that_has_just_connected() {
+    let mut fixture = Fixture::default();
+    let idle = fixture.add(ConnectionStage::Idle).await;
+    advance(Duration::from_millis(1990)).await;
+    let new = fixture.add(ConnectionStage::AwaitingFirstRequest).await;
+    advance(Duration::from_millis(10)).await;
+    assert_eq!(fixture.table.evict_one(), Eviction::Evicted);
+    assert_eq!(idle.stage(), ConnectionStage::Active, "it may be reading a request, and then answers it");
+    assert_eq!(new.stage(), ConnectionStage::AwaitingFirstRequest);
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_silent_or_long_idle_ones_new_connections_make_room_first_and_the_oldest_of_them() {
+    let mut fixture = Fixture::default();
+    let idle = fixture.add(ConnectionStage::Idle).await;
+    advance(Duration::from_millis(1900)).await;
+    let older = fixture.add(ConnectionStage::AwaitingFirstRequest).await;
+    advance(Duration::from_millis(10)).await;
+    let newer = fixture.add(ConnectionStage::AwaitingFirstRequest).await;
+    for evicted in [older, newer] {
+        assert_eq!(fixture.table.evict_one(), Eviction::Evicted);
+        assert_eq!(evicted.stage(), ConnectionStage::Discarded);
+        assert_eq!(idle.stage(), ConnectionStage::Idle);
+    }
+    assert_eq!(fixture.table.evict_one(), Eviction::Evicted);
+    assert_eq!(idle.stage(), ConnectionStage::Active);
+}
+
+#[tokio::test(start_paused = true)]
+async fn connection_with_a_request_never_makes_room() {
+    let mut fixture = Fixture::default();
+    let active = fixture.add(ConnectionStage::Active).await;
+    fixture.add(ConnectionStage::Discarded).await;
+    advance(Duration::from_secs(10)).await;
+    assert_eq!(fixture.table.evict_one(), Eviction::NoneFree);
+    assert_eq!(active.stage(), ConnectionStage::Active);
+}
--- /dev/null
+++ b/crates/gateway/src/downstream/tests/flood.rs
@@ -0,0 +1,41 @@
+use super::{active_connection, socket_pair};
+use crate::downstream::flood::{discard, is_flood, Discarded, MIN_FLOOD_BYTES};
+use std::io::Write;
+use std::time::Duration;
+use tokio::time::timeout;
+
+#[tokio::test]
+async fn unread_bytes_are_a_flood_from_64_kib_on() {
+    assert_eq!(MIN_FLOOD_BYTES, 64 * 1024);
+    let (stream, mut client) = socket_pair().await;
+    client.write_all(&vec![b'x'; MIN_FLOOD_BYTES - 1]).expect("the sockets take it");
+    stream.readable().await.expect("bytes");
+    assert!(!is_flood(&stream));
+    client.write_all(b"x").expect("the sockets take it");
+    let noticed = timeout(Duration::from_secs(10), async {
+        while !is_flood(&stream) {
+            tokio::task::yield_now().await;
+        }
+    });
+    noticed.await.expect("the last byte arrives");
+}
+
+#[tokio::test]
+async fn discarding_reports_what_is_left() {
+    let (stream, mut client) = socket_pair().await;
+    client.write_all(b"x").expect("the sockets take it");
+    stream.readable().await.expect("bytes");
+    assert_eq!(discard(&stream), Discarded::NoneUnread);
+    drop(client);
+    stream.readable().await.expect("an end");
+    assert_eq!(discard(&stream), Discarded::ClientLeft);
+}
+
+/// Fewer bytes than a flood stay unread, for hyper.
+#[tokio::test]
+async fn less_than_a_flood_is_not_discarded() {
+    let (connection, mut client) = active_connection().await;
+    client.write_all(b"GET /").expect("the sockets take it");
+    assert!(timeout(Duration::from_millis(100), connection.client_left()).await.is_err());
+    assert!(!connection.is_flooded());
+}
--- /dev/null
+++ b/crates/gateway/src/downstream/tests/request_parsing.rs
@@ -0,0 +1,141 @@
+use super::{names, settings};
+use crate::downstream::request::{parse_request, upstream_request};
+use crate::downstream::request_error::RequestError;
+use bytes::Bytes;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::Method;
+use irishinge_admission::{CustomerId, Request, RequestId};
+
+const PATH: &str = "/api/00000001ffffffff?page=2";
+
+/// The head of a well-formed request of a class.
+fn head(class: &str) -> Parts {
+    let method = if class == "read" { Method::GET } else { Method::POST };
+    let mut request = hyper::Request::builder()
+        .method(method)
+        .uri(PATH)
+        .header("host", "origin.svc")
+        .header("x-call-id", "00000000000000aF")
+        .header("x-call-class", class)
+        .header("x-contract", "gold")
+        .header("x-budget", "1.500")
+        .header("x-metering", "units=2,spread=3,first=1");
+    if class == "post" {
+        request = request.header("idempotency-key", "5c0f6e1a");
+    }
+    request.body(()).expect("a request").into_parts().0
+}
+
+/// The same with one header set, or left out.
+fn head_with(class: &str, name: &'static str, value: Option<&str>) -> Parts {
+    let mut head = head(class);
+    match value {
+        Some(value) => _ = head.headers.insert(name, HeaderValue::from_str(value).expect("a value")),
+        None => _ = head.headers.remove(name),
+    }
+    head
+}
+
+fn parse(head: &Parts) -> Result<Request, RequestError> {
+    parse_request(head, &settings(), &names())
+}
+
+fn error_of(head: &Parts) -> Option<RequestError> {
+    parse(head).err()
+}
+
+#[test]
+fn each_header_reaches_its_field() {
+    let request = parse(&head("read")).expect("a well-formed request");
+    assert_eq!((request.id, request.customer), (RequestId(0xaf), CustomerId(0x1_ffff_ffff)));
+    assert_eq!((request.class, request.plan), (0, 1));
+    assert_eq!((request.units, request.spread, request.first), (2.0, 3, 1));
+    assert_eq!(request.time_left_ms, 1500.0);
+    assert!(!request.repeat && !request.write);
+    let request = parse(&head_with("post", "x-again", Some("1"))).expect("a well-formed request");
+    assert_eq!(request.class, 1);
+    assert!(request.repeat && request.write);
+    assert!(parse(&head("once")).expect("a well-formed request").write);
+}
+
+#[test]
+fn time_left_is_bounded_by_the_deadline_of_the_class() {
+    let request = parse(&head_with("read", "x-budget", Some("1e3"))).expect("a well-formed request");
+    assert_eq!(request.time_left_ms, 2000.0);
+}
+
+#[test]
+fn path_names_a_customer() {
+    for (path, error) in [
+        ("/", RequestError::UnknownPath),
+        ("/other/00000000b4d65521", RequestError::UnknownPath),
+        ("/api/", RequestError::InvalidCustomer),
+        ("/api/b4d65521", RequestError::InvalidCustomer),
+        ("/api/+0000000b4d65521", RequestError::InvalidCustomer),
+        ("/api/00000000b4d65521/", RequestError::InvalidCustomer),
+        ("/api/0000000200000000", RequestError::InvalidCustomer),
+    ] {
+        let mut head = head("read");
+        head.uri = path.parse().expect("a path");
+        assert_eq!(error_of(&head), Some(error), "{path}");
+    }
+}
+
+#[test]
+fn missing_or_malformed_headers_are_errors() {
+    for (name, value, error) in [
+        ("x-call-id", None, RequestError::InvalidCallId),
+        ("x-call-id", Some("af"), RequestError::InvalidCallId),
+        ("x-call-id", Some("+0000000000000af"), RequestError::InvalidCallId),
+        ("x-call-class", None, RequestError::MissingClass),
+        ("x-call-class", Some("riddle"), RequestError::UnknownClass),
+        ("x-contract", None, RequestError::MissingPlan),
+        ("x-contract", Some("none"), RequestError::UnknownPlan),
+        ("x-budget", None, RequestError::InvalidBudget),
+        ("x-budget", Some("NaN"), RequestError::InvalidBudget),
+        ("x-budget", Some("inf"), RequestError::InvalidBudget),
+        ("x-budget", Some("0"), RequestError::InvalidBudget),
+        ("x-metering", None, RequestError::InvalidMetering),
+        ("x-metering", Some("units=9,spread=1,first=0"), RequestError::InvalidMetering),
+        ("idempotency-key", None, RequestError::MissingIdempotencyKey),
+        ("transfer-encoding", Some("chunked"), RequestError::LengthRequired),
+    ] {
+        assert_eq!(error_of(&head_with("post", name, value)), Some(error), "{name}: {value:?}");
+    }
+}
+
+#[test]
+fn headers_that_say_what_a_request_is_must_not_be_repeated() {
+    for name in
+        ["host", "x-call-id", "x-call-class", "x-contract", "x-budget", "x-metering", "idempotency-key"]
+    {
+        let mut head = head("post");
+        let value = head.headers[name].clone();
+        head.headers.append(HeaderName::from_static(name), value);
+        assert_eq!(error_of(&head), Some(RequestError::RepeatedHeader), "{name}");
+    }
+}
+
+#[test]
+fn method_is_that_of_the_class() {
+    for (class, method) in [("read", Method::POST), ("post", Method::GET), ("once", Method::PUT)] {
+        let mut head = head(class);
+        head.method = method;
+        assert_eq!(error_of(&head), Some(RequestError::WrongMethod), "{class}");
+    }
+}
+
+#[test]
+fn upstream_request_keeps_what_endpoints_need_and_asks_for_a_host() {
+    let request = upstream_request(head("post"), Bytes::from_static(b"body")).expect("a request");
+    assert_eq!((request.method, request.uri.to_string().as_str()), (Method::POST, PATH));
+    assert_eq!(request.host, "origin.svc");
+    assert_eq!(request.call_id, "00000000000000aF");
+    assert_eq!(request.idempotency_key, Some(HeaderValue::from_static("5c0f6e1a")));
+    assert_eq!((request.content_type, request.body), (None, Bytes::from_static(b"body")));
+    for (name, error) in [("host", RequestError::MissingHost), ("x-call-id", RequestError::MissingCallId)] {
+        let missing = upstream_request(head_with("post", name, None), Bytes::new());
+        assert_eq!(missing.err(), Some(error), "{name}");
+    }
+}
