Name the scale of response times in observation codes

The codec of observations held its scale as bare numbers in two formulas. They are named constants now, with what each means.

--- a/crates/admission/src/messages/observation.rs
+++ b/crates/admission/src/messages/observation.rs
@@ -13,6 +13,13 @@
 /// Highest code that two digits hold.
 const MAX_CODE: u32 = 4095;
 
+/// Scale of response times: steps to an octave, octaves below the objective at which it begins, its highest step,
+/// and the shortest response time that is told apart from none, in parts of the objective.
+const STEPS_PER_OCTAVE: f64 = 5.0;
+const OCTAVES_BELOW_OBJECTIVE: f64 = 6.0;
+const MAX_STEP: f64 = 60.0;
+const MIN_OBJECTIVE_FRACTION: f64 = 1e-3;
+
 /// What a gateway observed of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Observation {
@@ -44,20 +51,20 @@
     },
 }
 
-/// A response time in parts of the class's latency objective, on a logarithmic scale of five steps an octave
-/// from 1/64 up.
+/// A response time in parts of the class's latency objective, on a logarithmic scale.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct ResponseTimeCode(u32);
 
 impl ResponseTimeCode {
     /// The code next to a response time given in parts of the objective.
     pub(crate) fn from_objective_fraction(fraction: f64) -> Self {
-        ResponseTimeCode(((fraction.max(1e-3).log2() + 6.0) * 5.0).round().clamp(0.0, 60.0) as u32)
+        let octaves = fraction.max(MIN_OBJECTIVE_FRACTION).log2() + OCTAVES_BELOW_OBJECTIVE;
+        ResponseTimeCode((octaves * STEPS_PER_OCTAVE).round().clamp(0.0, MAX_STEP) as u32)
     }
 
     /// The response time that the code stands for, in parts of the objective.
     pub(crate) fn objective_fraction(self) -> f64 {
-        2f64.powf(f64::from(self.0) / 5.0 - 6.0)
+        2f64.powf(f64::from(self.0) / STEPS_PER_OCTAVE - OCTAVES_BELOW_OBJECTIVE)
     }
 }
 
