--- a/crates/admission/src/policy/dispatch.rs
+++ b/crates/admission/src/policy/dispatch.rs
@@ -44,7 +44,7 @@
                 QuotaDecision::Wait => {}
                 QuotaDecision::OverQuota => self.send_or_finish_over_quota(head, actions),
                 // Dispatch credit depends on the class, so that another head may pass where this one can't.
-                QuotaDecision::Admit if self.gossip_mode() && !self.under_band(head.id).0 => {
+                QuotaDecision::Admit if !self.coordination.is_broadcast() && !self.under_band(head.id).0 => {
                     (self.band.blocked, self.band.was_blocked) = (true, true)
                 }
                 QuotaDecision::Admit => {
@@ -66,7 +66,8 @@
         match if may_send { self.select_endpoint(head.id) } else { None } {
             Some(endpoint) => self.send(head.id, endpoint, actions),
             None => {
-                let retry_after_ms = self.gossip_mode().then_some(self.settings.max_retry_after_ms);
+                let retry_after_ms =
+                    (!self.coordination.is_broadcast()).then_some(self.settings.max_retry_after_ms);
                 self.finish(head.id, retry_after_ms, actions)
             }
         }
