--- a/crates/admission/src/coordination/broadcast.rs
+++ b/crates/admission/src/coordination/broadcast.rs
@@ -8,7 +8,7 @@
 
 impl Gateway {
     pub(crate) fn broadcast_counts(&mut self, actions: &mut Vec<Action>) {
-        let stock = self.band_load().1;
+        let stock = self.band_load().in_flight;
         let gateways = self.settings.gateways;
         let mut notes: BTreeMap<usize, Vec<CountsMessage>> =
             self.peers.by_index.keys().map(|p| (*p, vec![CountsMessage::default()])).collect();
@@ -69,7 +69,7 @@
                 peer.sent_seq = (peer.sent_seq + 1) & 0xfff;
                 (peer.reported_ms, peer.reported_stock) = (self.clock.now_ms, stock);
                 (note.incarnation, note.seq, note.stock) = (self.incarnation, peer.sent_seq, stock);
-                note.watermark = (self.band.watermark * 16.0) as u32;
+                note.watermark = (self.band.watermark() * 16.0) as u32;
                 actions.push(Action::SendPeerMessage { to: Some(id), body: note.encode() });
             }
         }
--- a/crates/admission/src/coordination/gossip.rs
+++ b/crates/admission/src/coordination/gossip.rs
@@ -30,7 +30,7 @@
         let Some(peer) = self.peers.by_index.get_mut(&from) else { return };
         (peer.received_ms, peer.missed_responses, peer.suspected_until_ms) = (self.clock.now_ms, 0, 0.0);
         let told = (f64::from(note.watermark) / 32.0).clamp(self.watermark_floor(), MAX_WATERMARK);
-        self.band.watermark += 0.5 * (told - self.band.watermark);
+        self.band.follow_watermark(told, 0.5);
         let told = f64::from(note.stock) / 64.0;
         self.gossip.mean_stock += 0.5 * (told - self.gossip.mean_stock);
         self.gossip.received_stock += RECEIVED_MEAN_GAIN * (told - self.gossip.received_stock);
@@ -52,7 +52,7 @@
             return self.handle_quota_traffic(to, note, actions);
         }
         note.stock = (self.gossip.mean_stock * 64.0).round() as u32;
-        note.watermark = (self.band.watermark * 32.0).round() as u32;
+        note.watermark = (self.band.watermark() * 32.0).round() as u32;
         note.rate = (self.gossip.mean_answer_rate * 32.0).round() as u32;
         let skip = self.gossip.observations.len().saturating_sub(MAX_OBSERVATIONS);
         note.observations = self.gossip.observations.iter().skip(skip).copied().collect();
@@ -61,12 +61,12 @@
 
     /// Brings the told means towards the own figures.
     pub(crate) fn update_means(&mut self) {
-        let (parts, own) = self.band_load();
-        self.band.ready_capacity = parts;
+        let load = self.band_load();
+        self.band.set_ready_capacity(load.ready_capacity);
         let seconds = (self.clock.now_ms - self.gossip.measured_ms).max(0.0) / 1000.0;
         self.gossip.measured_ms = self.clock.now_ms;
-        self.gossip.mean_stock +=
-            (1.0 - (-MEAN_GAIN_PER_SECOND * seconds).exp()) * (f64::from(own) - self.gossip.mean_stock);
+        self.gossip.mean_stock += (1.0 - (-MEAN_GAIN_PER_SECOND * seconds).exp())
+            * (f64::from(load.in_flight) - self.gossip.mean_stock);
         let rate = self.gossip.answer_rate.now(self.clock.now_ms, QUOTA_RATE_SPAN_S);
         self.gossip.mean_answer_rate +=
             (1.0 - (-MEAN_GAIN_PER_SECOND * seconds).exp()) * (rate - self.gossip.mean_answer_rate);
--- a/crates/admission/src/lifecycle.rs
+++ b/crates/admission/src/lifecycle.rs
@@ -1,17 +1,92 @@
 //! How a request and its attempts are entered into and taken out of the records.
 use crate::action::Action;
-use crate::event::{AttemptEnd, Outcome};
+use crate::event::{AttemptEnd, Outcome, Request};
 use crate::gateway::Gateway;
 use crate::id::{EndpointId, RequestId};
+use crate::mechanism::virtual_finish_queue::FlowHead;
 use crate::messages::gossip::{GossipMessage, QuotaRelease};
 use crate::policy::coordination::REPORT_ROUNDS;
 use crate::policy::dispatch::ATTEMPT_TIMEOUT_OBJECTIVES;
 use crate::policy::endpoint_selection::SEND_RATE_SPAN_S;
 use crate::policy::in_flight_band::MAX_CREDIT_OVERDRAFT;
 use crate::policy::retry::{MAX_RETRY_TOKENS, RETRY_TOKENS_PER_REQUEST};
+use crate::state::customer::customer_tag;
 use crate::state::request::{ActiveRequest, Attempt, QuotaState};
 
 impl Gateway {
+    /// Takes a request in: checks it, enters it into the records, and has it admitted, queued or rejected.
+    pub(crate) fn on_request(&mut self, request: Request, actions: &mut Vec<Action>) {
+        let id = request.id;
+        if !self.is_valid(&request) {
+            actions.push(Action::Fail { request: id });
+            return;
+        }
+        self.enter(request);
+        if self.coordination.is_broadcast() {
+            self.admit_in_small_fleet(id, actions);
+        } else {
+            self.admit_in_large_fleet(id, actions);
+        }
+    }
+
+    /// Whether a request names a class and a plan of the settings, and is not in work already.
+    fn is_valid(&self, request: &Request) -> bool {
+        request.class < self.settings.classes.len()
+            && request.plan < self.settings.plans.len()
+            && !self.requests.active.contains_key(&request.id)
+    }
+
+    /// Enters a request into the records.
+    fn enter(&mut self, request: Request) {
+        let tag = if self.coordination.is_broadcast() {
+            u64::from(customer_tag(request.customer))
+        } else {
+            request.customer.0
+        };
+        let objective_ms = self.settings.classes[request.class].latency_objective_ms;
+        let objective_ms = objective_ms - self.already_waited_ms(request.class, request.time_left_ms);
+        let active = ActiveRequest::new(request, tag, self.clock.now_ms, objective_ms);
+        self.requests.active.insert(active.request.id, active);
+    }
+
+    /// Sends queued requests for as long as the policy names one and an endpoint is found for it.
+    pub(crate) fn dispatch(&mut self, actions: &mut Vec<Action>) {
+        self.band.unblock();
+        while let Some(head) = self.next_to_dispatch(actions) {
+            let Some(endpoint) = self.select_endpoint(head.id) else {
+                self.band.block_for_endpoint();
+                return;
+            };
+            self.queue.release(head);
+            self.send(head.id, endpoint, actions);
+        }
+    }
+
+    /// Takes a request over its quota out of the queue, and sends or finishes it.
+    pub(crate) fn dispatch_over_quota(&mut self, head: FlowHead, actions: &mut Vec<Action>) {
+        self.queue.remove(head.tag, head.id);
+        let may_send = self.may_send_over_quota(head.id);
+        match if may_send { self.select_endpoint(head.id) } else { None } {
+            Some(endpoint) => self.send(head.id, endpoint, actions),
+            None => self.finish(head.id, self.over_quota_retry_after(), actions),
+        }
+    }
+
+    /// Finishes requests that run out of time.
+    pub(crate) fn finish_overdue_requests(&mut self, actions: &mut Vec<Action>) {
+        let overdue: Vec<RequestId> = self
+            .requests
+            .active
+            .iter()
+            .filter(|(_, active)| self.is_overdue(active))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in overdue {
+            let unsent = self.requests.active.get(&id).is_some_and(|active| active.attempts.is_empty());
+            self.finish(id, if unsent { self.overload_retry_after() } else { None }, actions);
+        }
+    }
+
     pub(crate) fn send(&mut self, id: RequestId, endpoint_id: EndpointId, actions: &mut Vec<Action>) {
         let cold = self.endpoints.by_id.get(&endpoint_id).and_then(|s| self.warm_up_budget(s));
         let (Some(active), Some(endpoint)) =
@@ -22,7 +97,7 @@
         let wait =
             ATTEMPT_TIMEOUT_OBJECTIVES * self.settings.classes[active.request.class].latency_objective_ms;
         let first = active.attempts.is_empty();
-        self.band.dispatch_credit = (self.band.dispatch_credit - 1.0).max(-MAX_CREDIT_OVERDRAFT);
+        self.band.spend_dispatch_credit(MAX_CREDIT_OVERDRAFT);
         if let Some(budget) = cold {
             endpoint.warm_up_tokens = endpoint.warm_up_tokens_now(self.clock.now_ms, budget) - 1.0;
             endpoint.warm_up_tokens_ms = self.clock.now_ms;
@@ -41,7 +116,7 @@
         let plan = &self.settings.plans[active.request.plan];
         let own = matches!(active.quota, QuotaState::LocalBucket | QuotaState::AdmittedByCounter { .. });
         if first {
-            self.retries.tokens = (self.retries.tokens + RETRY_TOKENS_PER_REQUEST).min(MAX_RETRY_TOKENS);
+            self.retries.earn(RETRY_TOKENS_PER_REQUEST, MAX_RETRY_TOKENS);
         }
         if let Some(customer) = self.customers.by_tag.get_mut(&active.tag).filter(|_| own) {
             customer.in_flight += 1;
@@ -70,7 +145,7 @@
         let Some((class, plan)) = self.settle_attempt(end) else { return };
         self.record_attempt_end(end, class, plan);
         let Some(active) = self.requests.active.get_mut(&id) else { return };
-        let waits = active.attempts.iter().any(|a| a.pending);
+        let waits = active.has_pending();
         if end.closed || outcome == Outcome::Ok || active.answered {
             self.close(id, actions);
         } else if !waits && (outcome == Outcome::TooLate || !self.retry(id, actions)) {
@@ -129,8 +204,7 @@
     /// all its attempts have ended.
     pub(crate) fn close(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(active) = self.requests.active.get_mut(&id) else { return };
-        let pending = (0u32..).zip(&active.attempts).filter(|(_, a)| a.pending);
-        let pending: Vec<u32> = pending.map(|(n, _)| n).collect();
+        let pending: Vec<u32> = active.pending_attempts().map(|(number, _)| number).collect();
         if self.settings.cancel_allowed && !active.closed {
             actions.extend(pending.iter().map(|n| Action::Cancel { request: id, attempt: *n }));
         }
--- a/crates/admission/src/mechanism/virtual_finish_queue.rs
+++ b/crates/admission/src/mechanism/virtual_finish_queue.rs
@@ -35,6 +35,13 @@
     pub(crate) virtual_finish: f64,
 }
 
+impl FlowHead {
+    /// Whether it leaves before another head.
+    pub(crate) fn precedes(&self, other: &FlowHead) -> bool {
+        self.virtual_finish < other.virtual_finish
+    }
+}
+
 /// Queued requests: one flow per customer, ordered by virtual finish time.
 #[derive(Debug, Default)]
 pub(crate) struct VirtualFinishQueue {
@@ -49,11 +56,6 @@
         self.len
     }
 
-    /// Whether no request is queued.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.len == 0
-    }
-
     /// The sum of the sizes of a customer's queued requests.
     pub(crate) fn queued_size(&self, tag: u64) -> f64 {
         self.flows.get(&tag).map_or(0.0, |flow| flow.size)
--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -1,108 +1,124 @@
 //! Whether a request is admitted, queued or rejected.
 use crate::action::Action;
-use crate::event::Request;
 use crate::gateway::{Gateway, UPKEEP_MS};
-use crate::state::customer::customer_tag;
-use crate::state::request::ActiveRequest;
-use crate::state::request::QuotaDecision;
+use crate::id::RequestId;
+use crate::state::request::{ActiveRequest, OwnBucketCheck, QuotaDecision};
 
-/// For so long after its start a gateway spends only its part of each burst: peers may not have told theirs.
-pub(crate) const STARTUP_MS: f64 = 1000.0;
+/// For this long after its start a gateway spends only its part of each burst: it may not have heard yet what
+/// its peers spent.
+const STARTUP_MS: f64 = 1000.0;
 
-/// First tries of a class come with one time left: how near, how often seen to be sure of it, and at most.
-pub(crate) const FIRST_TRIES: (f64, i32, i32) = (0.02, 10, 30);
+/// First tries of a class come with the same time left. How near to it a time counts as the same (a part of
+/// it), how many votes make it sure, and how many it can have; each try that agrees adds votes.
+pub(crate) const FIRST_TRY_TOLERANCE: f64 = 0.02;
+pub(crate) const FIRST_TRY_MIN_VOTES: i32 = 10;
+pub(crate) const FIRST_TRY_MAX_VOTES: i32 = 30;
+pub(crate) const FIRST_TRY_VOTES: i32 = 4;
 
-/// Usual residences that must be left for a request to be sent: answers spread widely, and one that its
-/// client no longer waits for is work wasted, which costs most while the endpoints are pressed. Else the
-/// least is enough: were it never, a fleet that has been slow would be sent nothing, and not be seen to be
-/// well.
-pub(crate) const MIN_RESPONSE_TIMES_LEFT_SATURATED: f64 = 2.5;
-pub(crate) const MIN_RESPONSE_TIMES_LEFT: f64 = 0.8;
+/// Mean response times that must be left before the deadline for a request to be sent. Response times spread
+/// widely, and a response that the client no longer waits for is wasted work; that costs most while endpoints
+/// are saturated. Else little is enough: a fleet that has been slow must be sent something to be seen well.
+const MIN_RESPONSE_TIMES_LEFT_SATURATED: f64 = 2.5;
+const MIN_RESPONSE_TIMES_LEFT: f64 = 0.8;
 
-/// Held work in all, at most: a bound on memory, far above what can be answered within an aim.
-pub(crate) const MAX_QUEUED: usize = 4000;
+/// Requests queued at most: a bound on memory, far above what can be served within a latency objective.
+const MAX_QUEUED: usize = 4000;
+
+/// Least priority weight by which a request's size in the queue is divided.
+const MIN_PRIORITY_WEIGHT: f64 = 0.01;
 
 impl Gateway {
-    pub(crate) fn on_request(&mut self, request: Request, actions: &mut Vec<Action>) {
-        let s = &self.settings;
-        let id = request.id;
-        if request.class >= s.classes.len()
-            || request.plan >= s.plans.len()
-            || self.requests.active.contains_key(&id)
-        {
-            actions.push(Action::Fail { request: id });
-            return;
-        }
-        let now = self.clock.now_ms;
-        let plan = s.plans[request.plan].clone();
-        let wide = !self.coordination.is_broadcast();
-        let tag = if wide { request.customer.0 } else { u64::from(customer_tag(request.customer)) };
-        let aim = s.classes[request.class].latency_objective_ms;
-        let aim = aim - self.already_waited_ms(request.class, request.time_left_ms);
-        let s = &self.settings;
-        let newcomer = now - self.clock.started_ms < STARTUP_MS;
-        let (first, spread) = (request.first, request.spread.clamp(1, s.gateways));
-        if wide {
-            let (units, class) = (request.units, request.class);
-            let active = ActiveRequest::new(request, tag, now, aim, false);
-            let hopeless = self.cannot_meet_deadline(&active);
-            self.requests.active.insert(id, active);
-            if hopeless || self.queue.len() >= MAX_QUEUED {
-                return self.finish(id, self.overload_retry_after(), actions);
-            }
-            let worth = self.settings.classes[class].priority_weight.max(0.01);
-            self.queue.enqueue(tag, id, units / worth, self.flow_weight(&plan));
-            return self.check_quota(id, actions);
+    /// In a large fleet every request is queued, and its quota asked about, unless it comes too late.
+    pub(crate) fn admit_in_large_fleet(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(active) = self.requests.active.get(&id) else { return };
+        if self.cannot_meet_deadline(active) || self.queue.len() >= MAX_QUEUED {
+            return self.finish(id, self.overload_retry_after(), actions);
         }
-        let reserved = self.queue.queued_size(tag);
-        let customer = self.customer_entry(tag, request.plan, first, spread);
-        let withheld = if newcomer { plan.burst_units * (1.0 - 1.0 / spread as f64) } else { 0.0 };
-        let room = customer.tokens - reserved - withheld;
-        let inside = plan.rate_per_second <= 0.0 || room >= request.units;
-        let short = (request.units - room).max(0.0);
-        let ceiling_ok = plan.ceiling_rate_per_second <= 0.0 || customer.ceiling_tokens >= request.units;
-        let active = ActiveRequest::new(request, tag, now, aim, inside);
-        let units = active.request.units;
-        let hopeless = self.cannot_meet_deadline(&active);
-        self.requests.active.insert(id, active);
-        if hopeless {
+        let priority_weight = self.settings.classes[active.request.class].priority_weight;
+        let size = active.request.units / priority_weight.max(MIN_PRIORITY_WEIGHT);
+        let weight = self.flow_weight(&self.settings.plans[active.request.plan]);
+        self.queue.enqueue(active.tag, id, size, weight);
+        self.check_quota(id, actions);
+    }
+
+    /// In a small fleet a request goes straight out where quota and band have room. Else it is queued within
+    /// its quota, and rejected beyond it.
+    pub(crate) fn admit_in_small_fleet(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(quota) = self.check_own_bucket(id) else { return };
+        let Some(active) = self.requests.active.get(&id) else { return };
+        let (tag, units, plan) = (active.tag, active.request.units, active.request.plan);
+        if self.cannot_meet_deadline(active) {
             // A client's last try may come with no time left to serve it.
             return self.finish(id, self.overload_retry_after(), actions);
         }
-        let (under_lower, under_upper) = self.under_band(id);
-        // Beyond the quota only what earns more than it costs goes on, and only with nothing held.
-        let earns = plan.over_quota_value > plan.over_quota_cost && ceiling_ok && plan.open_limit == 0;
-        let may_go = if inside {
-            under_upper && self.quota_decision(id) == QuotaDecision::Admit
+        let position = self.band_position(id);
+        let may_send = if quota.is_met {
+            position.under_upper && self.quota_decision(id) == QuotaDecision::Admit
         } else {
-            under_lower && earns
+            position.under_lower && quota.may_exceed
         };
-        if may_go && !self.band.blocked {
+        if may_send && !self.band.is_blocked() {
             if let Some(endpoint) = self.select_endpoint(id) {
                 return self.send(id, endpoint, actions);
             }
         }
-        if inside && self.queue.len() < MAX_QUEUED {
-            self.queue.enqueue(tag, id, units, self.flow_weight(&plan));
+        if quota.is_met && self.queue.len() < MAX_QUEUED {
+            self.queue.enqueue(tag, id, units, self.flow_weight(&self.settings.plans[plan]));
         } else {
-            let wait = Some(1000.0 * short / plan.rate_per_second).filter(|w| w.is_finite());
-            self.finish(id, wait, actions);
+            self.finish(id, quota.retry_after_ms, actions);
         }
     }
 
-    /// Whether an answer can no longer come within the aim or the client's wait. Guards rule 1, and against
-    /// late work, which is waste.
+    /// What the customer's token bucket here has for a new request beside those already queued.
+    fn check_own_bucket(&mut self, id: RequestId) -> Option<OwnBucketCheck> {
+        let active = self.requests.active.get(&id)?;
+        let (tag, request) = (active.tag, active.request.clone());
+        let plan = self.settings.plans[request.plan].clone();
+        let spread = request.spread.clamp(1, self.settings.gateways);
+        let starting = self.clock.since_start_ms() < STARTUP_MS;
+        let withheld = if starting { plan.burst_units * (1.0 - 1.0 / spread as f64) } else { 0.0 };
+        let reserved = self.queue.queued_size(tag);
+        let customer = self.customer_entry(tag, request.plan, request.first, spread);
+        let room = customer.tokens - reserved - withheld;
+        let within_ceiling = plan.ceiling_rate_per_second <= 0.0 || customer.ceiling_tokens >= request.units;
+        let wait_ms = 1000.0 * (request.units - room).max(0.0) / plan.rate_per_second;
+        let check = OwnBucketCheck {
+            is_met: plan.rate_per_second <= 0.0 || room >= request.units,
+            may_exceed: plan.pays_over_quota() && within_ceiling,
+            retry_after_ms: Some(wait_ms).filter(|ms| ms.is_finite()),
+        };
+        self.requests.active.get_mut(&id)?.within_quota = check.is_met;
+        Some(check)
+    }
+
+    /// Whether a response can no longer come within the latency objective or the client's wait. Late work is
+    /// wasted.
     pub(crate) fn cannot_meet_deadline(&self, active: &ActiveRequest) -> bool {
-        let end = active.objective_at_ms.min(active.deadline_ms - UPKEEP_MS - 2.0 * self.settings.tick_ms);
-        let wanted =
-            if self.band.saturated { MIN_RESPONSE_TIMES_LEFT_SATURATED } else { MIN_RESPONSE_TIMES_LEFT }
-                * self.latency.mean_by_class_ms[active.request.class];
-        end - self.clock.now_ms < wanted
+        let end_ms = active.objective_at_ms.min(active.deadline_ms - UPKEEP_MS - 2.0 * self.settings.tick_ms);
+        let response_times = if self.band.is_saturated() {
+            MIN_RESPONSE_TIMES_LEFT_SATURATED
+        } else {
+            MIN_RESPONSE_TIMES_LEFT
+        };
+        end_ms - self.clock.now_ms < response_times * self.latency.mean_by_class_ms[active.request.class]
     }
 
-    /// When to come back to a gateway that had no room in time: after the longest wait that clients heed. Try
-    /// on try would come too late as well, and each is weighed and asked about anew.
+    /// Whether a request must get its final answer now: its deadline is near, or it was never sent and can't
+    /// meet it.
+    pub(crate) fn is_overdue(&self, active: &ActiveRequest) -> bool {
+        let margin_ms = UPKEEP_MS + 2.0 * self.settings.tick_ms;
+        let is_late = active.deadline_ms - self.clock.now_ms < margin_ms;
+        !active.answered && (is_late || active.attempts.is_empty() && self.cannot_meet_deadline(active))
+    }
+
+    /// When to try again at a gateway that had no room in time: after the longest wait that clients honour.
+    /// An earlier try would most likely be too late as well, and each has its cost.
     pub(crate) fn overload_retry_after(&self) -> Option<f64> {
         Some(self.settings.max_retry_after_ms).filter(|ms| *ms > 0.0)
     }
+
+    /// When to try again with a queued request that went over its quota; a small fleet gives no time.
+    pub(crate) fn over_quota_retry_after(&self) -> Option<f64> {
+        (!self.coordination.is_broadcast()).then_some(self.settings.max_retry_after_ms)
+    }
 }
--- a/crates/admission/src/policy/dispatch.rs
+++ b/crates/admission/src/policy/dispatch.rs
@@ -16,61 +16,34 @@
 const MIN_PLAN_WEIGHT: f64 = 0.01;
 
 impl Gateway {
-    /// Sends queued requests for as long as the band has room: the smallest virtual finish first, in order of
-    /// arrival within a customer.
-    pub(crate) fn dispatch(&mut self, actions: &mut Vec<Action>) {
-        self.band.blocked = false;
-        while !self.queue.is_empty() {
-            let Some(head) = self.next_in_queue(actions) else { return };
-            if !self.under_band(head.id).0 {
-                (self.band.blocked, self.band.was_blocked) = (true, true);
-                return;
-            }
-            let Some(endpoint) = self.select_endpoint(head.id) else {
-                self.band.blocked = true;
-                return;
-            };
-            self.queue.release(head);
-            self.send(head.id, endpoint, actions);
-        }
-    }
-
-    /// The head with the smallest virtual finish among those that quota and band let go. Heads over their
-    /// quota leave the queue on the way.
-    fn next_in_queue(&mut self, actions: &mut Vec<Action>) -> Option<FlowHead> {
+    /// The queued request to send next: the smallest virtual finish among the heads that quota and band let
+    /// go, in order of arrival within a customer. Heads over their quota leave the queue on the way.
+    pub(crate) fn next_to_dispatch(&mut self, actions: &mut Vec<Action>) -> Option<FlowHead> {
+        let by_credit = !self.coordination.is_broadcast();
         let mut next: Option<FlowHead> = None;
         for head in self.queue.heads() {
             match self.quota_decision(head.id) {
-                QuotaDecision::Wait => {}
-                QuotaDecision::OverQuota => self.send_or_finish_over_quota(head, actions),
-                // Dispatch credit depends on the class, so that another head may pass where this one can't.
-                QuotaDecision::Admit if !self.coordination.is_broadcast() && !self.under_band(head.id).0 => {
-                    (self.band.blocked, self.band.was_blocked) = (true, true)
-                }
-                QuotaDecision::Admit => {
-                    if next.is_none_or(|best| head.virtual_finish < best.virtual_finish) {
-                        next = Some(head);
-                    }
+                QuotaDecision::OverQuota => self.dispatch_over_quota(head, actions),
+                // Dispatch credit depends on the class: another head may pass where this one can't.
+                QuotaDecision::Admit if by_credit && !self.band_position(head.id).under_lower => {
+                    self.band.block()
                 }
+                QuotaDecision::Admit if next.is_none_or(|best| head.precedes(&best)) => next = Some(head),
+                QuotaDecision::Admit | QuotaDecision::Wait => {}
             }
         }
+        if !self.band_position(next?.id).under_lower {
+            self.band.block();
+            return None;
+        }
         next
     }
 
-    /// A request over its quota is sent at once, where its plan allows that and there is room, or finished.
-    fn send_or_finish_over_quota(&mut self, head: FlowHead, actions: &mut Vec<Action>) {
-        self.queue.remove(head.tag, head.id);
-        let sendable = QuotaState::OverQuota { within_ceiling: true };
-        let may_send = self.requests.active.get(&head.id).is_some_and(|active| active.quota == sendable)
-            && self.under_band(head.id).0;
-        match if may_send { self.select_endpoint(head.id) } else { None } {
-            Some(endpoint) => self.send(head.id, endpoint, actions),
-            None => {
-                let retry_after_ms =
-                    (!self.coordination.is_broadcast()).then_some(self.settings.max_retry_after_ms);
-                self.finish(head.id, retry_after_ms, actions)
-            }
-        }
+    /// Whether a request over its quota may still be sent: where its plan pays for that and there is room.
+    pub(crate) fn may_send_over_quota(&self, id: RequestId) -> bool {
+        let within_ceiling = QuotaState::OverQuota { within_ceiling: true };
+        self.requests.active.get(&id).is_some_and(|active| active.quota == within_ceiling)
+            && self.band_position(id).under_lower
     }
 
     /// The weight of a plan's flows in the queue, in units per second. The plan's weight multiplies its rate;
@@ -87,15 +60,10 @@
     /// Whether quota, open limit and this gateway's part of the ceiling let a request be sent now.
     pub(crate) fn quota_decision(&mut self, id: RequestId) -> QuotaDecision {
         let Some(active) = self.requests.active.get(&id) else { return QuotaDecision::OverQuota };
-        let own_bucket = match active.quota {
-            QuotaState::LocalBucket => true,
-            QuotaState::AdmittedByCounter { .. } => false,
-            QuotaState::GrantedByOwner { .. } => return QuotaDecision::Admit,
-            QuotaState::OverQuota { .. } => return QuotaDecision::OverQuota,
-            QuotaState::AwaitingOwner { .. }
-            | QuotaState::QueuedAtOwner { .. }
-            | QuotaState::AwaitingCounter => return QuotaDecision::Wait,
-        };
+        if let Some(decision) = active.quota.decision() {
+            return decision;
+        }
+        let own_bucket = active.quota == QuotaState::LocalBucket;
         let (tag, units) = (active.tag, active.request.units);
         let plan = &self.settings.plans[active.request.plan];
         if let Some(customer) = self.customers.by_tag.get_mut(&tag) {
@@ -109,7 +77,7 @@
             return QuotaDecision::Wait;
         }
         if plan.ceiling_rate_per_second > 0.0 && customer.ceiling_tokens < units {
-            self.request_ceiling(tag);
+            self.customers.request_ceiling(tag);
             return QuotaDecision::Wait;
         }
         QuotaDecision::Admit
@@ -128,12 +96,4 @@
         let margin = if customer.in_flight < part { 0 } else { busy_peers };
         customer.in_flight + in_flight + margin >= limit
     }
-
-    /// Asks the customer's other gateways for a part of its ceiling with the next report.
-    fn request_ceiling(&mut self, tag: u64) {
-        if let Some(customer) = self.customers.by_tag.get_mut(&tag) {
-            customer.ceiling_requested = true;
-            self.customers.unreported.insert(tag);
-        }
-    }
 }
--- a/crates/admission/src/policy/quota_owner.rs
+++ b/crates/admission/src/policy/quota_owner.rs
@@ -6,7 +6,6 @@
     GossipMessage, QuotaRequest, QuotaResponse, BEYOND, EASY, GRANTED, QUEUED, SOFT,
 };
 use crate::policy::dispatch::ATTEMPT_TIMEOUT_OBJECTIVES;
-use crate::policy::in_flight_band::UNGATED_FILL;
 use crate::state::customer::Grant;
 use crate::state::request::QuotaState;
 
@@ -94,7 +93,7 @@
     /// not where the keeper lately told that there is too little for what is asked, and never under a
     /// ceiling.
     pub(crate) fn decide_without_owner(&mut self, id: RequestId, likely: bool) {
-        let room = self.band_fill(self.band.ready_capacity) < UNGATED_FILL;
+        let room = self.band_is_ungated();
         let Some(active) = self.requests.active.get_mut(&id) else { return };
         let own = likely && room && self.settings.plans[active.request.plan].ceiling_rate_per_second <= 0.0;
         active.quota =
--- a/crates/admission/src/policy/retry.rs
+++ b/crates/admission/src/policy/retry.rs
@@ -1,120 +1,128 @@
-//! Further attempts: idempotency, retry budget, hedging.
+//! Further attempts: idempotency, retry budget, hedging, and stalled attempts.
 use crate::action::Action;
 use crate::gateway::{Gateway, UPKEEP_MS};
 use crate::id::RequestId;
 use crate::messages::gossip::{SEEN_CLASS, SEEN_FAILED};
-use crate::settings::{DedupGroup, Idempotency};
+use crate::settings::Idempotency;
 use crate::state::endpoint::{EjectionScope, Endpoint};
-use crate::state::request::ActiveRequest;
+use crate::state::request::{ActiveRequest, AttemptRef, PendingAttempt};
 
-/// Further attempts earned by each first one, and the most that may be saved up.
+/// Retry tokens that each first attempt brings, and the most that may be saved up.
 pub(crate) const RETRY_TOKENS_PER_REQUEST: f64 = 0.2;
 pub(crate) const MAX_RETRY_TOKENS: f64 = 20.0;
 
-/// Usual residences, and part of the aim, after which an attempt is told as out for long; and how many times
-/// that until it is taken for stuck though nobody else told the same.
-pub(crate) const LONG_RESPONSE_TIMES: f64 = 2.5;
-pub(crate) const LONG_OBJECTIVE_FRACTION: f64 = 0.25;
-pub(crate) const STALLED_FACTOR: f64 = 1.6;
+/// Retry tokens that a further attempt costs: a whole one where an earlier attempt may have run, since work
+/// may then be done twice; less where none did.
+const RISKY_RETRY_COST: f64 = 1.0;
+const SAFE_RETRY_COST: f64 = 0.2;
+
+/// Part of an idempotency key's window that is used: a margin for the network, since the window counts where
+/// the endpoints are.
+const KEY_WINDOW_FRACTION: f64 = 0.9;
+
+/// An attempt in flight is reported as long after this many mean response times, and this part of the latency
+/// objective at least. It is taken for stalled after so many times as long, or at once where others reported
+/// the same of the endpoint.
+const LONG_RESPONSE_TIMES: f64 = 2.5;
+const LONG_OBJECTIVE_FRACTION: f64 = 0.25;
+const STALLED_FACTOR: f64 = 1.6;
 
 impl Gateway {
-    /// Whether an attempt at this endpoint keeps rule 2.
+    /// Whether a request may have an attempt at this endpoint, by what its class and earlier ones allow.
     pub(crate) fn may_attempt(&self, active: &ActiveRequest, endpoint: &Endpoint) -> bool {
-        let mut risky = active.attempts.iter().filter(|a| a.pending || a.may_have_run).peekable();
-        let Some(first) = risky.peek() else { return true };
-        if !self.settings.hedging_allowed && active.attempts.iter().any(|a| a.pending) {
+        let Some(first) = active.risky_attempts().next() else { return true };
+        if !self.settings.hedging_allowed && active.has_pending() {
             return false;
         }
         match self.settings.classes[active.request.class].idempotency {
             Idempotency::Idempotent => true,
             Idempotency::NonIdempotent => false,
             Idempotency::IdempotencyKey { group, window_ms } => {
-                // A margin for the ways of the network: the window counts where the endpoints are.
-                let in_time =
-                    self.clock.now_ms - first.sent_ms < 0.9 * window_ms - 2.0 * self.settings.tick_ms;
-                in_time
-                    && risky.all(|a| match group {
-                        DedupGroup::All => true,
-                        DedupGroup::Zone => a.zone == endpoint.zone,
-                        DedupGroup::Cell => a.cell == endpoint.cell,
-                    })
+                let limit_ms = KEY_WINDOW_FRACTION * window_ms - 2.0 * self.settings.tick_ms;
+                self.clock.now_ms - first.sent_ms < limit_ms
+                    && active.risky_attempts().all(|attempt| attempt.shares_keys_with(endpoint, group))
             }
         }
     }
 
-    /// Another attempt where class, time and the retry budget allow.
+    /// Makes a further attempt where class, time and the retry budget allow one.
     pub(crate) fn retry(&mut self, id: RequestId, actions: &mut Vec<Action>) -> bool {
         let Some(active) = self.requests.active.get(&id) else { return false };
-        if active.answered
-            || self.cannot_meet_deadline(active)
-            || active.attempts.len() >= self.settings.max_attempts as usize
-        {
+        let exhausted = active.attempts.len() >= self.settings.max_attempts as usize;
+        if active.answered || exhausted || self.cannot_meet_deadline(active) {
             return false;
         }
-        let price = if active.attempts.iter().any(|a| a.pending || a.may_have_run) { 1.0 } else { 0.2 };
-        if self.retries.tokens < price {
+        let cost = if active.may_have_run() { RISKY_RETRY_COST } else { SAFE_RETRY_COST };
+        if !self.retries.can_spend(cost) {
             return false;
         }
         let Some(endpoint) = self.select_endpoint(id) else { return false };
-        self.retries.tokens -= price;
+        self.retries.spend(cost);
         self.send(id, endpoint, actions);
         true
     }
 
-    /// Work stuck on an ailing endpoint gets a second copy, or where copies are not allowed is called off and
-    /// tried again. Guards against hung machines and lost zones, whatever the cause.
+    /// Hedges stalled attempts, or cancels them where hedging is not allowed, so that they are tried again.
+    /// Guards against hung machines and lost zones, whatever the cause.
     pub(crate) fn rescue_stalled(&mut self, actions: &mut Vec<Action>) {
         if self.outliers.correlated_failure {
             return;
         }
-        let mut stuck = if self.coordination.is_broadcast() { Vec::new() } else { self.stalled_attempts() };
-        for endpoint in
-            self.endpoints.by_id.values().filter(|s| self.coordination.is_broadcast() && self.is_outlier(s))
-        {
-            stuck.extend(endpoint.in_flight.iter().map(|o| (o.1, o.2)));
-        }
-        for (id, attempt) in stuck {
-            let Some(active) = self.requests.active.get(&id) else { continue };
-            let pending = active.attempts.iter().filter(|a| a.pending).count();
-            if active.answered || pending > 1 || active.attempts.len() >= self.settings.max_attempts as usize
-            {
+        for AttemptRef { request, attempt } in self.stalled_attempts() {
+            let Some(active) = self.requests.active.get(&request) else { continue };
+            let exhausted = active.attempts.len() >= self.settings.max_attempts as usize;
+            if active.answered || exhausted || active.pending_attempts().count() > 1 {
                 continue;
             }
-            let once = self.settings.classes[active.request.class].idempotency == Idempotency::NonIdempotent;
+            let idempotency = self.settings.classes[active.request.class].idempotency;
+            let may_repeat = idempotency != Idempotency::NonIdempotent;
             if self.settings.hedging_allowed {
-                self.retry(id, actions);
-            } else if self.settings.cancel_allowed && !once && self.retries.tokens >= 1.0 {
-                actions.push(Action::Cancel { request: id, attempt });
+                self.retry(request, actions);
+            } else if self.settings.cancel_allowed && may_repeat && self.retries.can_spend(RISKY_RETRY_COST) {
+                actions.push(Action::Cancel { request, attempt });
             }
         }
     }
 
-    /// Own attempts that their endpoint is taken to leave unanswered: out for very long, or long where others
-    /// told the same of the endpoint.
-    pub(crate) fn stalled_attempts(&mut self) -> Vec<(RequestId, u32)> {
-        let (mut stuck, mut marks) = (Vec::new(), Vec::new());
-        for (id, active) in &self.requests.active {
-            let class = active.request.class;
-            let limit = self.latency.mean_by_class_ms[class] * LONG_RESPONSE_TIMES;
-            let limit =
-                limit.max(LONG_OBJECTIVE_FRACTION * self.settings.classes[class].latency_objective_ms);
-            for (number, attempt) in (0u32..).zip(&active.attempts).filter(|(_, a)| a.pending) {
-                let Some(endpoint) = self.endpoints.by_id.get(&attempt.endpoint) else { continue };
-                let marked = endpoint
-                    .scoped_ejections
-                    .get(&EjectionScope::Class(class))
-                    .is_some_and(|m| self.clock.now_ms < m.0);
-                let age = self.clock.now_ms - attempt.sent_ms;
-                let silent = self.is_outlier(endpoint) || self.is_unresponsive(endpoint);
-                if silent || age > limit * if marked { 1.0 } else { STALLED_FACTOR } {
-                    stuck.push((*id, number));
-                }
-                if age > limit && age < limit + UPKEEP_MS {
-                    marks.push((attempt.endpoint, SEEN_CLASS * class as u32 + SEEN_FAILED));
-                }
-            }
+    /// Own attempts that their endpoint is taken to leave unanswered. A small fleet goes by the endpoint
+    /// alone. In a large one a gateway sends an endpoint too little for that and reports long attempts.
+    fn stalled_attempts(&mut self) -> Vec<AttemptRef> {
+        if self.coordination.is_broadcast() {
+            let outliers = self.endpoints.by_id.values().filter(|endpoint| self.is_outlier(endpoint));
+            let in_flight = outliers.flat_map(|endpoint| &endpoint.in_flight);
+            return in_flight.map(|o| AttemptRef { request: o.1, attempt: o.2 }).collect();
+        }
+        let pending = || self.requests.pending_attempts();
+        let stalled = pending().filter(|p| self.is_stalled(p)).map(|p| p.reference).collect();
+        let long: Vec<_> = pending().filter(|p| self.turned_long(p)).map(|p| (p.endpoint, p.class)).collect();
+        for (endpoint, class) in long {
+            self.record_observation(endpoint, SEEN_CLASS * class as u32 + SEEN_FAILED);
         }
-        marks.iter().for_each(|m| self.record_observation(m.0, m.1));
-        stuck
+        stalled
+    }
+
+    /// Whether an attempt is taken for stalled in a large fleet.
+    fn is_stalled(&self, pending: &PendingAttempt) -> bool {
+        let Some(endpoint) = self.endpoints.by_id.get(&pending.endpoint) else { return false };
+        let ejection = endpoint.scoped_ejections.get(&EjectionScope::Class(pending.class));
+        let reported = ejection.is_some_and(|mark| self.clock.now_ms < mark.0);
+        let limit_ms = self.long_response_ms(pending.class) * if reported { 1.0 } else { STALLED_FACTOR };
+        self.is_outlier(endpoint)
+            || self.is_unresponsive(endpoint)
+            || self.clock.now_ms - pending.sent_ms > limit_ms
+    }
+
+    /// Whether an attempt has begun to take long since the last round of upkeep.
+    fn turned_long(&self, pending: &PendingAttempt) -> bool {
+        let limit_ms = self.long_response_ms(pending.class);
+        let age_ms = self.clock.now_ms - pending.sent_ms;
+        let is_listed = self.endpoints.by_id.contains_key(&pending.endpoint);
+        is_listed && age_ms > limit_ms && age_ms < limit_ms + UPKEEP_MS
+    }
+
+    /// The time after which an attempt of a class takes long.
+    fn long_response_ms(&self, class: usize) -> f64 {
+        let by_mean_ms = self.latency.mean_by_class_ms[class] * LONG_RESPONSE_TIMES;
+        by_mean_ms.max(LONG_OBJECTIVE_FRACTION * self.settings.classes[class].latency_objective_ms)
     }
 }
--- a/crates/admission/src/settings.rs
+++ b/crates/admission/src/settings.rs
@@ -65,6 +65,13 @@
     pub ceiling_slack_units: f64,
 }
 
+impl PlanSettings {
+    /// Whether use beyond the quota earns more than it costs. Plans with a limit on open requests allow none.
+    pub(crate) fn pays_over_quota(&self) -> bool {
+        self.over_quota_value > self.over_quota_cost && self.open_limit == 0
+    }
+}
+
 /// What a gateway is told at its start.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Settings {
@@ -109,6 +116,16 @@
 }
 
 impl Settings {
+    /// The shortest latency objective of all classes, in milliseconds.
+    pub(crate) fn shortest_objective_ms(&self) -> f64 {
+        self.classes.iter().map(|class| class.latency_objective_ms).fold(f64::INFINITY, f64::min)
+    }
+
+    /// The lowest priority weight of all classes.
+    pub(crate) fn lowest_priority_weight(&self) -> f64 {
+        self.classes.iter().map(|class| class.priority_weight).fold(f64::INFINITY, f64::min)
+    }
+
     /// Whether every figure is one that a gateway can act on.
     pub fn check(&self) -> Result<(), SettingsError> {
         let figure =
--- a/crates/admission/src/state/band.rs
+++ b/crates/admission/src/state/band.rs
@@ -1,27 +1,191 @@
-//! The in-flight band's state.
-use crate::gateway::Gateway;
+//! The in-flight band's state: watermark, dispatch credit, and whether requests are held back.
+use crate::event::EndpointState;
+use crate::state::endpoint::Endpoint;
+use crate::state::peer::Peer;
 
-/// The in-flight stock band: its watermark, and whether it holds requests back.
+/// The in-flight band of one gateway.
 #[derive(Debug, Default)]
 pub(crate) struct InFlightBand {
-    /// Attempts in flight for each ready endpoint at the band's middle.
-    pub(crate) watermark: f64,
-    /// Queued work could have gone but for the band, now and since the last step of the watermark.
-    pub(crate) blocked: bool,
-    pub(crate) was_blocked: bool,
+    /// Attempts in flight per ready endpoint at the band's middle.
+    watermark: f64,
+    /// Queued requests could be sent but for the band or a lack of endpoints.
+    blocked: bool,
+    /// The band has held requests back since the last step of the watermark.
+    blocked_since_step: bool,
     /// The endpoints have much of what the band lets them have.
-    pub(crate) saturated: bool,
-    pub(crate) stepped_ms: f64,
-    /// Ready endpoints as the band counts them, when last looked at.
+    saturated: bool,
+    /// When the watermark last took a step.
+    stepped_ms: f64,
+    /// Ready endpoints as the band counts them, when last measured; warming ones count in part.
+    ready_capacity: f64,
+    /// Requests that this gateway may send by its part of the band; below 0 it is overdrawn.
+    dispatch_credit: f64,
+    /// When the dispatch credit was last refilled.
+    refilled_ms: f64,
+}
+
+/// The load of the endpoints that the band counts.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct BandLoad {
+    /// Ready endpoints; warming ones count in part.
     pub(crate) ready_capacity: f64,
-    /// Sends that this gateway's even part of the band has earned, and when it was last credited.
-    pub(crate) dispatch_credit: f64,
-    pub(crate) credited_ms: f64,
+    /// This gateway's attempts in flight at them.
+    pub(crate) in_flight: u32,
+}
+
+/// The band of a fleet whose gateways report their counts to each other.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Band {
+    /// This gateway's attempts in flight.
+    pub(crate) own: f64,
+    /// The stock: attempts in flight of all gateways.
+    pub(crate) stock: f64,
+    /// The stock that the band is centred on.
+    pub(crate) middle: f64,
+    /// The gateways that the stock is summed over, this one included.
+    pub(crate) gateways: f64,
+}
+
+/// Where the stock lies against the band's bounds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct BandPosition {
+    /// Under the lower bound: queued requests may be sent.
+    pub(crate) under_lower: bool,
+    /// Under the upper bound: a new request may be sent without queueing.
+    pub(crate) under_upper: bool,
+}
+
+impl BandLoad {
+    /// The load of these endpoints, each given with the part of a ready endpoint that it counts as.
+    pub(crate) fn sum<'a>(endpoints: impl Iterator<Item = (&'a Endpoint, f64)>) -> Self {
+        let mut load = BandLoad { ready_capacity: 0.0, in_flight: 0 };
+        for (endpoint, part) in endpoints {
+            load.in_flight += endpoint.in_flight.len() as u32;
+            if endpoint.state == EndpointState::Ready {
+                load.ready_capacity += part;
+            }
+        }
+        load
+    }
+}
+
+impl Band {
+    /// The band of this gateway's load and watermark and of what peers reported: stocks add up, and the
+    /// watermark is the mean.
+    pub(crate) fn from_reports<'a>(
+        load: BandLoad,
+        watermark: f64,
+        peers: impl Iterator<Item = &'a Peer>,
+    ) -> Self {
+        let (mut peer_stock, mut watermarks, mut gateways) = (0, watermark, 1.0);
+        for peer in peers {
+            peer_stock += peer.stock;
+            watermarks += peer.watermark;
+            gateways += 1.0;
+        }
+        Band {
+            own: f64::from(load.in_flight),
+            stock: f64::from(load.in_flight + peer_stock),
+            middle: watermarks / gateways * load.ready_capacity,
+            gateways,
+        }
+    }
 }
 
-impl Gateway {
-    /// The fleet's stock, as gossip has it, in parts of the band's middle.
-    pub(crate) fn band_fill(&self, parts: f64) -> f64 {
-        self.gossip.received_stock * self.settings.gateways as f64 / (self.band.watermark * parts).max(1.0)
+impl InFlightBand {
+    /// A band with this watermark and dispatch credit that holds nothing back.
+    pub(crate) fn new(watermark: f64, dispatch_credit: f64) -> Self {
+        InFlightBand { watermark, dispatch_credit, ..InFlightBand::default() }
+    }
+
+    /// Attempts in flight per ready endpoint at the band's middle.
+    pub(crate) fn watermark(&self) -> f64 {
+        self.watermark
+    }
+
+    /// Moves the watermark by this weight towards the one that a peer reported.
+    pub(crate) fn follow_watermark(&mut self, reported: f64, weight: f64) {
+        self.watermark += weight * (reported - self.watermark);
+    }
+
+    /// Multiplies the watermark, within the given bounds.
+    pub(crate) fn scale_watermark(&mut self, factor: f64, floor: f64, limit: f64) {
+        self.watermark = (self.watermark * factor).max(floor).min(limit);
+    }
+
+    /// Time since the watermark's last step.
+    pub(crate) fn since_step_ms(&self, now_ms: f64) -> f64 {
+        now_ms - self.stepped_ms
+    }
+
+    /// Begins a step of the watermark and says whether requests were held back since the last one.
+    pub(crate) fn begin_step(&mut self, now_ms: f64) -> bool {
+        let was_blocked = self.blocked || self.blocked_since_step;
+        self.blocked_since_step = false;
+        self.stepped_ms = now_ms;
+        was_blocked
+    }
+
+    /// Whether queued requests wait for the band or for an endpoint: a new request must not overtake them.
+    pub(crate) fn is_blocked(&self) -> bool {
+        self.blocked
+    }
+
+    /// A round of dispatch begins, with nothing known to be held back.
+    pub(crate) fn unblock(&mut self) {
+        self.blocked = false;
+    }
+
+    /// The band holds a request back.
+    pub(crate) fn block(&mut self) {
+        self.blocked = true;
+        self.blocked_since_step = true;
+    }
+
+    /// A request waits for an endpoint, which a higher watermark would not help.
+    pub(crate) fn block_for_endpoint(&mut self) {
+        self.blocked = true;
+    }
+
+    /// Whether the endpoints have much of what the band lets them have.
+    pub(crate) fn is_saturated(&self) -> bool {
+        self.saturated
+    }
+
+    /// Records whether the endpoints have much of what the band lets them have.
+    pub(crate) fn set_saturated(&mut self, saturated: bool) {
+        self.saturated = saturated;
+    }
+
+    /// Ready endpoints as the band counts them, when last measured.
+    pub(crate) fn ready_capacity(&self) -> f64 {
+        self.ready_capacity
+    }
+
+    /// Records the ready endpoints as the band counts them.
+    pub(crate) fn set_ready_capacity(&mut self, ready_capacity: f64) {
+        self.ready_capacity = ready_capacity;
+    }
+
+    /// Requests that this gateway may send by its part of the band.
+    pub(crate) fn dispatch_credit(&self) -> f64 {
+        self.dispatch_credit
+    }
+
+    /// Takes the credit of one request, down to `max_overdraft` below 0.
+    pub(crate) fn spend_dispatch_credit(&mut self, max_overdraft: f64) {
+        self.dispatch_credit = (self.dispatch_credit - 1.0).max(-max_overdraft);
+    }
+
+    /// Adds dispatch credit up to `limit`.
+    pub(crate) fn add_dispatch_credit(&mut self, amount: f64, limit: f64) {
+        self.dispatch_credit = (self.dispatch_credit + amount).min(limit);
+    }
+
+    /// Seconds since the last refill, which is now.
+    pub(crate) fn begin_refill(&mut self, now_ms: f64) -> f64 {
+        let seconds = (now_ms - self.refilled_ms).max(0.0) / 1000.0;
+        self.refilled_ms = now_ms;
+        seconds
     }
 }
--- a/crates/admission/src/state/customer.rs
+++ b/crates/admission/src/state/customer.rs
@@ -124,6 +124,16 @@
     pub(crate) evicted_ms: f64,
 }
 
+impl CustomerTable {
+    /// Has the next report ask the customer's other gateways for a part of its ceiling.
+    pub(crate) fn request_ceiling(&mut self, tag: u64) {
+        if let Some(customer) = self.by_tag.get_mut(&tag) {
+            customer.ceiling_requested = true;
+            self.unreported.insert(tag);
+        }
+    }
+}
+
 /// Quota requests to owners that wait for a response, by number.
 #[derive(Debug, Default)]
 pub(crate) struct QuotaOwner {
@@ -204,7 +214,7 @@
                 _ => 0.0,
             },
         };
-        let (now, seconds) = (self.clock.now_ms, (self.clock.now_ms - self.clock.started_ms) / 1000.0);
+        let (now, seconds) = (self.clock.now_ms, self.clock.since_start_ms() / 1000.0);
         let plan_settings = &self.settings.plans[plan];
         let customer = self.customers.by_tag.entry(tag).or_insert_with(|| Customer::new(now));
         (customer.first, customer.spread, customer.used_ms) = (first % s.gateways, spread, now);
--- a/crates/admission/src/state/request.rs
+++ b/crates/admission/src/state/request.rs
@@ -2,8 +2,11 @@
 use crate::event::Request;
 use crate::gateway::Gateway;
 use crate::id::{EndpointId, RequestId};
-use crate::policy::admission::FIRST_TRIES;
+use crate::policy::admission::{
+    FIRST_TRY_MAX_VOTES, FIRST_TRY_MIN_VOTES, FIRST_TRY_TOLERANCE, FIRST_TRY_VOTES,
+};
 use crate::settings::{DedupGroup, Idempotency};
+use crate::state::endpoint::Endpoint;
 use std::collections::BTreeMap;
 
 /// Who decides whether a request is within its customer's quota, and what was decided.
@@ -26,16 +29,91 @@
     AdmittedByCounter { asked: bool },
 }
 
+impl QuotaState {
+    /// What has been decided already; `None` where this gateway's own records are still to be checked.
+    pub(crate) fn decision(&self) -> Option<QuotaDecision> {
+        match self {
+            QuotaState::LocalBucket | QuotaState::AdmittedByCounter { .. } => None,
+            QuotaState::GrantedByOwner { .. } => Some(QuotaDecision::Admit),
+            QuotaState::OverQuota { .. } => Some(QuotaDecision::OverQuota),
+            QuotaState::AwaitingOwner { .. }
+            | QuotaState::QueuedAtOwner { .. }
+            | QuotaState::AwaitingCounter => Some(QuotaDecision::Wait),
+        }
+    }
+}
+
+/// Whether a request may be sent as far as its customer's quota goes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum QuotaDecision {
+    /// It may be sent now.
+    Admit,
+    /// It stays queued: an answer, a slot or a part of the ceiling is still to come.
+    Wait,
+    /// It is over the quota, so it leaves the queue.
+    OverQuota,
+}
+
+/// What the customer's token bucket at this gateway says of a new request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OwnBucketCheck {
+    /// The request is within the quota.
+    pub(crate) is_met: bool,
+    /// Beyond its quota the request may still be sent where there is room.
+    pub(crate) may_exceed: bool,
+    /// When the bucket will have filled enough for the request; `None` where it never does.
+    pub(crate) retry_after_ms: Option<f64>,
+}
+
+/// An attempt of a request: what was sent, to which endpoint, and what became of it.
 #[derive(Debug, Clone)]
 pub(crate) struct Attempt {
     pub(crate) endpoint: EndpointId,
+    /// The endpoint's zone when it was sent.
     pub(crate) zone: usize,
+    /// The endpoint's cell when it was sent.
     pub(crate) cell: u64,
     pub(crate) sent_ms: f64,
+    /// It has not ended yet.
     pub(crate) pending: bool,
+    /// It has ended, and the endpoint may have done the work.
     pub(crate) may_have_run: bool,
 }
 
+impl Attempt {
+    /// Whether the endpoint may have done the work, or may still do it.
+    pub(crate) fn is_risky(&self) -> bool {
+        self.pending || self.may_have_run
+    }
+
+    /// Whether an endpoint belongs to the group that drops a repeat of this attempt's idempotency key.
+    pub(crate) fn shares_keys_with(&self, endpoint: &Endpoint, group: DedupGroup) -> bool {
+        match group {
+            DedupGroup::All => true,
+            DedupGroup::Zone => self.zone == endpoint.zone,
+            DedupGroup::Cell => self.cell == endpoint.cell,
+        }
+    }
+}
+
+/// Names an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct AttemptRef {
+    /// The request.
+    pub(crate) request: RequestId,
+    /// The attempt's number among those of its request, from 0.
+    pub(crate) attempt: u32,
+}
+
+/// An attempt in flight.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PendingAttempt {
+    pub(crate) reference: AttemptRef,
+    pub(crate) class: usize,
+    pub(crate) endpoint: EndpointId,
+    pub(crate) sent_ms: f64,
+}
+
 /// A request taken in, until it is answered and all its attempts have ended.
 #[derive(Debug)]
 pub(crate) struct ActiveRequest {
@@ -57,21 +135,41 @@
 
 impl ActiveRequest {
     /// A request just taken in.
-    pub(crate) fn new(request: Request, tag: u64, now: f64, aim: f64, inside: bool) -> Self {
+    pub(crate) fn new(request: Request, tag: u64, now_ms: f64, objective_ms: f64) -> Self {
         ActiveRequest {
             tag,
-            objective_at_ms: now + aim,
-            deadline_ms: now + request.time_left_ms,
+            objective_at_ms: now_ms + objective_ms,
+            deadline_ms: now_ms + request.time_left_ms,
             attempts: Vec::new(),
             answered: false,
             closed: false,
-            within_quota: inside,
+            within_quota: false,
             quota: QuotaState::LocalBucket,
             settled_units: 0.0,
             ample: false,
             request,
         }
     }
+
+    /// Attempts whose endpoint may have done the work or may still do it, oldest first.
+    pub(crate) fn risky_attempts(&self) -> impl Iterator<Item = &Attempt> {
+        self.attempts.iter().filter(|attempt| attempt.is_risky())
+    }
+
+    /// Whether any endpoint may have done the work or may still do it.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.risky_attempts().next().is_some()
+    }
+
+    /// Attempts in flight, each with its number, oldest first.
+    pub(crate) fn pending_attempts(&self) -> impl Iterator<Item = (u32, &Attempt)> {
+        (0u32..).zip(&self.attempts).filter(|(_, attempt)| attempt.pending)
+    }
+
+    /// Whether an attempt is in flight.
+    pub(crate) fn has_pending(&self) -> bool {
+        self.pending_attempts().next().is_some()
+    }
 }
 
 /// Requests taken in that are not answered yet or have attempts in flight.
@@ -80,15 +178,53 @@
     pub(crate) active: BTreeMap<RequestId, ActiveRequest>,
 }
 
-/// Further attempts that may be made now.
+impl RequestTable {
+    /// All attempts in flight, by request.
+    pub(crate) fn pending_attempts(&self) -> impl Iterator<Item = PendingAttempt> + '_ {
+        self.active.iter().flat_map(|(id, active)| {
+            active.pending_attempts().map(|(number, attempt)| PendingAttempt {
+                reference: AttemptRef { request: *id, attempt: number },
+                class: active.request.class,
+                endpoint: attempt.endpoint,
+                sent_ms: attempt.sent_ms,
+            })
+        })
+    }
+}
+
+/// Tokens for further attempts: first attempts bring some, each further one costs some. So retries stay a part
+/// of all attempts, also while many fail.
 #[derive(Debug, Default)]
 pub(crate) struct RetryBudget {
-    pub(crate) tokens: f64,
+    tokens: f64,
+}
+
+impl RetryBudget {
+    /// A budget that starts with these tokens.
+    pub(crate) fn new(tokens: f64) -> Self {
+        RetryBudget { tokens }
+    }
+
+    /// Adds tokens, up to `limit` in all.
+    pub(crate) fn earn(&mut self, tokens: f64, limit: f64) {
+        self.tokens = (self.tokens + tokens).min(limit);
+    }
+
+    /// Whether there are as many tokens.
+    pub(crate) fn can_spend(&self, tokens: f64) -> bool {
+        self.tokens >= tokens
+    }
+
+    /// Takes tokens out.
+    pub(crate) fn spend(&mut self, tokens: f64) {
+        self.tokens -= tokens;
+    }
 }
 
 impl Gateway {
+    /// Whether the promise of a rejection can be kept: that trying again is harmless.
     pub(crate) fn may_reject(&self, active: &ActiveRequest) -> bool {
-        let risky = active.attempts.iter().any(|a| a.pending || a.may_have_run);
+        let risky = active.may_have_run();
         match self.settings.classes[active.request.class].idempotency {
             Idempotency::Idempotent => true,
             Idempotency::NonIdempotent => !risky,
@@ -101,17 +237,16 @@
     /// it is under the aim, as an impatient client's. Nothing is concluded while no time left is common.
     pub(crate) fn already_waited_ms(&mut self, class: usize, time_left_ms: f64) -> f64 {
         let settings = &self.settings.classes[class];
-        let (near, sure, most) = FIRST_TRIES;
         let (usual_ms, seen) = &mut self.latency.time_budgets[class];
-        if (time_left_ms - *usual_ms).abs() <= near * *usual_ms {
-            *seen = (*seen + 4).min(most);
+        if (time_left_ms - *usual_ms).abs() <= FIRST_TRY_TOLERANCE * *usual_ms {
+            *seen = (*seen + FIRST_TRY_VOTES).min(FIRST_TRY_MAX_VOTES);
             return 0.0;
         }
         *seen -= 1;
         if *seen <= 0 {
             (*usual_ms, *seen) = (time_left_ms, 1);
         }
-        let later = *seen >= sure && time_left_ms > settings.latency_objective_ms;
+        let later = *seen >= FIRST_TRY_MIN_VOTES && time_left_ms > settings.latency_objective_ms;
         if later {
             (settings.deadline_ms - time_left_ms).max(0.0)
         } else {
@@ -119,14 +254,3 @@
         }
     }
 }
-
-/// Whether a request may be sent as far as its customer's quota goes.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) enum QuotaDecision {
-    /// It may be sent now.
-    Admit,
-    /// It stays queued: an answer, a slot or a part of the ceiling is still to come.
-    Wait,
-    /// It is over the quota, so it leaves the queue.
-    OverQuota,
-}
