--- a/crates/admission/src/policy/in_flight_band.rs
+++ b/crates/admission/src/policy/in_flight_band.rs
@@ -13,7 +13,7 @@
 const MIN_WATERMARK: f64 = 2.0;
 
 /// In a large fleet it is this many times as high. Many gateways that place requests by chance do so
-/// unevenly: at 2 an endpoint of two cores is idle an eighth of the time and half idle a quarter; at 4 seldom.
+/// unevenly: at 2 an endpoint of two cores is idle an eighth of the time, half idle a quarter; at 4 seldom.
 const LARGE_FLEET_FACTOR: f64 = 2.0;
 
 /// The watermark never rises beyond this.
