--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -3,7 +3,7 @@
 use crate::coordination::gossip::Gossip;
 use crate::coordination::Coordination;
 use crate::event::Event;
-use crate::mechanism::splitmix64::mix;
+use crate::mechanism::splitmix64::{mix, SplitMix64};
 use crate::mechanism::virtual_finish_queue::VirtualFinishQueue;
 use crate::policy::coordination::{MIN_REPORT_INTERVAL_MS, PEER_MESSAGE_FRACTION};
 use crate::policy::in_flight_band::INITIAL_DISPATCH_CREDIT;
@@ -32,7 +32,7 @@
     pub(crate) clock: EventClock,
     /// Tells this start of the gateway from earlier ones.
     pub(crate) incarnation: u32,
-    pub(crate) random: u64,
+    pub(crate) random: SplitMix64,
     pub(crate) endpoints: EndpointTable,
     pub(crate) requests: RequestTable,
     pub(crate) customers: CustomerTable,
@@ -69,7 +69,7 @@
         let mut gateway = Gateway {
             clock: EventClock::new(now_ms),
             incarnation: (mix(seed) & 0x3_ffff) as u32,
-            random: seed,
+            random: SplitMix64::new(seed),
             latency: LatencyModel {
                 objective_fraction: 0.15,
                 time_budgets: vec![(0.0, 0); mean_by_class_ms.len()],
@@ -183,12 +183,6 @@
         }
     }
 
-    /// The next number drawn by seeded chance, evenly from 0 to 1.
-    pub(crate) fn random_fraction(&mut self) -> f64 {
-        self.random = mix(self.random);
-        (self.random >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     /// Refills the budget of messages to quota owners: what others' quota requests leave of the messages that
     /// a gateway takes in.
     fn refill_message_tokens(&mut self, seconds: f64) {
--- a/crates/admission/src/policy/retry.rs
+++ b/crates/admission/src/policy/retry.rs
@@ -2,7 +2,7 @@
 use crate::action::Action;
 use crate::gateway::{Gateway, UPKEEP_MS};
 use crate::id::RequestId;
-use crate::messages::gossip::{SEEN_CLASS, SEEN_FAILED};
+use crate::messages::observation::ObservationKind;
 use crate::settings::Idempotency;
 use crate::state::endpoint::{EjectionScope, Endpoint};
 use crate::state::request::{ActiveRequest, AttemptRef, PendingAttempt};
@@ -96,7 +96,7 @@
         let stalled = pending().filter(|p| self.is_stalled(p)).map(|p| p.reference).collect();
         let long: Vec<_> = pending().filter(|p| self.turned_long(p)).map(|p| (p.endpoint, p.class)).collect();
         for (endpoint, class) in long {
-            self.record_observation(endpoint, SEEN_CLASS * class as u32 + SEEN_FAILED);
+            self.record_observation(endpoint, ObservationKind::Failed { class });
         }
         stalled
     }
