Split sending, settling and closing of requests by record; name the ends reported to owners

Each record has its own step now, settle_attempt no longer returns a pair, and report_request_end matches every state of the quota. The least queue weight of classes and plans is one constant.

--- a/crates/admission/src/lifecycle.rs
+++ b/crates/admission/src/lifecycle.rs
@@ -13,6 +13,9 @@
 use crate::state::customer::customer_tag;
 use crate::state::request::{ActiveRequest, Attempt, QuotaState};
 
+/// Shortest time-out of an attempt: the host needs one above 0.
+const MIN_TIMEOUT_MS: f64 = 1.0;
+
 impl Gateway {
     /// Takes a request in: checks it, enters it into the records, and has it admitted, queued or rejected.
     pub(crate) fn on_request(&mut self, request: Request, actions: &mut Vec<Action>) {
@@ -87,106 +90,116 @@
         }
     }
 
+    /// Starts a request's next attempt, at this endpoint, and enters it in all records.
     pub(crate) fn send(&mut self, id: RequestId, endpoint_id: EndpointId, actions: &mut Vec<Action>) {
-        let cold = self.endpoints.by_id.get(&endpoint_id).and_then(|s| self.warm_up_budget(s));
-        let (Some(active), Some(endpoint)) =
-            (self.requests.active.get_mut(&id), self.endpoints.by_id.get_mut(&endpoint_id))
-        else {
+        let Some(active) = self.requests.active.get(&id) else { return };
+        if !self.endpoints.by_id.contains_key(&endpoint_id) {
             return;
-        };
-        let wait =
-            ATTEMPT_TIMEOUT_OBJECTIVES * self.settings.classes[active.request.class].latency_objective_ms;
-        let first = active.attempts.is_empty();
+        }
+        let objective_ms = self.settings.classes[active.request.class].latency_objective_ms;
+        let time_left_ms = active.deadline_ms - self.clock.now_ms;
+        let timeout_ms = (ATTEMPT_TIMEOUT_OBJECTIVES * objective_ms).min(time_left_ms).max(MIN_TIMEOUT_MS);
+        let is_first = active.attempts.is_empty();
         self.band.spend_dispatch_credit(MAX_CREDIT_OVERDRAFT);
-        if let Some(budget) = cold {
-            endpoint.warm_up_tokens = endpoint.warm_up_tokens_now(self.clock.now_ms, budget) - 1.0;
-            endpoint.warm_up_tokens_ms = self.clock.now_ms;
+        if is_first {
+            self.retries.earn(RETRY_TOKENS_PER_REQUEST, MAX_RETRY_TOKENS);
+        }
+        self.enter_attempt(id, endpoint_id);
+        self.count_attempt(id, is_first);
+        actions.push(Action::Send { request: id, endpoint: endpoint_id, timeout_ms });
+    }
+
+    /// Enters a new attempt in the records of its request and its endpoint.
+    fn enter_attempt(&mut self, id: RequestId, endpoint_id: EndpointId) {
+        let now = self.clock.now_ms;
+        let warm_up_budget = self.endpoints.by_id.get(&endpoint_id).and_then(|e| self.warm_up_budget(e));
+        let Some(active) = self.requests.active.get_mut(&id) else { return };
+        let Some(endpoint) = self.endpoints.by_id.get_mut(&endpoint_id) else { return };
+        if let Some(budget) = warm_up_budget {
+            endpoint.warm_up_tokens = endpoint.warm_up_tokens_now(now, budget) - 1.0;
+            endpoint.warm_up_tokens_ms = now;
         }
-        endpoint.send_rate = endpoint.send_rate_now(self.clock.now_ms) + 1.0 / SEND_RATE_SPAN_S;
-        endpoint.send_rate_ms = self.clock.now_ms;
-        endpoint.in_flight.push((self.clock.now_ms, id, active.attempts.len() as u32));
+        endpoint.send_rate = endpoint.send_rate_now(now) + 1.0 / SEND_RATE_SPAN_S;
+        endpoint.send_rate_ms = now;
+        endpoint.in_flight.push((now, id, active.attempts.len() as u32));
         active.attempts.push(Attempt {
             endpoint: endpoint_id,
             zone: endpoint.zone,
             cell: endpoint.cell,
-            sent_ms: self.clock.now_ms,
+            sent_ms: now,
             pending: true,
             may_have_run: false,
         });
+    }
+
+    /// Counts a new attempt to its customer, where the quota is not held by another gateway: its slot, and
+    /// with the first attempt the request's units.
+    fn count_attempt(&mut self, id: RequestId, is_first: bool) {
+        let Some(active) = self.requests.active.get(&id).filter(|a| a.quota.holds_slot_here()) else {
+            return;
+        };
+        let Some(customer) = self.customers.by_tag.get_mut(&active.tag) else { return };
         let plan = &self.settings.plans[active.request.plan];
-        let own = matches!(active.quota, QuotaState::LocalBucket | QuotaState::AdmittedByCounter { .. });
-        if first {
-            self.retries.earn(RETRY_TOKENS_PER_REQUEST, MAX_RETRY_TOKENS);
+        let own_bucket = active.quota == QuotaState::LocalBucket;
+        customer.in_flight += 1;
+        if is_first {
+            customer.ceiling_tokens -= active.request.units;
         }
-        if let Some(customer) = self.customers.by_tag.get_mut(&active.tag).filter(|_| own) {
-            customer.in_flight += 1;
-            if first {
-                customer.ceiling_tokens -= active.request.units;
-                if active.within_quota
-                    && plan.rate_per_second > 0.0
-                    && active.quota == QuotaState::LocalBucket
-                {
-                    customer.tokens -= active.request.units;
-                    customer.consumed += active.request.units;
-                }
-            }
-            if plan.open_limit > 0 || (first && active.within_quota) {
-                customer.pending_rounds = REPORT_ROUNDS;
-                self.customers.unreported.insert(active.tag);
-            }
+        if is_first && active.within_quota && plan.rate_per_second > 0.0 && own_bucket {
+            customer.tokens -= active.request.units;
+            customer.consumed += active.request.units;
+        }
+        if plan.open_limit > 0 || (is_first && active.within_quota) {
+            customer.pending_rounds = REPORT_ROUNDS;
+            self.customers.unreported.insert(active.tag);
         }
-        let timeout_ms = wait.min(active.deadline_ms - self.clock.now_ms).max(1.0);
-        actions.push(Action::Send { request: id, endpoint: endpoint_id, timeout_ms });
     }
 
     /// Takes in how an attempt ended: closes the request, tries again, or gives the final answer.
     pub(crate) fn on_attempt_end(&mut self, end: &AttemptEnd, actions: &mut Vec<Action>) {
-        let (id, outcome) = (end.request, end.outcome);
-        let Some((class, plan)) = self.settle_attempt(end) else { return };
+        let Some(active) = self.requests.active.get_mut(&end.request) else { return };
+        if !active.end_attempt(end.attempt, end.outcome) {
+            return;
+        }
+        let (class, plan) = (active.request.class, active.request.plan);
+        self.settle_attempt(end);
         self.record_attempt_end(end, class, plan);
-        let Some(active) = self.requests.active.get_mut(&id) else { return };
-        let waits = active.has_pending();
-        if end.closed || outcome == Outcome::Ok || active.answered {
-            self.close(id, actions);
-        } else if !waits && (outcome == Outcome::TooLate || !self.retry(id, actions)) {
-            self.finish(id, None, actions);
+        let Some(active) = self.requests.active.get(&end.request) else { return };
+        if end.closed || end.outcome == Outcome::Ok || active.answered {
+            self.close(end.request, actions);
+        } else if !active.has_pending()
+            && (end.outcome == Outcome::TooLate || !self.retry(end.request, actions))
+        {
+            self.finish(end.request, None, actions);
         }
     }
 
-    /// Enters an attempt's end: its true units, its active slot, and whether it may have run. Gives the
-    /// request's class and plan; `None` where no such attempt is out.
-    pub(crate) fn settle_attempt(&mut self, end: &AttemptEnd) -> Option<(usize, usize)> {
-        let active = self.requests.active.get_mut(&end.request)?;
-        let attempt = active.attempts.get_mut(end.attempt as usize).filter(|a| a.pending)?;
-        attempt.pending = false;
-        attempt.may_have_run =
-            !matches!(end.outcome, Outcome::Overloaded | Outcome::ConnectFailed | Outcome::TooLate);
-        let (class, plan) = (active.request.class, active.request.plan);
-        let settings = &self.settings.plans[plan];
-        let counted = active.within_quota && settings.rate_per_second > 0.0;
-        // A figure that no request can count is a spoilt one.
-        let told = end.true_units.filter(|t| counted && *t <= self.settings.max_units);
-        let settled = told.map_or(0.0, |t| t - active.request.units);
-        let own = active.quota == QuotaState::LocalBucket;
-        if !own {
-            active.settled_units += settled;
-        }
-        if !own && !matches!(active.quota, QuotaState::AdmittedByCounter { .. }) {
-            return Some((class, plan));
-        }
-        if let Some(customer) = self.customers.by_tag.get_mut(&active.tag) {
-            customer.in_flight = customer.in_flight.saturating_sub(1);
-            if !own {
-                return Some((class, plan));
-            }
-            customer.tokens -= settled;
-            customer.consumed += settled;
-            if settled != 0.0 || settings.open_limit > 0 {
-                customer.pending_rounds = REPORT_ROUNDS;
-                self.customers.unreported.insert(active.tag);
-            }
+    /// Settles an ended attempt with its customer: frees its slot, and takes the units by which the true
+    /// figure passed the estimate.
+    fn settle_attempt(&mut self, end: &AttemptEnd) {
+        let Some(active) = self.requests.active.get_mut(&end.request) else { return };
+        let plan = &self.settings.plans[active.request.plan];
+        let has_quota = active.within_quota && plan.rate_per_second > 0.0;
+        // No request can count more than `max_units`: such a figure is corrupt.
+        let true_units = end.true_units.filter(|units| has_quota && *units <= self.settings.max_units);
+        let excess = true_units.map_or(0.0, |units| units - active.request.units);
+        let own_bucket = active.quota == QuotaState::LocalBucket;
+        if !own_bucket {
+            active.settled_units += excess;
+        }
+        if !active.quota.holds_slot_here() {
+            return;
+        }
+        let Some(customer) = self.customers.by_tag.get_mut(&active.tag) else { return };
+        customer.in_flight = customer.in_flight.saturating_sub(1);
+        if own_bucket {
+            customer.tokens -= excess;
+            customer.consumed += excess;
+        }
+        if own_bucket && (excess != 0.0 || plan.open_limit > 0) {
+            customer.pending_rounds = REPORT_ROUNDS;
+            self.customers.unreported.insert(active.tag);
         }
-        Some((class, plan))
     }
 
     /// Gives the final answer: a rejection, or a failure where the request may have run.
@@ -200,16 +213,16 @@
         self.close(id, actions);
     }
 
-    /// The request is answered or its client gone: calls off once what is still out, and forgets it when
-    /// all its attempts have ended.
+    /// The request is answered, or its client has gone: cancels the attempts in flight, once, and forgets the
+    /// request when all its attempts have ended.
     pub(crate) fn close(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(active) = self.requests.active.get_mut(&id) else { return };
         let pending: Vec<u32> = active.pending_attempts().map(|(number, _)| number).collect();
-        if self.settings.cancel_allowed && !active.closed {
-            actions.extend(pending.iter().map(|n| Action::Cancel { request: id, attempt: *n }));
-        }
-        (active.answered, active.closed) = (true, true);
+        let was_closed = active.close();
         let tag = active.tag;
+        if self.settings.cancel_allowed && !was_closed {
+            actions.extend(pending.iter().map(|number| Action::Cancel { request: id, attempt: *number }));
+        }
         self.queue.remove(tag, id);
         if pending.is_empty() {
             if let Some(active) = self.requests.active.remove(&id) {
@@ -218,29 +231,45 @@
         }
     }
 
-    /// Tells the keeper what a granted request took in the end, where that matters to its count.
-    pub(crate) fn report_request_end(&mut self, active: &ActiveRequest, actions: &mut Vec<Action>) {
-        if active.quota == (QuotaState::AdmittedByCounter { asked: true }) {
-            return self.settle_counted(active, actions);
-        }
-        let plan = &self.settings.plans[active.request.plan];
-        let (keeper, number, owed) = match active.quota {
-            QuotaState::GrantedByOwner { keeper, number } if active.attempts.is_empty() => {
-                (keeper, number, -active.request.units)
+    /// Tells whoever holds the quota what an ended request took, where that matters to its count.
+    fn report_request_end(&mut self, active: &ActiveRequest, actions: &mut Vec<Action>) {
+        let unsent = active.attempts.is_empty();
+        let unused = -active.request.units;
+        match active.quota {
+            QuotaState::AdmittedByCounter { asked: true } => self.settle_counted(active, actions),
+            QuotaState::GrantedByOwner { keeper, number } if unsent => {
+                self.send_release(keeper, active.tag, number, unused, actions)
             }
-            QuotaState::GrantedByOwner { keeper, number }
-                if plan.open_limit > 0 || active.settled_units != 0.0 && !active.ample =>
-            {
-                (keeper, number, active.settled_units)
+            QuotaState::GrantedByOwner { keeper, number } => {
+                let holds_slot = self.settings.plans[active.request.plan].open_limit > 0;
+                if holds_slot || active.settled_units != 0.0 && !active.ample {
+                    self.send_release(keeper, active.tag, number, active.settled_units, actions);
+                }
             }
             QuotaState::QueuedAtOwner { keeper, number }
             | QuotaState::AwaitingOwner { keeper, number, .. } => {
                 self.quota_owner.pending.remove(&number);
-                (keeper, number, -active.request.units)
+                self.send_release(keeper, active.tag, number, unused, actions);
             }
-            _ => return,
-        };
-        let end = QuotaRelease { customer: active.tag, number, quarters: (owed * 4.0).round() as i32 };
-        self.send_gossip(keeper, GossipMessage { releases: vec![end], ..GossipMessage::default() }, actions);
+            QuotaState::LocalBucket
+            | QuotaState::OverQuota { .. }
+            | QuotaState::AwaitingCounter
+            | QuotaState::AdmittedByCounter { asked: false } => {}
+        }
+    }
+
+    /// Tells a quota's owner that a request it was asked about has ended, and how many units to take beyond
+    /// those granted; below 0 it gives them back.
+    fn send_release(
+        &mut self,
+        owner: usize,
+        customer: u64,
+        number: u32,
+        units: f64,
+        actions: &mut Vec<Action>,
+    ) {
+        let release = QuotaRelease { customer, number, quarters: (units * 4.0).round() as i32 };
+        let message = GossipMessage { releases: vec![release], ..GossipMessage::default() };
+        self.send_gossip(owner, message, actions);
     }
 }
--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -2,6 +2,7 @@
 use crate::action::Action;
 use crate::gateway::{Gateway, UPKEEP_MS};
 use crate::id::RequestId;
+use crate::policy::dispatch::MIN_WEIGHT;
 use crate::state::request::{ActiveRequest, OwnBucketCheck, QuotaDecision};
 
 /// For this long after its start a gateway spends only its part of each burst: it may not have heard yet what
@@ -24,9 +25,6 @@
 /// Requests queued at most: a bound on memory, far above what can be served within a latency objective.
 const MAX_QUEUED: usize = 4000;
 
-/// Least priority weight by which a request's size in the queue is divided.
-const MIN_PRIORITY_WEIGHT: f64 = 0.01;
-
 impl Gateway {
     /// In a large fleet every request is queued, and its quota asked about, unless it comes too late.
     pub(crate) fn admit_in_large_fleet(&mut self, id: RequestId, actions: &mut Vec<Action>) {
@@ -35,7 +33,7 @@
             return self.finish(id, self.overload_retry_after(), actions);
         }
         let priority_weight = self.settings.classes[active.request.class].priority_weight;
-        let size = active.request.units / priority_weight.max(MIN_PRIORITY_WEIGHT);
+        let size = active.request.units / priority_weight.max(MIN_WEIGHT);
         let weight = self.flow_weight(&self.settings.plans[active.request.plan]);
         self.queue.enqueue(active.tag, id, size, weight);
         self.check_quota(id, actions);
--- a/crates/admission/src/policy/dispatch.rs
+++ b/crates/admission/src/policy/dispatch.rs
@@ -12,8 +12,8 @@
 /// endpoints could do.
 pub(crate) const ATTEMPT_TIMEOUT_OBJECTIVES: f64 = 2.0;
 
-/// Least factor that a plan's weight gives its queue flow: a plan of weight 0 is still served.
-const MIN_PLAN_WEIGHT: f64 = 0.01;
+/// Least weight of a class or a plan in the queue: one of weight 0 is still served.
+pub(crate) const MIN_WEIGHT: f64 = 0.01;
 
 impl Gateway {
     /// The queued request to send next: the smallest virtual finish among the heads that quota and band let
@@ -54,7 +54,7 @@
         } else {
             f64::from(plan.open_limit.max(1)) / (self.mean_response_ms() / 1000.0)
         };
-        rate * plan.plan_weight.max(MIN_PLAN_WEIGHT)
+        rate * plan.plan_weight.max(MIN_WEIGHT)
     }
 
     /// Whether quota, open limit and this gateway's part of the ceiling let a request be sent now.
--- a/crates/admission/src/state/request.rs
+++ b/crates/admission/src/state/request.rs
@@ -1,5 +1,5 @@
 //! Requests in work and their attempts.
-use crate::event::Request;
+use crate::event::{Outcome, Request};
 use crate::gateway::Gateway;
 use crate::id::{EndpointId, RequestId};
 use crate::policy::admission::{
@@ -41,6 +41,12 @@
             | QuotaState::AwaitingCounter => Some(QuotaDecision::Wait),
         }
     }
+
+    /// Whether the request's attempts count to its customer at this gateway; else the quota's owner counts
+    /// them.
+    pub(crate) fn holds_slot_here(&self) -> bool {
+        matches!(self, QuotaState::LocalBucket | QuotaState::AdmittedByCounter { .. })
+    }
 }
 
 /// Whether a request may be sent as far as its customer's quota goes.
@@ -166,6 +172,22 @@
         (0u32..).zip(&self.attempts).filter(|(_, attempt)| attempt.pending)
     }
 
+    /// Marks an attempt as ended. `false` where no such attempt is in flight.
+    pub(crate) fn end_attempt(&mut self, number: u32, outcome: Outcome) -> bool {
+        let attempt = self.attempts.get_mut(number as usize).filter(|attempt| attempt.pending);
+        let Some(attempt) = attempt else { return false };
+        attempt.pending = false;
+        attempt.may_have_run =
+            !matches!(outcome, Outcome::Overloaded | Outcome::ConnectFailed | Outcome::TooLate);
+        true
+    }
+
+    /// Marks the request as answered and its attempts as cancelled. Whether that was so before.
+    pub(crate) fn close(&mut self) -> bool {
+        self.answered = true;
+        std::mem::replace(&mut self.closed, true)
+    }
+
     /// Whether an attempt is in flight.
     pub(crate) fn has_pending(&self) -> bool {
         self.pending_attempts().next().is_some()
