Check the settings by section, and document the interface with units

Settings::check was one function of 50 lines, and SettingsError wrote its messages by hand. Classes, plans, fleet and warm-up now have a check each, in the order as before; the error is derived with thiserror and keeps its texts. Settings, events and actions say their units and use the field's words.

--- a/crates/admission/src/action.rs
+++ b/crates/admission/src/action.rs
@@ -10,34 +10,34 @@
         request: RequestId,
         /// The endpoint.
         endpoint: EndpointId,
-        /// Time-out of the attempt.
+        /// Time-out of the attempt, in milliseconds.
         timeout_ms: f64,
     },
-    /// Final answer: refused; trying again is harmless.
+    /// Final answer: rejected. Trying again is harmless.
     Reject {
         /// The request.
         request: RequestId,
-        /// How long the client should stay away.
+        /// When the client may try again, in milliseconds from now; `None`: no advice.
         retry_after_ms: Option<f64>,
     },
-    /// Final answer: failed, with no promise.
+    /// Final answer: failed. The request may have run.
     Fail {
         /// The request.
         request: RequestId,
     },
-    /// Wait no longer for an attempt.
+    /// Cancel an attempt.
     Cancel {
         /// The request.
         request: RequestId,
         /// The attempt's number.
         attempt: u32,
     },
-    /// Probe a endpoint.
+    /// Probe an endpoint.
     Probe {
         /// The endpoint.
         endpoint: EndpointId,
     },
-    /// Close idle connections to a endpoint.
+    /// Close idle connections to an endpoint.
     CloseIdle {
         /// The endpoint.
         endpoint: EndpointId,
@@ -51,21 +51,21 @@
     },
     /// Ask for a timer event at a time.
     SetTimer {
-        /// When.
+        /// The time, in milliseconds.
         at_ms: f64,
-        /// What it will carry.
+        /// The token that the event will carry.
         token: u64,
     },
-    /// Add to a number that the counter keeps.
+    /// Add to a counter of the quota counter service.
     AddToCounter {
-        /// The number's name.
+        /// The counter's name.
         name: u64,
         /// What to add; 0 only reads.
         amount: f64,
-        /// Life of a new name.
+        /// How long a new counter is kept, in milliseconds.
         ttl_ms: f64,
     },
-    /// Ask for changes of the endpoint list from now on, or no longer.
+    /// Subscribe to changes of the endpoint list, or unsubscribe.
     Subscribe {
         /// On or off.
         active: bool,
--- a/crates/admission/src/event.rs
+++ b/crates/admission/src/event.rs
@@ -1,18 +1,18 @@
 //! Events that come in at a gateway.
 use crate::id::{CustomerId, EndpointId, RequestId};
 
-/// What the list says of a endpoint.
+/// What the list says of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointState {
-    /// Takes work.
+    /// Takes requests.
     Ready,
-    /// Finishes what it has; must be sent nothing new.
+    /// Finishes the requests it has; must be sent no new ones.
     Draining,
     /// Removed.
     Gone,
 }
 
-/// A line of the endpoint list.
+/// An entry of the endpoint list.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EndpointEntry {
     /// The endpoint.
@@ -25,26 +25,26 @@
     pub cell: u64,
     /// Its state.
     pub state: EndpointState,
-    /// When its process last started; `None`: long ago.
+    /// When its process last started, in milliseconds; `None`: long ago.
     pub started_at_ms: Option<f64>,
 }
 
 /// How much of the list an update holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ListKind {
-    /// Changed lines only.
+    /// Changed entries only.
     Changes,
-    /// All lines; a endpoint not among them is gone.
+    /// All entries; an endpoint not among them is gone.
     Whole,
-    /// All lines as last held before a restart.
+    /// All entries, as last stored before a restart.
     Remembered,
-    /// A call for the list failed; what was known stays.
+    /// A call for the list failed; the entries known stay.
     Failed,
-    /// What is known may have changed for too long: nothing is sent by it until more of the list comes.
+    /// The entries known are too old: nothing is sent by them until more of the list comes.
     Expired,
 }
 
-/// A request that has come in; one final answer is owed.
+/// A request that has come in. It gets exactly one final answer.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Request {
     /// Its id.
@@ -55,13 +55,13 @@
     pub plan: usize,
     /// Its customer.
     pub customer: CustomerId,
-    /// Time until the client gives this try up.
+    /// Time until the client gives this try up, in milliseconds.
     pub time_left_ms: f64,
-    /// Units it counts (a guess where units are settled afterwards).
+    /// Units that it counts; an estimate where the true units come with the response.
     pub units: f64,
-    /// Through how many gateways the customer's requests come.
+    /// The number of gateways that the customer's requests come through.
     pub spread: usize,
-    /// Number of the first of these gateways; the rest follow, counted round.
+    /// Number of the first of these gateways; the others follow it, from the last gateway on to number 0.
     pub first: usize,
     /// The client marked it as a repeat.
     pub repeat: bool,
@@ -74,11 +74,11 @@
 pub enum Outcome {
     /// Served.
     Ok,
-    /// The endpoint failed; it may have run.
+    /// The endpoint failed; the request may have run.
     Error,
-    /// Turned away unseen: full or draining.
+    /// Turned away before it ran: the endpoint is full or draining.
     Overloaded,
-    /// No answer in time; it may have run or be running.
+    /// No response in time; it may have run or be running.
     TimedOut,
     /// No connection; it never ran.
     ConnectFailed,
@@ -101,37 +101,37 @@
     pub endpoint: EndpointId,
     /// How it ended.
     pub outcome: Outcome,
-    /// Time since it was sent.
+    /// Time since it was sent, in milliseconds.
     pub took_ms: f64,
     /// The request has its final answer.
     pub closed: bool,
-    /// True units, told with the first good answer where units are settled afterwards.
+    /// True units of the request, where they come with the response.
     pub true_units: Option<f64>,
-    /// The customer's use over all gateways in the meter's last period, in percent of its rate.
+    /// The customer's use over all gateways in the meter's last period, in percent of its quota.
     pub metered_percent: Option<f64>,
     /// The endpoint's load report.
     pub load: Vec<(String, f64)>,
 }
 
-/// How a call to the counter ended.
+/// How a call to the quota counter ended.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum CounterOutcome {
     /// The total after the call.
     Total(f64),
     /// Nothing was added.
     Rejected,
-    /// No answer; the amount may have been added.
+    /// No response; the amount may have been added.
     Unanswered,
 }
 
-/// What a gateway is told.
+/// Something that a gateway must react to.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
-    /// News of the endpoint list.
+    /// An update of the endpoint list.
     EndpointList {
         /// How much of it.
         kind: ListKind,
-        /// The lines.
+        /// The entries.
         entries: Vec<EndpointEntry>,
     },
     /// A request came in.
@@ -143,7 +143,7 @@
     },
     /// An attempt ended.
     AttemptEnded(AttemptEnd),
-    /// A streamed answer began.
+    /// A streamed response began.
     StreamOpened {
         /// Its request.
         request: RequestId,
@@ -152,7 +152,7 @@
         /// Its endpoint.
         endpoint: EndpointId,
     },
-    /// The client left.
+    /// The client closed its connection.
     ClientGone {
         /// Its request.
         request: RequestId,
@@ -163,7 +163,7 @@
         endpoint: EndpointId,
         /// How it ended.
         outcome: Outcome,
-        /// Time since it was sent.
+        /// Time since it was sent, in milliseconds.
         took_ms: f64,
         /// The endpoint's load report.
         load: Vec<(String, f64)>,
@@ -175,13 +175,13 @@
         /// Its text.
         body: String,
     },
-    /// The counter answered.
+    /// A call to the quota counter ended.
     CounterReply {
-        /// The number's name.
+        /// The counter's name.
         name: u64,
-        /// The answer.
+        /// How it ended.
         outcome: CounterOutcome,
-        /// Time since the call.
+        /// Time since the call, in milliseconds.
         took_ms: f64,
     },
 }
--- a/crates/admission/src/settings.rs
+++ b/crates/admission/src/settings.rs
@@ -1,22 +1,23 @@
 //! The settings a gateway is started with.
 
-/// What a class of requests allows once an attempt may have run.
+/// What a class allows once an attempt of a request may have run.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Idempotency {
-    /// May be repeated at will.
+    /// Running it again does no harm.
     Idempotent,
-    /// Carries a key: endpoints of the group drop a repeat for `window_ms` after the first send.
+    /// It carries an idempotency key: endpoints of the group drop a repeat of a key for a time after its first
+    /// use.
     IdempotencyKey {
         /// The endpoints among which repeats are dropped.
         group: DedupGroup,
-        /// How long they remember.
+        /// How long they remember a key, in milliseconds.
         window_ms: f64,
     },
-    /// Must not run twice.
+    /// It must not run twice.
     NonIdempotent,
 }
 
-/// The endpoints that share their memory of keys.
+/// The endpoints that share their memory of idempotency keys.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DedupGroup {
     /// All endpoints.
@@ -30,13 +31,13 @@
 /// A class of requests.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ClassSettings {
-    /// An answer within this time earns the full worth.
+    /// Latency objective: a response within this time has its full value. In milliseconds, above 0.
     pub latency_objective_ms: f64,
-    /// The client's whole wait.
+    /// The client's whole wait, in milliseconds, above 0.
     pub deadline_ms: f64,
-    /// Worth of a request.
+    /// Value of a request against that of other classes.
     pub priority_weight: f64,
-    /// Part of the worth that an answer after the aim earns.
+    /// Part of its value that a response after the latency objective still has.
     pub late_value_fraction: f64,
     /// What a further attempt may do.
     pub idempotency: Idempotency,
@@ -45,23 +46,23 @@
 /// A plan that customers buy.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PlanSettings {
-    /// Units a second at which a customer's quota store fills; 0: no quota on the rate.
+    /// Quota: units per second at which a customer's token bucket fills; 0: no quota.
     pub rate_per_second: f64,
-    /// Units the quota store holds at most; it starts full.
+    /// Units that the bucket holds at most; it starts full.
     pub burst_units: f64,
-    /// Attempts a customer may have out inside its quota; 0: no such limit.
+    /// Attempts that a customer may have in flight within its quota; 0: no such limit.
     pub open_limit: u32,
-    /// Worth factor.
+    /// Factor on the value of a customer's requests.
     pub plan_weight: f64,
-    /// Part of its worth that a request sent on beyond the quota earns.
+    /// Part of its value that a request sent beyond the quota has.
     pub over_quota_value: f64,
-    /// Part of its worth that a try sent on beyond the quota costs.
+    /// Part of its value that an attempt sent beyond the quota costs.
     pub over_quota_cost: f64,
-    /// Units a second at which the hard ceiling's store fills; 0: no ceiling.
+    /// Hard ceiling: units per second at which its bucket fills; 0: no ceiling.
     pub ceiling_rate_per_second: f64,
-    /// Units the ceiling's store holds at most.
+    /// Units that the ceiling's bucket holds at most.
     pub ceiling_burst_units: f64,
-    /// Units by which the ceiling's store may go below nothing.
+    /// Units by which the ceiling's bucket may go below empty.
     pub ceiling_slack_units: f64,
 }
 
@@ -70,16 +71,32 @@
     pub(crate) fn pays_over_quota(&self) -> bool {
         self.over_quota_value > self.over_quota_cost && self.open_limit == 0
     }
+
+    /// Checks a plan's figures.
+    fn check(&self) -> Result<(), SettingsError> {
+        require("rate_per_second", is_amount(self.rate_per_second) && is_amount(self.burst_units))?;
+        require(
+            "over_quota_value",
+            is_amount(self.over_quota_value)
+                && is_amount(self.over_quota_cost)
+                && is_amount(self.plan_weight),
+        )?;
+        require(
+            "ceiling_rate_per_second",
+            is_amount(self.ceiling_rate_per_second) && is_amount(self.ceiling_burst_units),
+        )?;
+        require("ceiling_slack_units", is_amount(self.ceiling_slack_units))
+    }
 }
 
-/// What a gateway is told at its start.
+/// What a gateway is started with.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Settings {
-    /// This gateway's number.
+    /// This gateway's number, from 0.
     pub me: usize,
-    /// How many gateways there are.
+    /// How many gateways the fleet has.
     pub gateways: usize,
-    /// Shortest time between two rounds of events.
+    /// Shortest time between two rounds of events, in milliseconds.
     pub tick_ms: f64,
     /// This gateway's zone, as an index.
     pub zone: usize,
@@ -87,31 +104,31 @@
     pub classes: Vec<ClassSettings>,
     /// The plans.
     pub plans: Vec<PlanSettings>,
-    /// Attempts a request may have at most.
+    /// Attempts that a request may have at most.
     pub max_attempts: u32,
-    /// Two attempts of a request may be out at once.
+    /// Two attempts of a request may be in flight at once.
     pub hedging_allowed: bool,
     /// Attempts may be cancelled.
     pub cancel_allowed: bool,
     /// Peers may be sent messages.
     pub peer_messages_allowed: bool,
-    /// The counter may be called.
+    /// The quota counter may be called.
     pub counter_allowed: bool,
-    /// Messages a second that a gateway takes in.
+    /// Messages per second that a gateway takes in.
     pub peer_messages_per_second: f64,
-    /// Longest advice to stay away that clients honour.
+    /// Longest `Retry-After` that clients honour, in milliseconds; 0: none.
     pub max_retry_after_ms: f64,
-    /// Most units one request counts.
+    /// Most units that one request counts.
     pub max_units: f64,
-    /// Sends to a endpoint must stop this long after it is told to drain or gone.
+    /// Sends to an endpoint must stop this long after it is reported as draining or gone, in milliseconds.
     pub drain_grace_ms: f64,
-    /// Part of its capacity that a endpoint has at its start, at least.
+    /// Part of its capacity that an endpoint has at its start, at least; 0 to 1.
     pub cold_start_fraction: f64,
-    /// A endpoint is warm after this time at the latest.
+    /// An endpoint is warm this long after its start at the latest, in milliseconds.
     pub warm_up_ms: f64,
-    /// A cold endpoint sent more than this multiple of its present capacity falls over ...
+    /// A warming endpoint that is sent more than this multiple of its present capacity fails ...
     pub overload_multiple: f64,
-    /// ... when it lasts this long.
+    /// ... when that lasts for this long, in milliseconds.
     pub overload_window_ms: f64,
 }
 
@@ -126,11 +143,12 @@
         self.classes.iter().map(|class| class.priority_weight).fold(f64::INFINITY, f64::min)
     }
 
-    /// Whether every figure is one that a gateway can act on.
+    /// Checks that a gateway can act on every figure.
+    ///
+    /// # Errors
+    ///
+    /// Names the first thing that is missing or out of range.
     pub fn check(&self) -> Result<(), SettingsError> {
-        let figure =
-            |name: &'static str, ok: bool| if ok { Ok(()) } else { Err(SettingsError::BadFigure(name)) };
-        let sound = |v: f64| v.is_finite() && v >= 0.0;
         if self.classes.is_empty() {
             return Err(SettingsError::NoClasses);
         }
@@ -140,62 +158,73 @@
         if self.me >= self.gateways {
             return Err(SettingsError::NotAmongGateways);
         }
-        for class in &self.classes {
-            figure(
-                "latency_objective_ms",
-                sound(class.latency_objective_ms) && class.latency_objective_ms > 0.0,
-            )?;
-            figure("deadline_ms", sound(class.deadline_ms) && class.deadline_ms > 0.0)?;
-            figure("worth", sound(class.priority_weight) && sound(class.late_value_fraction))?;
-            if let Idempotency::IdempotencyKey { window_ms, .. } = class.idempotency {
-                figure("window_ms", sound(window_ms))?;
-            }
-        }
-        for plan in &self.plans {
-            figure("rate_per_second", sound(plan.rate_per_second) && sound(plan.burst_units))?;
-            figure(
-                "over_quota_value",
-                sound(plan.over_quota_value) && sound(plan.over_quota_cost) && sound(plan.plan_weight),
-            )?;
-            figure(
-                "ceiling_rate_per_second",
-                sound(plan.ceiling_rate_per_second) && sound(plan.ceiling_burst_units),
-            )?;
-            figure("ceiling_slack_units", sound(plan.ceiling_slack_units))?;
+        self.classes.iter().try_for_each(ClassSettings::check)?;
+        self.plans.iter().try_for_each(PlanSettings::check)?;
+        self.check_fleet()?;
+        self.check_warm_up()
+    }
+
+    /// Checks what concerns messages, clients and the endpoint list.
+    fn check_fleet(&self) -> Result<(), SettingsError> {
+        require("tick_ms", is_amount(self.tick_ms))?;
+        require("peer_messages_per_second", is_amount(self.peer_messages_per_second))?;
+        require("max_retry_after_ms", is_amount(self.max_retry_after_ms))?;
+        require("max_units", is_amount(self.max_units))?;
+        require("drain_grace_ms", is_amount(self.drain_grace_ms))
+    }
+
+    /// Checks what concerns warming endpoints.
+    fn check_warm_up(&self) -> Result<(), SettingsError> {
+        let fraction = self.cold_start_fraction;
+        require("cold_start_fraction", is_amount(fraction) && fraction <= 1.0)?;
+        require("warm_up_ms", is_amount(self.warm_up_ms))?;
+        require("overload_multiple", is_amount(self.overload_multiple) && is_amount(self.overload_window_ms))
+    }
+}
+
+impl ClassSettings {
+    /// Checks a class's figures.
+    fn check(&self) -> Result<(), SettingsError> {
+        require(
+            "latency_objective_ms",
+            is_amount(self.latency_objective_ms) && self.latency_objective_ms > 0.0,
+        )?;
+        require("deadline_ms", is_amount(self.deadline_ms) && self.deadline_ms > 0.0)?;
+        require("worth", is_amount(self.priority_weight) && is_amount(self.late_value_fraction))?;
+        match self.idempotency {
+            Idempotency::IdempotencyKey { window_ms, .. } => require("window_ms", is_amount(window_ms)),
+            Idempotency::Idempotent | Idempotency::NonIdempotent => Ok(()),
         }
-        figure("tick_ms", sound(self.tick_ms))?;
-        figure("peer_messages_per_second", sound(self.peer_messages_per_second))?;
-        figure("max_retry_after_ms", sound(self.max_retry_after_ms))?;
-        figure("max_units", sound(self.max_units))?;
-        figure("drain_grace_ms", sound(self.drain_grace_ms))?;
-        figure("cold_start_fraction", sound(self.cold_start_fraction) && self.cold_start_fraction <= 1.0)?;
-        figure("warm_up_ms", sound(self.warm_up_ms))?;
-        figure("overload_multiple", sound(self.overload_multiple) && sound(self.overload_window_ms))
+    }
+}
+
+/// Whether a figure is finite and not negative.
+fn is_amount(figure: f64) -> bool {
+    figure.is_finite() && figure >= 0.0
+}
+
+/// Reports the named figure unless it is in range.
+fn require(name: &'static str, in_range: bool) -> Result<(), SettingsError> {
+    if in_range {
+        Ok(())
+    } else {
+        Err(SettingsError::BadFigure(name))
     }
 }
 
 /// Why a gateway refused its settings.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum SettingsError {
     /// No request class is given.
+    #[error("settings name no request class")]
     NoClasses,
     /// No plan is given.
+    #[error("settings name no plan")]
     NoPlans,
     /// `me` is not below the number of gateways.
+    #[error("this gateway's number is not below the number of gateways")]
     NotAmongGateways,
     /// The named figure is negative, not finite, or zero where it must not be.
+    #[error("settings hold a figure out of range: {0}")]
     BadFigure(&'static str),
 }
-
-impl std::fmt::Display for SettingsError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::NoClasses => write!(f, "settings name no request class"),
-            Self::NoPlans => write!(f, "settings name no plan"),
-            Self::NotAmongGateways => write!(f, "this gateway's number is not below the number of gateways"),
-            Self::BadFigure(name) => write!(f, "settings hold a figure out of range: {name}"),
-        }
-    }
-}
-
-impl std::error::Error for SettingsError {}
