--- a/crates/admission/src/coordination/counter_calls.rs
+++ b/crates/admission/src/coordination/counter_calls.rs
@@ -1,41 +1,162 @@
-//! Calls to the shared counter, one at a time for each customer.
+//! Calls to the shared counter, one at a time for each customer, and what its replies lead to.
 use crate::action::Action;
+use crate::event::CounterOutcome;
 use crate::gateway::Gateway;
-use crate::policy::quota_counter::COUNT_EPOCH_MS;
-use crate::state::customer::{count_now, Call};
-use crate::state::request::QuotaState;
+use crate::id::RequestId;
+use crate::policy::quota_counter::{
+    assumed_tokens, catch_up_units, decide_by_count, over_quota, raised_twice, sampling_fraction_after,
+    settlement_units, COUNT_EPOCH_MS,
+};
+use crate::settings::PlanSettings;
+use crate::state::counter_account::{CatchUp, CountedRequest, CounterCall, CounterEpoch};
+use crate::state::gateway_set::GatewaySet;
+use crate::state::request::{ActiveRequest, QuotaState};
 
 impl Gateway {
-    /// Makes a customer's next call. It has one out at a time, so that each answer belongs to one question.
+    /// Asks the counter about a queued request's quota, or decides by what was last seen: the customer cannot
+    /// have more tokens than the rate has added since.
+    pub(crate) fn request_from_counter(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(active) = self.requests.active.get(&id) else { return };
+        let tag = active.tag;
+        let request = active.request.clone();
+        let now_ms = self.clock.now_ms;
+        let gateways = GatewaySet::new(request.first, request.spread, self.settings.gateways);
+        let plan = self.settings.plans[request.plan].clone();
+        let customer = self.customer_entry(tag, request.plan, gateways);
+        if plan.rate_per_second <= 0.0 {
+            return;
+        }
+        let most = customer.counter.tokens_at_most(&plan, now_ms);
+        let over = most.is_some_and(|tokens| tokens < request.units);
+        let sampled = if over { None } else { self.sample_for_counter(id, request.units, request.repeat) };
+        let Some(active) = self.requests.active.get_mut(&id) else { return };
+        active.within_quota = !over;
+        active.ample = true;
+        active.quota = match sampled {
+            Some(_) => QuotaState::AwaitingCounter,
+            None if over => over_quota(&plan),
+            None => QuotaState::AdmittedByCounter { asked: false },
+        };
+        if let Some(counted) = sampled {
+            self.queue_counter_call(tag, CounterCall::Request(counted));
+        }
+        self.call_counter(tag, actions);
+    }
+
+    /// Queues a call after the customer's others.
+    fn queue_counter_call(&mut self, tag: u64, call: CounterCall) {
+        if let Some(customer) = self.customers.get_mut(tag) {
+            customer.counter.push(call);
+        }
+    }
+
+    /// Makes a customer's next call, where none is in flight.
     pub(crate) fn call_counter(&mut self, tag: u64, actions: &mut Vec<Action>) {
-        let (name, _) = count_now(tag, self.clock.now_ms);
-        let Some(customer) = self.customers.by_tag.get_mut(&tag) else { return };
-        let count = &mut customer.count;
-        while count.calling.is_none() {
-            let call = match count.queue.pop_front() {
-                // Its client has gone, or its time is over.
-                Some(Call::Ask { id, .. })
-                    if !self
-                        .requests
-                        .active
-                        .get(&id)
-                        .is_some_and(|o| !o.answered && o.quota == QuotaState::AwaitingCounter) =>
-                {
-                    continue
+        let name = CounterEpoch::at(tag, self.clock.now_ms, COUNT_EPOCH_MS).name;
+        let Some(customer) = self.customers.get_mut(tag) else { return };
+        let requests = &self.requests.active;
+        let waits_for_reply = |id| requests.get(&id).is_some_and(ActiveRequest::awaits_counter);
+        let Some(amount) = customer.counter.next_call(waits_for_reply) else { return };
+        self.counter_calls.in_flight.insert(name, tag);
+        actions.push(Action::AddToCounter { name, amount, ttl_ms: COUNT_EPOCH_MS });
+    }
+
+    /// Takes the counter's reply to a customer's call in, and makes the next one.
+    pub(crate) fn on_counter_reply(&mut self, name: u64, outcome: CounterOutcome, actions: &mut Vec<Action>) {
+        let Some(tag) = self.counter_calls.in_flight.remove(&name) else { return };
+        let fraction = self.counter_calls.sampling_fraction;
+        self.counter_calls.sampling_fraction = sampling_fraction_after(outcome, fraction);
+        let epoch = CounterEpoch::at(tag, self.clock.now_ms, COUNT_EPOCH_MS);
+        let Some(customer) = self.customers.get_mut(tag) else { return };
+        let Some(ended) = customer.counter.complete() else { return };
+        let Some(plan) = customer.plan().map(|p| self.settings.plans[p].clone()) else { return };
+        let rejected = outcome == CounterOutcome::Rejected;
+        if rejected {
+            customer.counter.correct(ended.correction_units);
+        }
+        let total = match outcome {
+            // A reply across the turn of an epoch is about the old count.
+            CounterOutcome::Total(total) if total.is_finite() && epoch.name == name => Some(total),
+            _ => None,
+        };
+        match (ended.call, total) {
+            (CounterCall::Request(request), Some(total)) => {
+                self.on_total_of_request(tag, &plan, request, total, epoch)
+            }
+            (CounterCall::Request(request), None) => self.on_no_total(tag, &plan, request, rejected),
+            (CounterCall::CatchUp(catch_up), Some(total)) => {
+                if raised_twice(catch_up, total) {
+                    customer.counter.correct(-catch_up.units);
                 }
-                Some(call) => call,
-                None if count.owed != 0.0 => Call::Settle,
-                None => return,
-            };
-            let more = match call {
-                Call::Ask { takes, .. } => takes,
-                Call::Raise { by, .. } => by,
-                Call::Settle => 0.0,
-            };
-            let owed = std::mem::take(&mut count.owed);
-            count.calling = Some((call, owed));
-            self.quota_counter.calls.insert(name, tag);
-            actions.push(Action::AddToCounter { name, amount: more + owed, ttl_ms: COUNT_EPOCH_MS });
+            }
+            (CounterCall::Settle, Some(total)) => {
+                let tokens = epoch.tokens(&plan, total).min(plan.burst_units);
+                customer.counter.record_tokens(tokens, self.clock.now_ms);
+            }
+            (CounterCall::CatchUp(_) | CounterCall::Settle, None) => {}
+        }
+        // A counter that rejects calls is not called again at once only to settle corrections.
+        if !rejected || self.customers.get(tag).is_some_and(|c| c.counter.has_queued()) {
+            self.call_counter(tag, actions);
+        }
+    }
+
+    /// Decides on a request by the total after its units were added.
+    fn on_total_of_request(
+        &mut self,
+        tag: u64,
+        plan: &PlanSettings,
+        request: CountedRequest,
+        total: f64,
+        epoch: CounterEpoch,
+    ) {
+        let tokens = epoch.tokens(plan, total - request.added_units);
+        if let (Some(units), Some(customer)) = (catch_up_units(plan, tokens), self.customers.get_mut(tag)) {
+            customer.counter.push_first(CounterCall::CatchUp(CatchUp { units, seen_total: total }));
+        }
+        self.decide_counted(tag, plan, request, tokens.min(plan.burst_units));
+    }
+
+    /// Decides on a request that the counter said nothing about.
+    fn on_no_total(&mut self, tag: u64, plan: &PlanSettings, request: CountedRequest, rejected: bool) {
+        let Some(customer) = self.customers.get_mut(tag) else { return };
+        let tokens = assumed_tokens(plan, customer.counter.tokens_at_most(plan, self.clock.now_ms));
+        if rejected {
+            customer.counter.correct(request.added_units);
+        }
+        self.decide_counted(tag, plan, request, tokens);
+    }
+
+    /// Decides on a request, given the customer's tokens before it, and enters what it takes. What does not
+    /// go on inside the quota takes nothing.
+    fn decide_counted(&mut self, tag: u64, plan: &PlanSettings, request: CountedRequest, tokens: f64) {
+        let refund_units = self.refund_units(request.units);
+        let active = self.requests.active.get_mut(&request.id).filter(|active| active.awaits_counter());
+        let taken = match active {
+            Some(active) => {
+                decide_by_count(active, plan, request.units, tokens);
+                active.within_quota
+            }
+            None => false,
+        };
+        let Some(customer) = self.customers.get_mut(tag) else { return };
+        let consumed = if taken { request.added_units } else { request.added_units - request.units };
+        customer.counter.record_tokens(tokens - consumed, self.clock.now_ms);
+        if !taken {
+            customer.counter.correct(-refund_units);
+        }
+    }
+
+    /// Corrects the count by what an admitted request took in the end: all of it is given back where it was
+    /// never sent.
+    pub(crate) fn settle_counted(&mut self, active: &ActiveRequest, actions: &mut Vec<Action>) {
+        let unsent = active.attempts.is_empty();
+        let correction_units =
+            if unsent { -self.refund_units(active.request.units) } else { settlement_units(active) };
+        let Some(customer) = self.customers.get_mut(active.tag) else { return };
+        customer.counter.correct(correction_units);
+        if unsent {
+            self.call_counter(active.tag, actions);
         }
     }
 }
--- a/crates/admission/src/coordination/mod.rs
+++ b/crates/admission/src/coordination/mod.rs
@@ -2,7 +2,8 @@
 pub(crate) mod broadcast;
 pub(crate) mod counter_calls;
 pub(crate) mod gossip;
-pub(crate) mod quota_protocol;
+pub(crate) mod quota_grants;
+pub(crate) mod quota_requests;
 
 use crate::policy::coordination::broadcast_reaches_all;
 use crate::settings::Settings;
--- /dev/null
+++ b/crates/admission/src/coordination/quota_grants.rs
@@ -0,0 +1,156 @@
+//! Owning a customer's quota: responding to the quota requests of other gateways.
+use crate::action::Action;
+use crate::gateway::Gateway;
+use crate::messages::gossip::GossipMessage;
+use crate::messages::quota::{QuotaRelease, QuotaRequest, QuotaResponse, QuotaVerdict, SamplingFraction};
+use crate::policy::quota_owner::{
+    has_free_slot, quota_is_ample, verdict, wanted_sampling_fraction, QUOTA_RATE_SPAN_S,
+};
+use crate::settings::PlanSettings;
+use crate::state::customer::Customer;
+use crate::state::gateway_set::GatewaySet;
+use crate::state::quota_grants::Grant;
+
+/// A quota request as the owner goes by it.
+#[derive(Debug, Clone, Copy)]
+struct ReceivedRequest {
+    /// The gateway that sent it.
+    gateway: usize,
+    /// Its number there.
+    number: u32,
+    /// Units, at most what a request may count.
+    units: f64,
+    /// Units of all requests that it stands for.
+    represented_units: f64,
+    /// Until when it may wait for a slot.
+    waits_until_ms: f64,
+    /// Until when it counts once it is granted.
+    expires_ms: f64,
+}
+
+impl Gateway {
+    /// Takes in the quota requests, responses and releases of a message.
+    pub(crate) fn on_quota_messages(
+        &mut self,
+        from: usize,
+        message: GossipMessage,
+        actions: &mut Vec<Action>,
+    ) {
+        for request in message.requests {
+            if let Some(response) = self.decide(from, &request) {
+                self.send_gossip(from, GossipMessage::response(response), actions);
+            }
+        }
+        for response in message.responses {
+            self.on_quota_response(from, response);
+        }
+        for release in message.releases {
+            self.on_quota_release(from, release, actions);
+        }
+    }
+
+    /// Decides on a quota request as the owner. What is granted is taken from quota, slots and ceiling before
+    /// the response is sent. `None` for a request that its sender must not send here.
+    fn decide(&mut self, from: usize, request: &QuotaRequest) -> Option<QuotaResponse> {
+        let plan = self.settings.plans.get(request.plan as usize)?.clone();
+        let gateways = self.gateways_of(from, request)?;
+        let now_ms = self.clock.now_ms;
+        let received = self.received_request(from, request);
+        let customer = self.customer_entry(request.customer, request.plan as usize, gateways);
+        customer.grants.expire(now_ms);
+        let verdict = account(customer, &plan, &received, now_ms);
+        let (verdict, fraction) = match verdict {
+            QuotaVerdict::Granted if quota_is_ample(customer, &plan) => (QuotaVerdict::GrantedAmple, 1.0),
+            verdict => (verdict, wanted_sampling_fraction(customer, &plan, now_ms)),
+        };
+        let sampling_fraction = SamplingFraction::nearest(fraction);
+        Some(QuotaResponse { number: request.number, verdict, sampling_fraction })
+    }
+
+    /// The gateways that a request's customer comes through; `None` where they are not of this fleet, or the
+    /// sender or this gateway is not among them.
+    fn gateways_of(&self, from: usize, request: &QuotaRequest) -> Option<GatewaySet> {
+        let (first, len) = (request.first_gateway as usize, request.gateways as usize);
+        let gateways = GatewaySet::checked(first, len, self.settings.gateways)?;
+        (gateways.contains(from) && gateways.contains(self.settings.me)).then_some(gateways)
+    }
+
+    fn received_request(&self, from: usize, request: &QuotaRequest) -> ReceivedRequest {
+        let units = f64::from(request.units).min(self.settings.max_units.max(1.0));
+        let waits_until_ms = self.clock.now_ms + request.wait_budget.ms();
+        ReceivedRequest {
+            gateway: from,
+            number: request.number,
+            units,
+            represented_units: request.sampling_fraction.extrapolate(units),
+            waits_until_ms,
+            expires_ms: waits_until_ms + self.grant_lifetime_ms(),
+        }
+    }
+
+    /// Takes in, as the owner, that a request has ended: settles its units, and grants its slot to a waiting
+    /// one.
+    fn on_quota_release(&mut self, from: usize, release: QuotaRelease, actions: &mut Vec<Action>) {
+        let max_units = self.settings.max_units.max(1.0);
+        let Some(customer) = self.customers.get_mut(release.customer) else { return };
+        let Some(plan) = customer.plan().map(|p| &self.settings.plans[p]) else { return };
+        if !customer.grants.release(from, release.number) {
+            return;
+        }
+        customer.refill(plan, self.clock.now_ms);
+        if plan.rate_per_second > 0.0 {
+            let additional_units = release.additional_units.units().clamp(-max_units, max_units);
+            customer.settle_grant(plan, additional_units);
+        }
+        if plan.open_limit > 0 && has_free_slot(customer, plan) {
+            self.grant_next_waiting(release.customer, actions);
+        }
+    }
+
+    /// Grants a free slot to the request that has waited longest.
+    fn grant_next_waiting(&mut self, tag: u64, actions: &mut Vec<Action>) {
+        let now_ms = self.clock.now_ms;
+        let lifetime_ms = self.grant_lifetime_ms();
+        let Some(customer) = self.customers.get_mut(tag) else { return };
+        let Some(waiting) = customer.grants.next_waiting(now_ms) else { return };
+        let grant = Grant { expires_ms: waiting.expires_ms + lifetime_ms, ..waiting };
+        customer.grants.grant(grant, 1.0, now_ms, QUOTA_RATE_SPAN_S);
+        let response = QuotaResponse {
+            number: grant.number,
+            verdict: QuotaVerdict::Granted,
+            sampling_fraction: SamplingFraction::at_most(customer.sampling_fraction()),
+        };
+        self.send_gossip(grant.gateway, GossipMessage::response(response), actions);
+    }
+}
+
+/// Decides on a received request and enters it. A repeated one gets its earlier verdict again at no cost.
+fn account(
+    customer: &mut Customer,
+    plan: &PlanSettings,
+    request: &ReceivedRequest,
+    now_ms: f64,
+) -> QuotaVerdict {
+    let &ReceivedRequest { gateway, number, units, .. } = request;
+    if customer.grants.is_granted(gateway, number) {
+        return QuotaVerdict::Granted;
+    }
+    customer.grants.record_request(request.represented_units, now_ms, QUOTA_RATE_SPAN_S);
+    if customer.grants.is_waiting(gateway, number) {
+        return QuotaVerdict::Queued;
+    }
+    let verdict = verdict(customer, plan, units);
+    match verdict {
+        QuotaVerdict::Granted | QuotaVerdict::GrantedAmple => {
+            let grant = Grant { gateway, number, expires_ms: request.expires_ms };
+            customer.take_grant(plan, units);
+            customer.grants.grant(grant, units, now_ms, QUOTA_RATE_SPAN_S);
+        }
+        QuotaVerdict::Queued => {
+            customer.grants.wait(Grant { gateway, number, expires_ms: request.waits_until_ms })
+        }
+        QuotaVerdict::OverQuotaAllowed => customer.consume_ceiling(units),
+        QuotaVerdict::OverQuota => {}
+    }
+    verdict
+}
--- /dev/null
+++ b/crates/admission/src/coordination/quota_requests.rs
@@ -0,0 +1,154 @@
+//! Asking the owner of a customer's quota, and what its responses lead to.
+use crate::action::Action;
+use crate::coordination::Coordination;
+use crate::gateway::Gateway;
+use crate::id::RequestId;
+use crate::messages::gossip::GossipMessage;
+use crate::messages::quota::{QuotaRequest, QuotaResponse, QuotaVerdict, SamplingFraction, WaitBudget};
+use crate::policy::quota_owner::{SAMPLING_TTL_MS, SUSPECT_MISSED_RESPONSES, SUSPECT_MS};
+use crate::state::gateway_set::GatewaySet;
+use crate::state::quota_requests::QuotaRoute;
+use crate::state::request::QuotaState;
+
+/// A quota request that the owner did not respond to in time.
+#[derive(Debug, Clone, Copy)]
+struct MissedResponse {
+    /// The request that it was sent for.
+    id: RequestId,
+    /// The owner that it was sent to.
+    owner: usize,
+    /// How often it had been sent before.
+    tries: u32,
+}
+
+impl Gateway {
+    /// Asks whoever knows about a queued request's quota: its owner, the counter, or nobody where neither may
+    /// be asked. Then each gateway grants what it would alone.
+    pub(crate) fn check_quota(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        match self.coordination {
+            Coordination::Gossip => self.request_quota(id, 0, actions),
+            Coordination::Counter => self.request_from_counter(id, actions),
+            Coordination::Broadcast | Coordination::Isolated => {
+                let Some(active) = self.requests.active.get_mut(&id) else { return };
+                active.within_quota = true;
+                let (tag, plan) = (active.tag, active.request.plan);
+                let gateways =
+                    GatewaySet::new(active.request.first, active.request.spread, self.settings.gateways);
+                self.customer_entry(tag, plan, gateways);
+            }
+        }
+    }
+
+    /// Asks the owner of a queued request's quota, after so many tries that it left without a response. Where
+    /// the owner is not to be asked, this gateway decides alone.
+    fn request_quota(&mut self, id: RequestId, tries: u32, actions: &mut Vec<Action>) {
+        let Some(active) = self.requests.active.get(&id) else { return };
+        let now_ms = self.clock.now_ms;
+        let wait_budget = WaitBudget::from_ms(self.grant_useful_until_ms(active) - now_ms);
+        let tag = active.tag;
+        let request = active.request.clone();
+        let gateways = GatewaySet::new(request.first, request.spread, self.settings.gateways);
+        let customer = self.customer_entry(tag, request.plan, gateways);
+        let sampling_fraction =
+            SamplingFraction::nearest_above_zero(customer.sampling_fraction_now(now_ms, SAMPLING_TTL_MS));
+        let owner = self.reachable_owner(tag, &gateways);
+        let quota_request = QuotaRequest {
+            customer: tag,
+            plan: request.plan as u32,
+            units: request.units.ceil().max(0.0) as u32,
+            first_gateway: gateways.first() as u32,
+            gateways: gateways.len() as u32,
+            number: self.quota_request_number(id, owner),
+            wait_budget,
+            sampling_fraction,
+        };
+        match self.quota_route(owner, tries, sampling_fraction) {
+            QuotaRoute::AskOwner => self.send_quota_request(id, owner, quota_request, tries, actions),
+            QuotaRoute::DecideAlone { likely_within } => self.decide_without_owner(id, likely_within),
+        }
+    }
+
+    /// The number of a quota request to an owner. The same owner gets the same number again: had its response
+    /// been lost, it would else grant twice.
+    fn quota_request_number(&mut self, id: RequestId, to: usize) -> u32 {
+        match self.requests.active.get(&id).map(|active| active.quota) {
+            Some(QuotaState::AwaitingOwner { owner, number, .. }) if owner == to => return number,
+            Some(QuotaState::AwaitingOwner { number, .. }) => self.quota_requests.remove(number),
+            _ => {}
+        }
+        self.quota_requests.next_number()
+    }
+
+    /// Sends a quota request to the owner, which may be this gateway.
+    fn send_quota_request(
+        &mut self,
+        id: RequestId,
+        owner: usize,
+        request: QuotaRequest,
+        tries: u32,
+        actions: &mut Vec<Action>,
+    ) {
+        if owner != self.settings.me {
+            self.peers.message_tokens -= 1.0;
+        }
+        let Some(active) = self.requests.active.get_mut(&id) else { return };
+        let number = request.number;
+        active.quota = QuotaState::AwaitingOwner { owner, number, at_ms: self.clock.now_ms, tries };
+        self.quota_requests.insert(number, id);
+        self.send_gossip(owner, GossipMessage::request(request), actions);
+    }
+
+    /// Sends quota requests again that were not responded to in time, or decides without the owner.
+    pub(crate) fn retry_quota_requests(&mut self, actions: &mut Vec<Action>) {
+        let now_ms = self.clock.now_ms;
+        for missed in self.missed_responses() {
+            if let Some(peer) = self.peers.by_index.get_mut(&missed.owner) {
+                peer.record_missed_response(SUSPECT_MISSED_RESPONSES, now_ms + SUSPECT_MS);
+            }
+            if self.may_retry_quota_request(missed.tries) {
+                self.request_quota(missed.id, missed.tries + 1, actions);
+            } else {
+                self.decide_without_owner(missed.id, true);
+            }
+        }
+    }
+
+    /// Quota requests that have waited too long for a response.
+    fn missed_responses(&self) -> Vec<MissedResponse> {
+        let wait_ms = self.response_wait_ms();
+        let missed = self.quota_requests.waiting().filter_map(|id| {
+            let active = self.requests.active.get(&id)?;
+            let QuotaState::AwaitingOwner { owner, at_ms, tries, .. } = active.quota else { return None };
+            (self.clock.now_ms - at_ms > wait_ms).then_some(MissedResponse { id, owner, tries })
+        });
+        missed.collect()
+    }
+
+    /// Takes in what the owner decided on a request that waits for it.
+    pub(crate) fn on_quota_response(&mut self, from: usize, response: QuotaResponse) {
+        let number = response.number;
+        let Some(id) = self.quota_requests.get(number) else { return };
+        let Some(active) = self.requests.active.get_mut(&id) else {
+            return self.quota_requests.remove(number);
+        };
+        if !active.quota.awaits_response(from, number) {
+            return;
+        }
+        active.quota = match response.verdict {
+            QuotaVerdict::Granted | QuotaVerdict::GrantedAmple => {
+                QuotaState::GrantedByOwner { owner: from, number }
+            }
+            QuotaVerdict::Queued => QuotaState::QueuedAtOwner { owner: from, number },
+            QuotaVerdict::OverQuotaAllowed => QuotaState::OverQuota { within_ceiling: true },
+            QuotaVerdict::OverQuota => QuotaState::OverQuota { within_ceiling: false },
+        };
+        active.within_quota = matches!(active.quota, QuotaState::GrantedByOwner { .. });
+        active.ample = response.verdict == QuotaVerdict::GrantedAmple;
+        if response.verdict != QuotaVerdict::Queued {
+            self.quota_requests.remove(number);
+        }
+        if let Some(customer) = self.customers.get_mut(active.tag) {
+            customer.set_sampling_fraction(response.sampling_fraction.fraction(), self.clock.now_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/src/customer_lifecycle.rs
@@ -0,0 +1,34 @@
+//! How customers are entered into the records and evicted from them.
+use crate::gateway::Gateway;
+use crate::policy::coordination::idle_limit_ms;
+use crate::state::customer::Customer;
+use crate::state::gateway_set::GatewaySet;
+
+impl Gateway {
+    /// The record of a customer whose request came in through these gateways, brought up to now and made
+    /// where there is none.
+    pub(crate) fn customer_entry(&mut self, tag: u64, plan: usize, gateways: GatewaySet) -> &mut Customer {
+        let now_ms = self.clock.now_ms;
+        if !self.customers.knows_plan(tag) {
+            let ceiling_fraction = self.ceiling_fraction(tag, &gateways);
+            let uptime_s = (now_ms - self.clock.started_ms) / 1000.0;
+            let customer = self.customers.get_or_insert(tag, now_ms);
+            customer.set_plan(plan, &self.settings.plans[plan], ceiling_fraction, uptime_s, now_ms);
+        }
+        let customer = self.customers.get_or_insert(tag, now_ms);
+        customer.touch(gateways, now_ms);
+        customer.refill(&self.settings.plans[plan], now_ms);
+        customer
+    }
+
+    /// Forgets idle customers, so that one-off customers leave nothing behind.
+    pub(crate) fn evict_idle_customers(&mut self) {
+        if !self.coordination.is_broadcast() {
+            self.customers.clear_unreported();
+        }
+        let customers = self.customers.len();
+        let plans = &self.settings.plans;
+        let limit_ms = |plan: Option<usize>| idle_limit_ms(plan.map(|p| &plans[p]), customers);
+        self.customers.evict_idle(self.clock.now_ms, limit_ms);
+    }
+}
--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -5,24 +5,20 @@
 use crate::event::Event;
 use crate::mechanism::splitmix64::{mix, SplitMix64};
 use crate::mechanism::virtual_finish_queue::VirtualFinishQueue;
-use crate::policy::coordination::{MIN_REPORT_INTERVAL_MS, PEER_MESSAGE_FRACTION};
 use crate::policy::in_flight_band::{
     GOSSIP_AGE_WEIGHT, GOSSIP_BAND_FACTOR, GOSSIP_LATENCY_EASE, INITIAL_WATERMARK, MAX_REFILL_FACTOR,
     MAX_WATERMARK, MAX_WATERMARK_RISE, MIN_REFILL_FACTOR, PROMPT_FRACTION, SATURATED_FILL, SLUGGISH_FRACTION,
     UNGATED_FILL, WATERMARK_STEP_OBJECTIVES,
 };
-use crate::policy::quota_owner::{
-    MIN_QUOTA_MESSAGE_FRACTION, MIN_RESPONSE_WAIT_MS, QUOTA_MESSAGE_FRACTION, QUOTA_RATE_SPAN_S,
-    RESPONSE_WAIT_FRACTION, SUSPECT_MS,
-};
 use crate::policy::retry::MAX_RETRY_TOKENS;
 use crate::settings::{Settings, SettingsError};
 use crate::state::band::InFlightBand;
-use crate::state::customer::{CustomerTable, QuotaCounter, QuotaOwner};
+use crate::state::customer::CustomerTable;
 use crate::state::endpoint::{EndpointTable, SlowStart};
 use crate::state::observation::{LatencyModel, OutlierDetector};
 use crate::state::peer::{Peer, PeerTable};
-use crate::state::request::{QuotaState, RequestTable, RetryBudget};
+use crate::state::quota_requests::{CounterCalls, QuotaRequests};
+use crate::state::request::{RequestTable, RetryBudget};
 use std::collections::BTreeMap;
 
 /// One gateway's decisions: takes events in and answers with actions. Each part owns the state of one
@@ -47,8 +43,8 @@
     pub(crate) retries: RetryBudget,
     pub(crate) peers: PeerTable,
     pub(crate) gossip: Gossip,
-    pub(crate) quota_owner: QuotaOwner,
-    pub(crate) quota_counter: QuotaCounter,
+    pub(crate) quota_requests: QuotaRequests,
+    pub(crate) counter_calls: CounterCalls,
 }
 
 /// The time of the event being handled, and when the next round of upkeep is due.
@@ -93,7 +89,6 @@
             },
             retries: RetryBudget { tokens: MAX_RETRY_TOKENS / 2.0 },
             peers: PeerTable { by_index: peers, message_tokens: 10.0, ..PeerTable::default() },
-            quota_counter: QuotaCounter { sampling_fraction: 1.0, ..QuotaCounter::default() },
             coordination: Coordination::from_settings(&settings),
             settings,
             ..Gateway::default()
@@ -193,14 +188,7 @@
             }
             self.band.was_blocked = false;
         }
-        let peers = self.settings.gateways.saturating_sub(1) as f64;
-        let gap = (1000.0 * peers
-            / (PEER_MESSAGE_FRACTION * self.settings.peer_messages_per_second).max(0.1))
-        .max(MIN_REPORT_INTERVAL_MS);
-        if self.clock.now_ms - self.peers.reported_ms >= gap
-            && peers > 0.0
-            && self.coordination.is_broadcast()
-        {
+        if self.coordination.is_broadcast() && self.report_due() {
             self.peers.reported_ms = self.clock.now_ms;
             self.broadcast_counts(actions);
         }
@@ -224,37 +212,7 @@
             .clamp(MIN_REFILL_FACTOR, MAX_REFILL_FACTOR);
         self.band.dispatch_credit =
             (self.band.dispatch_credit + pace * even / usual_s * seconds).min(1.0f64.max(even));
-        let taken_in = self.settings.peer_messages_per_second;
-        let told = PEER_MESSAGE_FRACTION * taken_in;
-        let questions = self.peers.received_rate.now(self.clock.now_ms, QUOTA_RATE_SPAN_S);
-        let asks = (QUOTA_MESSAGE_FRACTION * taken_in - questions).max(MIN_QUOTA_MESSAGE_FRACTION * taken_in);
-        self.peers.message_tokens = (self.peers.message_tokens + asks * seconds).min(told);
-        let least =
-            self.settings.classes.iter().map(|c| c.latency_objective_ms).fold(f64::INFINITY, f64::min);
-        let patience = (RESPONSE_WAIT_FRACTION * least).max(MIN_RESPONSE_WAIT_MS);
-        let now = self.clock.now_ms;
-        let mut late = Vec::new();
-        for id in self.quota_owner.pending.values() {
-            if let Some(QuotaState::AwaitingOwner { keeper, at_ms, tries, .. }) =
-                self.requests.active.get(id).map(|o| o.quota)
-            {
-                if now - at_ms > patience {
-                    late.push((*id, keeper, tries));
-                }
-            }
-        }
-        for (id, keeper, tries) in late {
-            if let Some(peer) = self.peers.by_index.get_mut(&keeper) {
-                peer.missed_responses += 1;
-                if peer.missed_responses > 1 {
-                    peer.suspected_until_ms = now + SUSPECT_MS;
-                }
-            }
-            if tries < 3 && self.peers.message_tokens > 0.5 * told {
-                self.request_quota(id, tries + 1, actions);
-            } else {
-                self.decide_without_owner(id, true);
-            }
-        }
+        self.refill_message_tokens(seconds);
+        self.retry_quota_requests(actions);
     }
 }
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod action;
 mod coordination;
+mod customer_lifecycle;
 mod event;
 mod gateway;
 mod id;
--- a/crates/admission/src/lifecycle.rs
+++ b/crates/admission/src/lifecycle.rs
@@ -3,7 +3,8 @@
 use crate::event::{AttemptEnd, Outcome};
 use crate::gateway::Gateway;
 use crate::id::{EndpointId, RequestId};
-use crate::messages::gossip::{GossipMessage, QuotaRelease};
+use crate::messages::gossip::GossipMessage;
+use crate::messages::quota::{QuarterUnits, QuotaRelease};
 use crate::policy::coordination::REPORT_ROUNDS;
 use crate::policy::dispatch::ATTEMPT_TIMEOUT_OBJECTIVES;
 use crate::policy::endpoint_selection::SEND_RATE_SPAN_S;
@@ -43,21 +44,19 @@
         if first {
             self.retries.tokens = (self.retries.tokens + RETRY_TOKENS_PER_REQUEST).min(MAX_RETRY_TOKENS);
         }
-        if let Some(customer) = self.customers.by_tag.get_mut(&active.tag).filter(|_| own) {
-            customer.in_flight += 1;
+        if let Some(customer) = self.customers.get_mut(active.tag).filter(|_| own) {
+            customer.start_attempt();
             if first {
-                customer.ceiling_tokens -= active.request.units;
+                customer.consume_ceiling(active.request.units);
                 if active.within_quota
                     && plan.rate_per_second > 0.0
                     && active.quota == QuotaState::LocalBucket
                 {
-                    customer.tokens -= active.request.units;
-                    customer.consumed += active.request.units;
+                    customer.consume_quota(active.request.units);
                 }
             }
             if plan.open_limit > 0 || (first && active.within_quota) {
-                customer.pending_rounds = REPORT_ROUNDS;
-                self.customers.unreported.insert(active.tag);
+                self.customers.schedule_report(active.tag, REPORT_ROUNDS);
             }
         }
         let timeout_ms = wait.min(active.deadline_ms - self.clock.now_ms).max(1.0);
@@ -99,16 +98,14 @@
         if !own && !matches!(active.quota, QuotaState::AdmittedByCounter { .. }) {
             return Some((class, plan));
         }
-        if let Some(customer) = self.customers.by_tag.get_mut(&active.tag) {
-            customer.in_flight = customer.in_flight.saturating_sub(1);
+        if let Some(customer) = self.customers.get_mut(active.tag) {
+            customer.end_attempt();
             if !own {
                 return Some((class, plan));
             }
-            customer.tokens -= settled;
-            customer.consumed += settled;
+            customer.consume_quota(settled);
             if settled != 0.0 || settings.open_limit > 0 {
-                customer.pending_rounds = REPORT_ROUNDS;
-                self.customers.unreported.insert(active.tag);
+                self.customers.schedule_report(active.tag, REPORT_ROUNDS);
             }
         }
         Some((class, plan))
@@ -144,29 +141,29 @@
         }
     }
 
-    /// Tells the keeper what a granted request took in the end, where that matters to its count.
+    /// Tells the owner what a granted request took in the end, where that matters to its count.
     pub(crate) fn report_request_end(&mut self, active: &ActiveRequest, actions: &mut Vec<Action>) {
         if active.quota == (QuotaState::AdmittedByCounter { asked: true }) {
             return self.settle_counted(active, actions);
         }
         let plan = &self.settings.plans[active.request.plan];
-        let (keeper, number, owed) = match active.quota {
-            QuotaState::GrantedByOwner { keeper, number } if active.attempts.is_empty() => {
-                (keeper, number, -active.request.units)
+        let (owner, number, owed) = match active.quota {
+            QuotaState::GrantedByOwner { owner, number } if active.attempts.is_empty() => {
+                (owner, number, -active.request.units)
             }
-            QuotaState::GrantedByOwner { keeper, number }
+            QuotaState::GrantedByOwner { owner, number }
                 if plan.open_limit > 0 || active.settled_units != 0.0 && !active.ample =>
             {
-                (keeper, number, active.settled_units)
+                (owner, number, active.settled_units)
             }
-            QuotaState::QueuedAtOwner { keeper, number }
-            | QuotaState::AwaitingOwner { keeper, number, .. } => {
-                self.quota_owner.pending.remove(&number);
-                (keeper, number, -active.request.units)
+            QuotaState::QueuedAtOwner { owner, number } | QuotaState::AwaitingOwner { owner, number, .. } => {
+                self.quota_requests.remove(number);
+                (owner, number, -active.request.units)
             }
             _ => return,
         };
-        let end = QuotaRelease { customer: active.tag, number, quarters: (owed * 4.0).round() as i32 };
-        self.send_gossip(keeper, GossipMessage { releases: vec![end], ..GossipMessage::default() }, actions);
+        let additional_units = QuarterUnits::nearest(owed);
+        let release = QuotaRelease { customer: active.tag, number, additional_units };
+        self.send_gossip(owner, GossipMessage::release(release), actions);
     }
 }
--- a/crates/admission/src/mechanism/mod.rs
+++ b/crates/admission/src/mechanism/mod.rs
@@ -3,4 +3,5 @@
 pub(crate) mod decaying_rate;
 pub(crate) mod smoothing;
 pub(crate) mod splitmix64;
+pub(crate) mod token_bucket;
 pub(crate) mod virtual_finish_queue;
--- a/crates/admission/src/messages/base64_digits.rs
+++ b/crates/admission/src/messages/base64_digits.rs
@@ -1,36 +1,57 @@
-//! Numbers as base-64 digits, so that messages stay short.
+//! Numbers as base-64 digits, so that messages stay short and are plain text.
+use std::str::Bytes;
 
+/// The digits in the order of their values.
 const DIGITS: &[u8; 64] = b"0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz-_";
 
+/// Bits that a digit holds.
+const DIGIT_BITS: u32 = 6;
+
+/// Low bits of a 64-bit number that go into each of its last two parts, of five digits each. The first part
+/// has the four bits left, in one digit.
+const LONG_PART_BITS: u32 = 30;
+const LONG_PART_MASK: u64 = 0x3fff_ffff;
+const LONG_FIRST_MASK: u64 = 0xf;
+
+/// Adds the low bits of a number as so many digits, the highest first.
 pub(crate) fn put(text: &mut String, value: u32, digits: u32) {
     for place in (0..digits).rev() {
-        text.push(DIGITS[(value >> (6 * place) & 63) as usize] as char);
+        text.push(DIGITS[(value >> (DIGIT_BITS * place) & 63) as usize] as char);
     }
 }
 
-pub(crate) fn take(bytes: &mut std::str::Bytes<'_>, digits: u32) -> Option<u32> {
+/// Takes a number of so many digits; `None` where the text ends or holds anything else.
+pub(crate) fn take(bytes: &mut Bytes<'_>, digits: u32) -> Option<u32> {
     let mut value = 0;
     for _ in 0..digits {
-        let digit = match bytes.next()? {
-            b @ b'0'..=b'9' => b - b'0',
-            b @ b'A'..=b'Z' => b - b'A' + 10,
-            b @ b'a'..=b'z' => b - b'a' + 36,
-            b'-' => 62,
-            b'_' => 63,
-            _ => return None,
-        };
-        value = value << 6 | u32::from(digit);
+        value = value << DIGIT_BITS | u32::from(digit_value(bytes.next()?)?);
     }
     Some(value)
 }
 
+/// The value of a digit.
+fn digit_value(digit: u8) -> Option<u8> {
+    match digit {
+        b'0'..=b'9' => Some(digit - b'0'),
+        b'A'..=b'Z' => Some(digit - b'A' + 10),
+        b'a'..=b'z' => Some(digit - b'a' + 36),
+        b'-' => Some(62),
+        b'_' => Some(63),
+        _ => None,
+    }
+}
+
+/// Adds a 64-bit number as eleven digits.
 pub(crate) fn put_long(text: &mut String, value: u64) {
-    put(text, (value >> 60) as u32, 1);
-    put(text, (value >> 30 & 0x3fff_ffff) as u32, 5);
-    put(text, (value & 0x3fff_ffff) as u32, 5);
+    put(text, (value >> (2 * LONG_PART_BITS)) as u32, 1);
+    put(text, (value >> LONG_PART_BITS & LONG_PART_MASK) as u32, 5);
+    put(text, (value & LONG_PART_MASK) as u32, 5);
 }
 
-pub(crate) fn take_long(bytes: &mut std::str::Bytes<'_>) -> Option<u64> {
-    let (high, middle, low) = (take(bytes, 1)?, take(bytes, 5)?, take(bytes, 5)?);
-    Some((u64::from(high) & 0xf) << 60 | u64::from(middle) << 30 | u64::from(low))
+/// Takes a 64-bit number of eleven digits; `None` where the text ends or holds anything else.
+pub(crate) fn take_long(bytes: &mut Bytes<'_>) -> Option<u64> {
+    let first = u64::from(take(bytes, 1)?) & LONG_FIRST_MASK;
+    let middle = u64::from(take(bytes, 5)?);
+    let last = u64::from(take(bytes, 5)?);
+    Some(first << (2 * LONG_PART_BITS) | middle << LONG_PART_BITS | last)
 }
--- a/crates/admission/src/messages/gossip.rs
+++ b/crates/admission/src/messages/gossip.rs
@@ -1,102 +1,111 @@
-//! The gossip message, with quota requests, responses and releases.
-use crate::messages::base64_digits::{put, put_long, take, take_long};
+//! The gossip message: fleet-wide means, observations of endpoints, and quota requests, responses and
+//! releases.
+use crate::messages::base64_digits::{put, take};
 use crate::messages::observation::Observation;
+use crate::messages::quota::{QuotaRelease, QuotaRequest, QuotaResponse};
 
-/// A question to a customer's keeper: may a request go on?
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct QuotaRequest {
-    /// The customer's full id.
-    pub customer: u64,
-    /// Its plan, 63 at most.
-    pub plan: u32,
-    /// Units, 63 at most.
-    pub units: u32,
-    /// The customer's set: number of its first gateway, and how many.
-    pub first: u32,
-    /// How many gateways the set has.
-    pub spread: u32,
-    /// The question's number, the low 12 bits.
-    pub number: u32,
-    /// Time for which an answer is of use, in 16 ms.
-    pub wait_budget: u32,
-    /// Part of such requests that are asked about, in 63rds.
-    pub sampling_fraction: u32,
-}
+/// First character of every gossip message.
+const VERSION: char = 'w';
 
-/// A keeper's answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct QuotaResponse {
-    /// The question's number.
-    pub number: u32,
-    /// The verdict: `rules.rs` gives it its meaning.
-    pub verdict: u32,
-    /// Part of such requests that the keeper wants to be asked about, in 63rds.
-    pub sampling_fraction: u32,
-}
+/// Largest number that two digits hold.
+const MAX_TWO_DIGITS: u32 = 4095;
 
-/// A granted request has ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct QuotaRelease {
-    /// The customer's full id.
-    pub customer: u64,
-    /// Number of the question that was granted.
-    pub number: u32,
-    /// Units to take from the store, in quarters: below 0 gives back.
-    pub quarters: i32,
-}
+/// Steps of the wire for an attempt in flight, a unit of watermark, and a response a second.
+const STOCK_STEPS: f64 = 64.0;
+const WATERMARK_STEPS: f64 = 32.0;
+const RATE_STEPS: f64 = 32.0;
 
-/// A message between gateways of a wide fleet: gossip, and what passes between a customer's gateways and its
-/// keeper.
+/// A message between gateways of a large fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub(crate) struct GossipMessage {
-    /// Mean stock of a gateway as the sender has it, in 64ths.
-    pub stock: u32,
-    /// Mean watermark, in 32nds.
-    pub watermark: u32,
-    /// Mean good responses of a gateway a second, in 32nds.
-    pub rate: u32,
-    /// Questions.
+    /// Fleet-wide means as the sender has them.
+    pub means: MeansOnWire,
+    /// Quota requests to the receiver as the owner of the quotas.
     pub requests: Vec<QuotaRequest>,
-    /// Answers.
+    /// Responses to the receiver's quota requests.
     pub responses: Vec<QuotaResponse>,
-    /// Granted requests that have ended.
+    /// Requests that the receiver had granted or kept waiting and that have ended.
     pub releases: Vec<QuotaRelease>,
     /// What the sender observed of endpoints.
     pub observations: Vec<Observation>,
 }
 
-const VERSION: char = 'w';
+/// Fleet-wide means of one gateway, in the steps of the wire.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct MeansOnWire {
+    stock: u32,
+    watermark: u32,
+    rate: u32,
+}
+
+impl MeansOnWire {
+    /// Means of a gateway's attempts in flight, its watermark, and its good responses a second.
+    pub(crate) fn new(stock: f64, watermark: f64, responses_per_second: f64) -> Self {
+        MeansOnWire {
+            stock: (stock * STOCK_STEPS).round() as u32,
+            watermark: (watermark * WATERMARK_STEPS).round() as u32,
+            rate: (responses_per_second * RATE_STEPS).round() as u32,
+        }
+    }
+
+    /// Mean attempts in flight of a gateway.
+    pub(crate) fn stock(&self) -> f64 {
+        f64::from(self.stock) / STOCK_STEPS
+    }
+
+    /// Mean watermark.
+    pub(crate) fn watermark(&self) -> f64 {
+        f64::from(self.watermark) / WATERMARK_STEPS
+    }
+
+    /// Mean good responses of a gateway a second.
+    pub(crate) fn responses_per_second(&self) -> f64 {
+        f64::from(self.rate) / RATE_STEPS
+    }
+
+    fn encode(&self, text: &mut String) {
+        put(text, self.stock.min(MAX_TWO_DIGITS), 2);
+        put(text, self.watermark.min(MAX_TWO_DIGITS), 2);
+        put(text, self.rate.min(MAX_TWO_DIGITS), 2);
+    }
+
+    fn decode(bytes: &mut std::str::Bytes<'_>) -> Option<Self> {
+        Some(MeansOnWire { stock: take(bytes, 2)?, watermark: take(bytes, 2)?, rate: take(bytes, 2)? })
+    }
+}
 
 impl GossipMessage {
-    /// The text.
+    /// A message that carries one quota request.
+    pub(crate) fn request(request: QuotaRequest) -> Self {
+        GossipMessage { requests: vec![request], ..GossipMessage::default() }
+    }
+
+    /// A message that carries one response.
+    pub(crate) fn response(response: QuotaResponse) -> Self {
+        GossipMessage { responses: vec![response], ..GossipMessage::default() }
+    }
+
+    /// A message that carries one release.
+    pub(crate) fn release(release: QuotaRelease) -> Self {
+        GossipMessage { releases: vec![release], ..GossipMessage::default() }
+    }
+
+    /// The message as text.
     pub(crate) fn encode(&self) -> String {
         let mut text = String::with_capacity(64);
         text.push(VERSION);
-        put(&mut text, self.stock.min(4095), 2);
-        put(&mut text, self.watermark.min(4095), 2);
-        put(&mut text, self.rate.min(4095), 2);
-        for a in &self.requests {
+        self.means.encode(&mut text);
+        for request in &self.requests {
             text.push('a');
-            put_long(&mut text, a.customer);
-            put(&mut text, a.plan.min(63), 1);
-            put(&mut text, a.units.min(63), 1);
-            put(&mut text, a.first.min(4095), 2);
-            put(&mut text, a.spread.min(4095), 2);
-            put(&mut text, a.number & 0xfff, 2);
-            put(&mut text, a.wait_budget.min(4095), 2);
-            put(&mut text, a.sampling_fraction.min(63), 1);
+            request.encode(&mut text);
         }
-        for a in &self.responses {
+        for response in &self.responses {
             text.push('r');
-            put(&mut text, a.number & 0xfff, 2);
-            put(&mut text, a.verdict.min(63), 1);
-            put(&mut text, a.sampling_fraction.min(63), 1);
+            response.encode(&mut text);
         }
-        for e in &self.releases {
+        for release in &self.releases {
             text.push('e');
-            put_long(&mut text, e.customer);
-            put(&mut text, e.number & 0xfff, 2);
-            put(&mut text, (e.quarters.clamp(-2048, 2047) + 2048) as u32, 2);
+            release.encode(&mut text);
         }
         for observation in &self.observations {
             text.push('s');
@@ -111,48 +120,17 @@
         if bytes.next()? != VERSION as u8 {
             return None;
         }
-        let mut note = GossipMessage {
-            stock: take(&mut bytes, 2)?,
-            watermark: take(&mut bytes, 2)?,
-            rate: take(&mut bytes, 2)?,
-            ..GossipMessage::default()
-        };
+        let mut message =
+            GossipMessage { means: MeansOnWire::decode(&mut bytes)?, ..GossipMessage::default() };
         while let Some(kind) = bytes.next() {
             match kind {
-                b'a' => note.requests.push(QuotaRequest {
-                    customer: take_long(&mut bytes)?,
-                    plan: take(&mut bytes, 1)?,
-                    units: take(&mut bytes, 1)?,
-                    first: take(&mut bytes, 2)?,
-                    spread: take(&mut bytes, 2)?,
-                    number: take(&mut bytes, 2)?,
-                    wait_budget: take(&mut bytes, 2)?,
-                    sampling_fraction: take(&mut bytes, 1)?,
-                }),
-                b'r' => note.responses.push(QuotaResponse {
-                    number: take(&mut bytes, 2)?,
-                    verdict: take(&mut bytes, 1)?,
-                    sampling_fraction: take(&mut bytes, 1)?,
-                }),
-                b'e' => note.releases.push(QuotaRelease {
-                    customer: take_long(&mut bytes)?,
-                    number: take(&mut bytes, 2)?,
-                    quarters: take(&mut bytes, 2)? as i32 - 2048,
-                }),
-                b's' => note.observations.push(Observation::decode(&mut bytes)?),
+                b'a' => message.requests.push(QuotaRequest::decode(&mut bytes)?),
+                b'r' => message.responses.push(QuotaResponse::decode(&mut bytes)?),
+                b'e' => message.releases.push(QuotaRelease::decode(&mut bytes)?),
+                b's' => message.observations.push(Observation::decode(&mut bytes)?),
                 _ => return None,
             }
         }
-        Some(note)
+        Some(message)
     }
 }
-
-/// Verdicts of a keeper: inside the quota; waits for a slot; beyond it; beyond it, but the plan and its
-/// ceiling let it go where there is room.
-pub(crate) const GRANTED: u32 = 0;
-pub(crate) const QUEUED: u32 = 1;
-pub(crate) const BEYOND: u32 = 2;
-pub(crate) const SOFT: u32 = 3;
-
-/// Inside the quota, with so much in the store that the true units need not be told.
-pub(crate) const EASY: u32 = 4;
--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -3,6 +3,7 @@
 use crate::event::Request;
 use crate::gateway::{Gateway, UPKEEP_MS};
 use crate::state::customer::customer_tag;
+use crate::state::gateway_set::GatewaySet;
 use crate::state::request::ActiveRequest;
 use crate::state::request::QuotaDecision;
 
@@ -41,7 +42,7 @@
         let aim = aim - self.already_waited_ms(request.class, request.time_left_ms);
         let s = &self.settings;
         let newcomer = now - self.clock.started_ms < STARTUP_MS;
-        let (first, spread) = (request.first, request.spread.clamp(1, s.gateways));
+        let gateways = GatewaySet::new(request.first, request.spread, s.gateways);
         if wide {
             let (units, class) = (request.units, request.class);
             let active = ActiveRequest::new(request, tag, now, aim, false);
@@ -55,12 +56,12 @@
             return self.check_quota(id, actions);
         }
         let reserved = self.queue.queued_size(tag);
-        let customer = self.customer_entry(tag, request.plan, first, spread);
-        let withheld = if newcomer { plan.burst_units * (1.0 - 1.0 / spread as f64) } else { 0.0 };
-        let room = customer.tokens - reserved - withheld;
+        let customer = self.customer_entry(tag, request.plan, gateways);
+        let withheld = if newcomer { plan.burst_units * (1.0 - 1.0 / gateways.len() as f64) } else { 0.0 };
+        let room = customer.quota_tokens() - reserved - withheld;
         let inside = plan.rate_per_second <= 0.0 || room >= request.units;
         let short = (request.units - room).max(0.0);
-        let ceiling_ok = plan.ceiling_rate_per_second <= 0.0 || customer.ceiling_tokens >= request.units;
+        let ceiling_ok = plan.ceiling_rate_per_second <= 0.0 || customer.ceiling_tokens() >= request.units;
         let active = ActiveRequest::new(request, tag, now, aim, inside);
         let units = active.request.units;
         let hopeless = self.cannot_meet_deadline(&active);
--- a/crates/admission/src/policy/dispatch.rs
+++ b/crates/admission/src/policy/dispatch.rs
@@ -3,6 +3,7 @@
 use crate::gateway::Gateway;
 use crate::id::RequestId;
 use crate::mechanism::virtual_finish_queue::FlowHead;
+use crate::policy::coordination::PEER_TIMEOUT_MS;
 use crate::settings::PlanSettings;
 use crate::state::customer::Customer;
 use crate::state::request::{QuotaDecision, QuotaState};
@@ -98,18 +99,18 @@
         };
         let (tag, units) = (active.tag, active.request.units);
         let plan = &self.settings.plans[active.request.plan];
-        if let Some(customer) = self.customers.by_tag.get_mut(&tag) {
-            customer.fill(plan, self.clock.now_ms);
+        if let Some(customer) = self.customers.get_mut(tag) {
+            customer.refill(plan, self.clock.now_ms);
         }
-        let Some(customer) = self.customers.by_tag.get(&tag) else { return QuotaDecision::OverQuota };
-        if own_bucket && plan.rate_per_second > 0.0 && customer.tokens < units {
+        let Some(customer) = self.customers.get(tag) else { return QuotaDecision::OverQuota };
+        if own_bucket && plan.rate_per_second > 0.0 && customer.quota_tokens() < units {
             return QuotaDecision::OverQuota;
         }
         if plan.open_limit > 0 && self.open_limit_reached(plan.open_limit, customer, tag) {
             return QuotaDecision::Wait;
         }
-        if plan.ceiling_rate_per_second > 0.0 && customer.ceiling_tokens < units {
-            self.request_ceiling(tag);
+        if plan.ceiling_rate_per_second > 0.0 && customer.ceiling_tokens() < units {
+            self.customers.schedule_ceiling_request(tag);
             return QuotaDecision::Wait;
         }
         QuotaDecision::Admit
@@ -120,20 +121,13 @@
     /// one more than it reported. Where gateways outnumber slots only some have a part: a third more of them
     /// than there are slots, since few are busy at once.
     fn open_limit_reached(&self, limit: u32, customer: &Customer, tag: u64) -> bool {
-        let (in_flight, busy_peers) = customer.peers_in_flight(self.clock.now_ms);
-        let spread = customer.spread as u32;
-        let place = (self.settings.me + self.settings.gateways - customer.first) as u32 + tag as u32;
+        let peers = customer.peer_activity(self.clock.now_ms, PEER_TIMEOUT_MS);
+        let spread = customer.gateways().len() as u32;
+        let place = self.settings.me + self.settings.gateways - customer.gateways().first();
+        let place = place as u32 + tag as u32;
         let has_slot = place % spread < (4 * limit).div_ceil(3);
         let part = (limit / spread).max(u32::from(has_slot));
-        let margin = if customer.in_flight < part { 0 } else { busy_peers };
-        customer.in_flight + in_flight + margin >= limit
-    }
-
-    /// Asks the customer's other gateways for a part of its ceiling with the next report.
-    fn request_ceiling(&mut self, tag: u64) {
-        if let Some(customer) = self.customers.by_tag.get_mut(&tag) {
-            customer.ceiling_requested = true;
-            self.customers.unreported.insert(tag);
-        }
+        let margin = if customer.in_flight() < part { 0 } else { peers.busy };
+        customer.in_flight() + peers.in_flight + margin >= limit
     }
 }
--- a/crates/admission/src/state/customer.rs
+++ b/crates/admission/src/state/customer.rs
@@ -1,241 +1,372 @@
-//! Customers: token bucket, ceiling and what peers reported.
-use crate::gateway::Gateway;
-use crate::id::{CustomerId, RequestId};
-use crate::mechanism::decaying_rate::DecayingRate;
-use crate::mechanism::splitmix64::{mix, short_tag};
-use crate::policy::coordination::{MAX_CUSTOMERS, PEER_TIMEOUT_MS};
-use crate::policy::quota_counter::COUNT_EPOCH_MS;
-use crate::policy::quota_owner::OWNER_CEILING_FRACTION;
+//! Customers: the tokens of their quota and ceiling, and what gateways reported and granted.
+use crate::id::CustomerId;
+use crate::mechanism::splitmix64::short_tag;
+use crate::mechanism::token_bucket::TokenBucket;
+use crate::messages::counts::ConsumedUnits;
 use crate::settings::PlanSettings;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use crate::state::counter_account::CounterAccount;
+use crate::state::gateway_set::GatewaySet;
+use crate::state::quota_grants::QuotaGrants;
+use std::collections::{BTreeMap, BTreeSet};
 
-/// What a peer told of one customer.
+/// A customer as this gateway knows it.
+#[derive(Debug, Clone)]
+pub(crate) struct Customer {
+    /// Its plan, an index into the settings; `None` while it is known from peers' reports alone.
+    plan: Option<usize>,
+    /// The gateways that its requests come through.
+    gateways: GatewaySet,
+    /// Units of its quota. Before the plan is known, the fraction of the burst that was last reported.
+    quota: TokenBucket,
+    /// Units of this gateway's own fraction of its hard ceiling.
+    ceiling: TokenBucket,
+    last_used_ms: f64,
+    /// Own attempts in flight.
+    in_flight: u32,
+    reports: CustomerReports,
+    /// What this gateway granted to others as the owner of the customer's quota.
+    pub(crate) grants: QuotaGrants,
+    sampling: OwnerSampling,
+    /// Its calls to the shared counter.
+    pub(crate) counter: CounterAccount,
+}
+
+/// What gateways of a broadcasting fleet report to each other of one customer.
 #[derive(Debug, Clone, Default)]
+struct CustomerReports {
+    /// Units that this gateway consumed since its start.
+    consumed_units: f64,
+    /// What each peer last reported.
+    peers: BTreeMap<usize, PeerCount>,
+    /// Rounds in which the own count is still to be sent.
+    pending_rounds: u8,
+    /// Peers are to be asked for units of the ceiling in the next round.
+    ceiling_requested: bool,
+    /// Units of the ceiling given to peers and not sent yet.
+    ceiling_transfers: BTreeMap<usize, f64>,
+}
+
+/// What a peer reported of one customer.
+#[derive(Debug, Clone, Copy)]
 pub(crate) struct PeerCount {
+    /// The peer's start that the count belongs to.
     pub(crate) incarnation: u32,
-    pub(crate) consumed: u32,
+    /// Units that the peer consumed since that start.
+    pub(crate) consumed: ConsumedUnits,
+    /// The peer's attempts in flight for the customer.
     pub(crate) in_flight: u32,
     pub(crate) received_ms: f64,
 }
 
-/// A customer's quota and ceiling as this gateway knows them.
-#[derive(Debug, Clone)]
-pub(crate) struct Customer {
-    pub(crate) plan: Option<usize>,
-    pub(crate) first: usize,
-    pub(crate) spread: usize,
-    /// Units in the quota store; before the plan is known, the part of the burst last told.
-    pub(crate) tokens: f64,
-    /// Units in this gateway's own part of the ceiling.
-    pub(crate) ceiling_tokens: f64,
-    pub(crate) filled_ms: f64,
-    pub(crate) used_ms: f64,
-    /// Units drawn since this gateway's start.
-    pub(crate) consumed: f64,
+/// What peers that reported lately have in flight for one customer.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct PeerActivity {
+    /// Attempts in flight, by their last reports.
     pub(crate) in_flight: u32,
-    pub(crate) peers: BTreeMap<usize, PeerCount>,
-    pub(crate) pending_rounds: u8,
-    pub(crate) ceiling_requested: bool,
-    pub(crate) ceiling_transfers: BTreeMap<usize, f64>,
-    /// Part of the ceiling that is this gateway's own.
-    pub(crate) ceiling_fraction: f64,
-    /// What its keeper granted and still counts or would grant again to the same question.
-    pub(crate) grants: Vec<Grant>,
-    /// Questions waiting at its keeper for an active slot, first come first.
-    pub(crate) waiters: VecDeque<Grant>,
-    /// Units asked of its keeper and granted a second, smoothed.
-    pub(crate) requested_rate: DecayingRate,
-    pub(crate) granted_rate: DecayingRate,
-    /// Part of its requests that its keeper wants to be asked about, and when that was told.
-    pub(crate) sampling_fraction: f64,
-    pub(crate) sampling_fraction_ms: f64,
-    pub(crate) count: Count,
-}
-
-/// A customer's dealings with the counter.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Count {
-    /// The call that is out, and what it put right along with its own amount.
-    pub(crate) calling: Option<(Call, f64)>,
-    /// Calls to come, first come first.
-    pub(crate) queue: VecDeque<Call>,
-    /// Units to be put right with the next call.
-    pub(crate) owed: f64,
-    /// The store's level as last told, and when.
-    pub(crate) level: Option<(f64, f64)>,
-}
-
-/// A call to the counter.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) enum Call {
-    /// Takes a request's units, and those of others that are not asked about, and asks whether its own were
-    /// there.
-    Ask { id: RequestId, units: f64, takes: f64 },
-    /// Brings a count that lies behind up to the clock, from the total seen.
-    Raise { by: f64, seen: f64 },
-    /// Puts right what is owed.
-    Settle,
+    /// How many peers these reports are of.
+    pub(crate) busy: u32,
 }
 
-/// A question put to a customer's keeper: by whom, its number, and for how long it matters.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct Grant {
-    pub(crate) from: usize,
-    pub(crate) number: u32,
-    pub(crate) until_ms: f64,
+/// The fraction of a customer's requests that its quota's owner wants to be asked about.
+#[derive(Debug, Clone, Copy)]
+struct OwnerSampling {
+    fraction: f64,
+    received_ms: f64,
 }
 
 impl Customer {
-    /// A customer of whom nothing is known: a full store.
-    pub(crate) fn new(now: f64) -> Self {
+    /// A customer of whom nothing is known: a full quota.
+    fn new(now_ms: f64) -> Self {
         Customer {
             plan: None,
-            first: 0,
-            spread: 1,
-            tokens: 1.0,
-            ceiling_tokens: 0.0,
-            filled_ms: now,
-            used_ms: now,
-            consumed: 0.0,
+            // Until its first request here tells.
+            gateways: GatewaySet::new(0, 1, 1),
+            quota: TokenBucket::new(1.0, 1.0, now_ms),
+            ceiling: TokenBucket::new(0.0, 1.0, now_ms),
+            last_used_ms: now_ms,
             in_flight: 0,
-            peers: BTreeMap::new(),
-            pending_rounds: 0,
-            ceiling_requested: false,
-            ceiling_transfers: BTreeMap::new(),
-            ceiling_fraction: 1.0,
-            grants: Vec::new(),
-            waiters: VecDeque::new(),
-            requested_rate: DecayingRate::default(),
-            granted_rate: DecayingRate::default(),
-            sampling_fraction: 1.0,
-            sampling_fraction_ms: now,
-            count: Count::default(),
+            reports: CustomerReports::default(),
+            grants: QuotaGrants::default(),
+            sampling: OwnerSampling { fraction: 1.0, received_ms: now_ms },
+            counter: CounterAccount::default(),
+        }
+    }
+
+    /// Its plan, an index into the settings.
+    pub(crate) fn plan(&self) -> Option<usize> {
+        self.plan
+    }
+
+    /// The gateways that its requests come through.
+    pub(crate) fn gateways(&self) -> &GatewaySet {
+        &self.gateways
+    }
+
+    /// Units of the quota as of the last refill.
+    pub(crate) fn quota_tokens(&self) -> f64 {
+        self.quota.tokens()
+    }
+
+    /// Units of this gateway's fraction of the ceiling as of the last refill.
+    pub(crate) fn ceiling_tokens(&self) -> f64 {
+        self.ceiling.tokens()
+    }
+
+    /// Enters a request that came in through these gateways.
+    pub(crate) fn touch(&mut self, gateways: GatewaySet, now_ms: f64) {
+        self.gateways = gateways;
+        self.last_used_ms = now_ms;
+    }
+
+    /// Learns the plan. The quota held a fraction of the burst until now. The ceiling begins with what its
+    /// fraction accrued in the gateway's uptime, since a gateway cannot know what it spent before a restart.
+    pub(crate) fn set_plan(
+        &mut self,
+        index: usize,
+        plan: &PlanSettings,
+        ceiling_fraction: f64,
+        uptime_s: f64,
+        now_ms: f64,
+    ) {
+        self.plan = Some(index);
+        self.quota.set(self.quota.tokens() * plan.burst_units);
+        self.quota.refill(plan.rate_per_second, plan.burst_units, now_ms);
+        let accrued = plan.ceiling_rate_per_second * uptime_s;
+        let tokens = ceiling_fraction * accrued.min(plan.ceiling_burst_units);
+        self.ceiling = TokenBucket::new(tokens, ceiling_fraction, now_ms);
+    }
+
+    /// Brings the quota and the ceiling up to now.
+    pub(crate) fn refill(&mut self, plan: &PlanSettings, now_ms: f64) {
+        self.quota.refill(plan.rate_per_second, plan.burst_units, now_ms);
+        self.ceiling.refill(plan.ceiling_rate_per_second, plan.ceiling_burst_units, now_ms);
+    }
+
+    /// An own attempt has been sent.
+    pub(crate) fn start_attempt(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// An own attempt has ended.
+    pub(crate) fn end_attempt(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Own attempts in flight.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Takes units from the quota, to be reported to peers. Below 0 gives back.
+    pub(crate) fn consume_quota(&mut self, units: f64) {
+        self.quota.take(units);
+        self.reports.consumed_units += units;
+    }
+
+    /// Takes units that this gateway grants as the quota's owner from the quota and the ceiling.
+    pub(crate) fn take_grant(&mut self, plan: &PlanSettings, units: f64) {
+        if plan.rate_per_second > 0.0 {
+            self.quota.take(units);
+        }
+        self.ceiling.take(units);
+    }
+
+    /// Corrects the quota that this gateway owns by what a granted request took beyond its grant.
+    pub(crate) fn settle_grant(&mut self, plan: &PlanSettings, additional_units: f64) {
+        self.quota.add(-additional_units, plan.burst_units);
+    }
+
+    /// Takes units from this gateway's fraction of the ceiling.
+    pub(crate) fn consume_ceiling(&mut self, units: f64) {
+        self.ceiling.take(units);
+    }
+
+    /// Takes units of the ceiling for a peer, to be sent with the next report.
+    pub(crate) fn transfer_ceiling(&mut self, peer: usize, units: f64) {
+        self.ceiling.take(units);
+        *self.reports.ceiling_transfers.entry(peer).or_insert(0.0) += units;
+    }
+
+    /// Adds units of the ceiling that a peer gave, up to this gateway's even part of the burst: the sum of
+    /// all parts must not pass what the ceiling holds.
+    pub(crate) fn receive_ceiling(&mut self, plan: &PlanSettings, units: f64) {
+        self.ceiling.add(units, plan.ceiling_burst_units / self.gateways.len() as f64);
+    }
+
+    /// What peers reported to have in flight, by reports younger than the time-out.
+    pub(crate) fn peer_activity(&self, now_ms: f64, timeout_ms: f64) -> PeerActivity {
+        let live = self.reports.peers.values().filter(|p| now_ms - p.received_ms < timeout_ms);
+        live.fold(PeerActivity::default(), |sum, p| PeerActivity {
+            in_flight: sum.in_flight + p.in_flight,
+            busy: sum.busy + 1,
+        })
+    }
+
+    /// Applies a peer's count, and keeps it to compare the next one with. `fill` is the fraction of the burst
+    /// that the peer sees in the quota.
+    pub(crate) fn apply_peer_count(
+        &mut self,
+        peer: usize,
+        count: PeerCount,
+        fill: f64,
+        plan: Option<&PlanSettings>,
+        max_overdraft_units: f64,
+    ) {
+        let now_ms = count.received_ms;
+        match plan {
+            Some(plan) => self.refill(plan, now_ms),
+            None => {
+                self.quota.skip_refill(now_ms);
+                self.ceiling.skip_refill(now_ms);
+            }
+        }
+        let burst = plan.map_or(1.0, |p| p.burst_units);
+        let tokens = self.quota.tokens();
+        match self.reports.peers.get(&peer).filter(|_| plan.is_some()) {
+            Some(last) => {
+                // A peer that started anew counts from 0.
+                let same_start = last.incarnation == count.incarnation;
+                let earlier = if same_start { last.consumed } else { ConsumedUnits::default() };
+                let consumed = count.consumed.units_since(earlier);
+                self.quota.set((tokens - consumed).clamp(-max_overdraft_units, burst));
+            }
+            // The first count of this peer: its view of the quota is the best there is.
+            None => self.quota.set(tokens.min(fill * burst)),
         }
+        self.last_used_ms = now_ms;
+        self.reports.peers.insert(peer, count);
+    }
+
+    /// Units that this gateway consumed since its start.
+    pub(crate) fn consumed_units(&self) -> f64 {
+        self.reports.consumed_units
+    }
+
+    /// Whether the own count is to be sent in this round.
+    pub(crate) fn report_pending(&self) -> bool {
+        self.reports.pending_rounds > 0
+    }
+
+    /// Whether peers are to be asked for units of the ceiling in this round.
+    pub(crate) fn ceiling_requested(&self) -> bool {
+        self.reports.ceiling_requested
+    }
+
+    /// Takes the units of the ceiling that are to be sent to a peer.
+    pub(crate) fn take_ceiling_transfer(&mut self, peer: usize) -> Option<f64> {
+        self.reports.ceiling_transfers.remove(&peer)
+    }
+
+    /// Ends a round of reports; `true` while another one is to follow.
+    pub(crate) fn end_report_round(&mut self) -> bool {
+        self.reports.ceiling_requested = false;
+        self.reports.pending_rounds = self.reports.pending_rounds.saturating_sub(1);
+        self.reports.pending_rounds > 0
+    }
+
+    /// The fraction of requests that the quota's owner wants to be asked about. What it said loses weight
+    /// evenly over the lifetime given; then all are asked about.
+    pub(crate) fn sampling_fraction_now(&self, now_ms: f64, lifetime_ms: f64) -> f64 {
+        let age = (now_ms - self.sampling.received_ms) / lifetime_ms;
+        1.0 - (1.0 - self.sampling.fraction) * (1.0 - age).max(0.0)
+    }
+
+    /// The fraction of requests that the quota's owner last said it wants to be asked about.
+    pub(crate) fn sampling_fraction(&self) -> f64 {
+        self.sampling.fraction
+    }
+
+    /// Keeps what the quota's owner said.
+    pub(crate) fn set_sampling_fraction(&mut self, fraction: f64, now_ms: f64) {
+        self.sampling = OwnerSampling { fraction, received_ms: now_ms };
     }
 }
 
 /// What is known of customers, by tag.
 #[derive(Debug, Default)]
 pub(crate) struct CustomerTable {
-    pub(crate) by_tag: BTreeMap<u64, Customer>,
-    /// Customers whose counts peers have not been sent yet.
-    pub(crate) unreported: BTreeSet<u64>,
+    by_tag: BTreeMap<u64, Customer>,
+    /// Customers of whom something is to be sent to peers.
+    unreported: BTreeSet<u64>,
     /// When idle customers were last evicted.
     pub(crate) evicted_ms: f64,
 }
 
-/// Quota requests to owners that wait for a response, by number.
-#[derive(Debug, Default)]
-pub(crate) struct QuotaOwner {
-    pub(crate) pending: BTreeMap<u32, RequestId>,
-    pub(crate) next_number: u32,
-}
-
-/// Calls to the quota counter.
-#[derive(Debug, Default)]
-pub(crate) struct QuotaCounter {
-    /// Part of the requests that the counter is asked about.
-    pub(crate) sampling_fraction: f64,
-    /// Customers with a call out, by the name of their count.
-    pub(crate) calls: BTreeMap<u64, u64>,
-}
-
-/// A customer's short name in messages.
-pub(crate) fn customer_tag(id: CustomerId) -> u32 {
-    short_tag(id.0)
-}
+impl CustomerTable {
+    /// A customer's record.
+    pub(crate) fn get(&self, tag: u64) -> Option<&Customer> {
+        self.by_tag.get(&tag)
+    }
 
-impl Customer {
-    /// The level at most, going by what was last told of it; none where nothing was.
-    pub(crate) fn tokens_at_most(&self, plan: &PlanSettings, now: f64) -> Option<f64> {
-        let (level, at_ms) = self.count.level?;
-        Some((level + plan.rate_per_second * (now - at_ms).max(0.0) / 1000.0).min(plan.burst_units))
+    /// A customer's record, to be changed.
+    pub(crate) fn get_mut(&mut self, tag: u64) -> Option<&mut Customer> {
+        self.by_tag.get_mut(&tag)
     }
-}
 
-/// The present count of a customer: its name, and the seconds since it began.
-pub(crate) fn count_now(tag: u64, now: f64) -> (u64, f64) {
-    let phase = (mix(tag) % COUNT_EPOCH_MS as u64) as f64;
-    let number = ((now + phase) / COUNT_EPOCH_MS).floor();
-    let name = mix(tag ^ mix(number as i64 as u64)) >> 1;
-    (name, (now + phase - number * COUNT_EPOCH_MS) / 1000.0)
-}
+    /// A customer's record, made where there is none.
+    pub(crate) fn get_or_insert(&mut self, tag: u64, now_ms: f64) -> &mut Customer {
+        self.by_tag.entry(tag).or_insert_with(|| Customer::new(now_ms))
+    }
 
-impl Customer {
-    /// Brings both stores up to now.
-    pub(crate) fn fill(&mut self, plan: &PlanSettings, now: f64) {
-        let seconds = (now - self.filled_ms).max(0.0) / 1000.0;
-        let ceiling_part = self.ceiling_fraction;
-        self.filled_ms = now;
-        self.tokens = (self.tokens + plan.rate_per_second * seconds).min(plan.burst_units);
-        let share = self.ceiling_tokens + plan.ceiling_rate_per_second * seconds * ceiling_part;
-        self.ceiling_tokens = share.min(plan.ceiling_burst_units * ceiling_part);
+    /// Whether a customer's plan is known.
+    pub(crate) fn knows_plan(&self, tag: u64) -> bool {
+        self.by_tag.get(&tag).is_some_and(|c| c.plan.is_some())
     }
 
-    /// Attempts that peers last told to have out here, and how many peers were lately busy here.
-    pub(crate) fn peers_in_flight(&self, now: f64) -> (u32, u32) {
-        let live = self.peers.values().filter(|p| now - p.received_ms < PEER_TIMEOUT_MS);
-        live.fold((0, 0), |(active, busy), p| (active + p.in_flight, busy + 1))
+    /// Has a customer's count sent to peers in the next rounds.
+    pub(crate) fn schedule_report(&mut self, tag: u64, rounds: u8) {
+        if let Some(customer) = self.by_tag.get_mut(&tag) {
+            customer.reports.pending_rounds = rounds;
+            self.unreported.insert(tag);
+        }
     }
-}
 
-impl Gateway {
-    /// The customer's record, made where there is none: a full store, an empty part of the ceiling, since a
-    /// gateway cannot know what it spent before a restart.
-    pub(crate) fn customer_entry(
-        &mut self,
-        tag: u64,
-        plan: usize,
-        first: usize,
-        spread: usize,
-    ) -> &mut Customer {
-        let s = &self.settings;
-        let known = self.customers.by_tag.get(&tag).is_some_and(|c| c.plan.is_some());
-        let before = || {
-            let own = mix(tag ^ mix(s.me as u64));
-            self.rendezvous_ranking(tag, first, spread).filter(|(rank, _)| *rank < own).count()
-        };
-        let part = match (self.coordination.exchanges_gossip(), spread) {
-            (false, _) | (_, 1) => 1.0 / spread as f64,
-            _ if known => 0.0,
-            _ => match before() {
-                0 => OWNER_CEILING_FRACTION,
-                1 => 1.0 - OWNER_CEILING_FRACTION,
-                _ => 0.0,
-            },
-        };
-        let (now, seconds) = (self.clock.now_ms, (self.clock.now_ms - self.clock.started_ms) / 1000.0);
-        let plan_settings = &self.settings.plans[plan];
-        let customer = self.customers.by_tag.entry(tag).or_insert_with(|| Customer::new(now));
-        (customer.first, customer.spread, customer.used_ms) = (first % s.gateways, spread, now);
-        if customer.plan.is_none() {
-            customer.plan = Some(plan);
-            customer.ceiling_fraction = part;
-            customer.tokens *= plan_settings.burst_units;
-            customer.fill(plan_settings, now);
-            let earned = plan_settings.ceiling_rate_per_second * seconds;
-            customer.ceiling_tokens = part * earned.min(plan_settings.ceiling_burst_units);
+    /// Has peers asked for units of a customer's ceiling in the next round.
+    pub(crate) fn schedule_ceiling_request(&mut self, tag: u64) {
+        if let Some(customer) = self.by_tag.get_mut(&tag) {
+            customer.reports.ceiling_requested = true;
+            self.unreported.insert(tag);
         }
-        customer.fill(plan_settings, now);
-        customer
     }
 
-    /// Forgets customers whose store is full again, so that one-off customers leave nothing behind.
-    pub(crate) fn evict_idle_customers(&mut self) {
-        let (now, crowded) = (self.clock.now_ms, self.customers.by_tag.len() > MAX_CUSTOMERS);
-        if !self.coordination.is_broadcast() {
-            // Nobody is told of these.
-            self.customers.unreported.clear();
+    /// Takes units of a customer's ceiling for a peer, to be sent in the next round.
+    pub(crate) fn schedule_ceiling_transfer(&mut self, tag: u64, peer: usize, units: f64) {
+        if let Some(customer) = self.by_tag.get_mut(&tag) {
+            customer.transfer_ceiling(peer, units);
+            self.unreported.insert(tag);
         }
-        let plans = &self.settings.plans;
-        self.customers.by_tag.retain(|_, c| {
-            let full_ms = match c.plan.map(|p| &plans[p]) {
-                Some(p) if p.rate_per_second > 0.0 => 2000.0 * p.burst_units / p.rate_per_second,
-                _ => 0.0,
-            };
-            // A part of a ceiling must not be forgotten before it is full again: it would come back fuller.
-            let free = crowded && c.plan.is_none_or(|p| plans[p].ceiling_rate_per_second <= 0.0);
-            c.in_flight > 0 || now - c.used_ms < if free { PEER_TIMEOUT_MS } else { full_ms.max(30_000.0) }
+    }
+
+    /// Customers of whom something is to be sent to peers.
+    pub(crate) fn unreported(&self) -> Vec<u64> {
+        self.unreported.iter().copied().collect()
+    }
+
+    /// Nothing more of a customer is to be sent.
+    pub(crate) fn mark_reported(&mut self, tag: u64) {
+        self.unreported.remove(&tag);
+    }
+
+    /// Drops all that is to be sent, in a fleet that broadcasts no counts.
+    pub(crate) fn clear_unreported(&mut self) {
+        self.unreported.clear();
+    }
+
+    /// How many customers are known.
+    pub(crate) fn len(&self) -> usize {
+        self.by_tag.len()
+    }
+
+    /// Forgets customers that have nothing in flight and were not used for the time that `idle_limit_ms`
+    /// gives for their plan.
+    pub(crate) fn evict_idle(&mut self, now_ms: f64, idle_limit_ms: impl Fn(Option<usize>) -> f64) {
+        self.by_tag.retain(|_, customer| {
+            customer.in_flight > 0 || now_ms - customer.last_used_ms < idle_limit_ms(customer.plan)
         });
     }
 }
+
+/// A customer's short name in messages.
+pub(crate) fn customer_tag(id: CustomerId) -> u32 {
+    short_tag(id.0)
+}
--- /dev/null
+++ b/crates/admission/src/state/gateway_set.rs
@@ -0,0 +1,62 @@
+//! The set of gateways that a customer's requests come through.
+use crate::mechanism::splitmix64::mix;
+
+/// Some gateways of the fleet, consecutive by number and counted round from the last to gateway 0.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct GatewaySet {
+    first: usize,
+    len: usize,
+    fleet: usize,
+}
+
+/// A gateway and its rank for one customer. The lowest rank of a set owns the customer's quota.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RankedGateway {
+    pub(crate) rank: u64,
+    pub(crate) gateway: usize,
+}
+
+impl RankedGateway {
+    /// The gateway's rank by rendezvous hashing: every gateway computes the same.
+    pub(crate) fn new(tag: u64, gateway: usize) -> Self {
+        RankedGateway { rank: mix(tag ^ mix(gateway as u64)), gateway }
+    }
+}
+
+impl GatewaySet {
+    /// `len` gateways from `first` on, of a fleet of `fleet`; at least one and at most the whole fleet.
+    pub(crate) fn new(first: usize, len: usize, fleet: usize) -> Self {
+        GatewaySet { first: first % fleet, len: len.clamp(1, fleet), fleet }
+    }
+
+    /// The same, but `None` where the first gateway or the number of gateways is not of the fleet.
+    pub(crate) fn checked(first: usize, len: usize, fleet: usize) -> Option<Self> {
+        (first < fleet && (1..=fleet).contains(&len)).then_some(GatewaySet { first, len, fleet })
+    }
+
+    /// Number of the first gateway.
+    pub(crate) fn first(&self) -> usize {
+        self.first
+    }
+
+    /// How many gateways the set has.
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether a gateway is among the set.
+    pub(crate) fn contains(&self, gateway: usize) -> bool {
+        (gateway + self.fleet - self.first) % self.fleet < self.len
+    }
+
+    /// The set's gateways.
+    pub(crate) fn members(&self) -> impl Iterator<Item = usize> {
+        let GatewaySet { first, len, fleet } = *self;
+        (0..len).map(move |step| (first + step) % fleet)
+    }
+
+    /// The set's gateways with their ranks for a customer, in the order of their numbers.
+    pub(crate) fn rendezvous_ranking(&self, tag: u64) -> impl Iterator<Item = RankedGateway> {
+        self.members().map(move |gateway| RankedGateway::new(tag, gateway))
+    }
+}
--- /dev/null
+++ b/crates/admission/src/state/quota_grants.rs
@@ -0,0 +1,98 @@
+//! What the owner of a customer's quota has granted to the other gateways.
+use crate::mechanism::decaying_rate::DecayingRate;
+use std::collections::VecDeque;
+
+/// A quota request as its owner knows it: who sent it, its number there, and until when it counts.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Grant {
+    pub(crate) gateway: usize,
+    pub(crate) number: u32,
+    pub(crate) expires_ms: f64,
+}
+
+impl Grant {
+    fn is_for(&self, gateway: usize, number: u32) -> bool {
+        self.gateway == gateway && self.number == number
+    }
+}
+
+/// The owner's account of one customer: requests granted that have not ended, requests that wait for one of
+/// these to end, and how many units are requested and granted.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct QuotaGrants {
+    /// Granted; a repeat of the same request is granted again at no cost.
+    granted: Vec<Grant>,
+    /// Waiting for an active slot, oldest first.
+    waiting: VecDeque<Grant>,
+    /// Units requested and units granted a second, smoothed.
+    requested_rate: DecayingRate,
+    granted_rate: DecayingRate,
+}
+
+impl QuotaGrants {
+    /// Drops what no longer counts.
+    pub(crate) fn expire(&mut self, now_ms: f64) {
+        self.granted.retain(|g| g.expires_ms > now_ms);
+        self.waiting.retain(|g| g.expires_ms > now_ms);
+    }
+
+    /// Whether a request has been granted.
+    pub(crate) fn is_granted(&self, gateway: usize, number: u32) -> bool {
+        self.granted.iter().any(|g| g.is_for(gateway, number))
+    }
+
+    /// Whether a request waits for an active slot.
+    pub(crate) fn is_waiting(&self, gateway: usize, number: u32) -> bool {
+        self.waiting.iter().any(|g| g.is_for(gateway, number))
+    }
+
+    /// Requests granted that have not ended.
+    pub(crate) fn active(&self) -> usize {
+        self.granted.len()
+    }
+
+    /// Requests that wait for an active slot.
+    pub(crate) fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Enters units requested, here or by requests that this one stands for.
+    pub(crate) fn record_request(&mut self, units: f64, now_ms: f64, span_s: f64) {
+        self.requested_rate.add(units, now_ms, span_s);
+    }
+
+    /// Grants a request of so many units.
+    pub(crate) fn grant(&mut self, grant: Grant, units: f64, now_ms: f64, span_s: f64) {
+        self.granted_rate.add(units, now_ms, span_s);
+        self.granted.push(grant);
+    }
+
+    /// Lets a request wait for an active slot.
+    pub(crate) fn wait(&mut self, grant: Grant) {
+        self.waiting.push_back(grant);
+    }
+
+    /// Takes out a request that has ended or is no longer wanted, and says whether it had been granted.
+    pub(crate) fn release(&mut self, gateway: usize, number: u32) -> bool {
+        self.waiting.retain(|g| !g.is_for(gateway, number));
+        let Some(at) = self.granted.iter().position(|g| g.is_for(gateway, number)) else { return false };
+        self.granted.swap_remove(at);
+        true
+    }
+
+    /// Takes out the request that has waited longest and still counts.
+    pub(crate) fn next_waiting(&mut self, now_ms: f64) -> Option<Grant> {
+        self.waiting.retain(|g| g.expires_ms > now_ms);
+        self.waiting.pop_front()
+    }
+
+    /// Units requested a second.
+    pub(crate) fn requested_per_second(&self, now_ms: f64, span_s: f64) -> f64 {
+        self.requested_rate.now(now_ms, span_s)
+    }
+
+    /// Units granted a second.
+    pub(crate) fn granted_per_second(&self, now_ms: f64, span_s: f64) -> f64 {
+        self.granted_rate.now(now_ms, span_s)
+    }
+}
--- a/crates/admission/src/state/request.rs
+++ b/crates/admission/src/state/request.rs
@@ -13,11 +13,11 @@
     #[default]
     LocalBucket,
     /// The quota's owner was asked and has not answered.
-    AwaitingOwner { keeper: usize, number: u32, at_ms: f64, tries: u32 },
+    AwaitingOwner { owner: usize, number: u32, at_ms: f64, tries: u32 },
     /// The owner keeps the request waiting until the customer has a free slot.
-    QueuedAtOwner { keeper: usize, number: u32 },
+    QueuedAtOwner { owner: usize, number: u32 },
     /// The owner granted it.
-    GrantedByOwner { keeper: usize, number: u32 },
+    GrantedByOwner { owner: usize, number: u32 },
     /// It is over the quota. Within the ceiling it may still be sent while there is room.
     OverQuota { within_ceiling: bool },
     /// The quota counter was asked and has not answered.
@@ -26,6 +26,18 @@
     AdmittedByCounter { asked: bool },
 }
 
+impl QuotaState {
+    /// Whether a response of this owner to the quota request of this number is awaited.
+    pub(crate) fn awaits_response(&self, from: usize, response_to: u32) -> bool {
+        match *self {
+            QuotaState::AwaitingOwner { owner, number, .. } | QuotaState::QueuedAtOwner { owner, number } => {
+                owner == from && number == response_to
+            }
+            _ => false,
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 pub(crate) struct Attempt {
     pub(crate) endpoint: EndpointId,
@@ -56,6 +68,11 @@
 }
 
 impl ActiveRequest {
+    /// Whether the request still waits for the counter: its client may have gone, or its time may be over.
+    pub(crate) fn awaits_counter(&self) -> bool {
+        !self.answered && self.quota == QuotaState::AwaitingCounter
+    }
+
     /// A request just taken in.
     pub(crate) fn new(request: Request, tag: u64, now: f64, aim: f64, inside: bool) -> Self {
         ActiveRequest {
