--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -5,21 +5,17 @@
 use crate::event::Event;
 use crate::mechanism::splitmix64::{mix, SplitMix64};
 use crate::mechanism::virtual_finish_queue::VirtualFinishQueue;
-use crate::policy::coordination::{MIN_REPORT_INTERVAL_MS, PEER_MESSAGE_FRACTION};
 use crate::policy::in_flight_band::INITIAL_DISPATCH_CREDIT;
-use crate::policy::quota_owner::{
-    MIN_QUOTA_MESSAGE_FRACTION, MIN_RESPONSE_WAIT_MS, QUOTA_MESSAGE_FRACTION, QUOTA_RATE_SPAN_S,
-    RESPONSE_WAIT_FRACTION, SUSPECT_MS,
-};
 use crate::policy::retry::MAX_RETRY_TOKENS;
 use crate::settings::{Settings, SettingsError};
 use crate::state::band::InFlightBand;
-use crate::state::customer::{CustomerTable, QuotaCounter, QuotaOwner};
+use crate::state::customer::CustomerTable;
 use crate::state::endpoint::{EndpointTable, SlowStart};
 use crate::state::event_clock::EventClock;
 use crate::state::observation::{LatencyModel, OutlierDetector};
 use crate::state::peer::{Peer, PeerTable};
-use crate::state::request::{QuotaState, RequestTable, RetryBudget};
+use crate::state::quota_requests::{CounterCalls, QuotaRequests};
+use crate::state::request::{RequestTable, RetryBudget};
 use std::collections::BTreeMap;
 
 /// One gateway's decisions: takes events in and answers with actions. Each part owns the state of one
@@ -44,8 +40,8 @@
     pub(crate) retries: RetryBudget,
     pub(crate) peers: PeerTable,
     pub(crate) gossip: Gossip,
-    pub(crate) quota_owner: QuotaOwner,
-    pub(crate) quota_counter: QuotaCounter,
+    pub(crate) quota_requests: QuotaRequests,
+    pub(crate) counter_calls: CounterCalls,
 }
 
 /// Time between two rounds of upkeep: short beside any latency objective, so that nothing is noticed late.
@@ -78,7 +74,6 @@
             },
             retries: RetryBudget::new(MAX_RETRY_TOKENS / 2.0),
             peers: PeerTable { by_index: peers, message_tokens: 10.0, ..PeerTable::default() },
-            quota_counter: QuotaCounter { sampling_fraction: 1.0, ..QuotaCounter::default() },
             coordination: Coordination::from_settings(&settings),
             settings,
             ..Gateway::default()
@@ -142,7 +137,7 @@
         }
         self.step_watermark();
         if broadcast {
-            self.broadcast_counts_if_due(actions);
+            self.report_counts_if_due(actions);
         }
         self.evict_idle_customers_if_due();
     }
@@ -155,7 +150,7 @@
         let seconds = self.band.begin_refill(self.clock.now_ms);
         self.refill_dispatch_credit(seconds);
         self.refill_message_tokens(seconds);
-        self.retry_unanswered_quota_requests(actions);
+        self.retry_quota_requests(actions);
     }
 
     /// Whether a large fleet's gateway is to look at all endpoints again.
@@ -163,64 +158,19 @@
         self.clock.now_ms - self.gossip.measured_ms >= LARGE_FLEET_REVIEW_MS
     }
 
-    /// Forgets idle customers from time to time.
-    fn evict_idle_customers_if_due(&mut self) {
-        if self.clock.now_ms - self.customers.evicted_ms >= EVICTION_INTERVAL_MS {
-            self.customers.evicted_ms = self.clock.now_ms;
-            self.evict_idle_customers();
-        }
-    }
-
-    /// Sends this gateway's counts to its peers, as often as they can take messages from all gateways.
-    fn broadcast_counts_if_due(&mut self, actions: &mut Vec<Action>) {
-        let peers = self.settings.gateways.saturating_sub(1) as f64;
-        let interval_ms = (1000.0 * peers
-            / (PEER_MESSAGE_FRACTION * self.settings.peer_messages_per_second).max(0.1))
-        .max(MIN_REPORT_INTERVAL_MS);
-        if peers > 0.0 && self.clock.now_ms - self.peers.reported_ms >= interval_ms {
+    /// Sends this gateway's counts to its peers, where that is due.
+    fn report_counts_if_due(&mut self, actions: &mut Vec<Action>) {
+        if self.report_due() {
             self.peers.reported_ms = self.clock.now_ms;
             self.broadcast_counts(actions);
         }
     }
 
-    /// Refills the budget of messages to quota owners: what others' quota requests leave of the messages that
-    /// a gateway takes in.
-    fn refill_message_tokens(&mut self, seconds: f64) {
-        let limit = self.settings.peer_messages_per_second;
-        let received = self.peers.received_rate.now(self.clock.now_ms, QUOTA_RATE_SPAN_S);
-        let rate = (QUOTA_MESSAGE_FRACTION * limit - received).max(MIN_QUOTA_MESSAGE_FRACTION * limit);
-        self.peers.message_tokens =
-            (self.peers.message_tokens + rate * seconds).min(PEER_MESSAGE_FRACTION * limit);
-    }
-
-    /// Asks again about requests whose quota owner has not answered in time, or decides without it.
-    fn retry_unanswered_quota_requests(&mut self, actions: &mut Vec<Action>) {
-        let now = self.clock.now_ms;
-        let wait_ms =
-            (RESPONSE_WAIT_FRACTION * self.settings.shortest_objective_ms()).max(MIN_RESPONSE_WAIT_MS);
-        let mut late = Vec::new();
-        for id in self.quota_owner.pending.values() {
-            if let Some(QuotaState::AwaitingOwner { keeper, at_ms, tries, .. }) =
-                self.requests.active.get(id).map(|active| active.quota)
-            {
-                if now - at_ms > wait_ms {
-                    late.push((*id, keeper, tries));
-                }
-            }
-        }
-        let message_limit = PEER_MESSAGE_FRACTION * self.settings.peer_messages_per_second;
-        for (id, keeper, tries) in late {
-            if let Some(peer) = self.peers.by_index.get_mut(&keeper) {
-                peer.missed_responses += 1;
-                if peer.missed_responses > 1 {
-                    peer.suspected_until_ms = now + SUSPECT_MS;
-                }
-            }
-            if tries < 3 && self.peers.message_tokens > 0.5 * message_limit {
-                self.request_quota(id, tries + 1, actions);
-            } else {
-                self.decide_without_owner(id, true);
-            }
+    /// Forgets idle customers from time to time.
+    fn evict_idle_customers_if_due(&mut self) {
+        if self.clock.now_ms - self.customers.evicted_ms >= EVICTION_INTERVAL_MS {
+            self.customers.evicted_ms = self.clock.now_ms;
+            self.evict_idle_customers();
         }
     }
 }
--- a/crates/admission/src/lifecycle.rs
+++ b/crates/admission/src/lifecycle.rs
@@ -4,7 +4,8 @@
 use crate::gateway::Gateway;
 use crate::id::{EndpointId, RequestId};
 use crate::mechanism::virtual_finish_queue::FlowHead;
-use crate::messages::gossip::{GossipMessage, QuotaRelease};
+use crate::messages::gossip::GossipMessage;
+use crate::messages::quota::{QuarterUnits, QuotaRelease};
 use crate::policy::coordination::REPORT_ROUNDS;
 use crate::policy::dispatch::ATTEMPT_TIMEOUT_OBJECTIVES;
 use crate::policy::endpoint_selection::SEND_RATE_SPAN_S;
@@ -138,20 +139,18 @@
         let Some(active) = self.requests.active.get(&id).filter(|a| a.quota.holds_slot_here()) else {
             return;
         };
-        let Some(customer) = self.customers.by_tag.get_mut(&active.tag) else { return };
+        let Some(customer) = self.customers.get_mut(active.tag) else { return };
         let plan = &self.settings.plans[active.request.plan];
         let own_bucket = active.quota == QuotaState::LocalBucket;
-        customer.in_flight += 1;
+        customer.start_attempt();
         if is_first {
-            customer.ceiling_tokens -= active.request.units;
+            customer.consume_ceiling(active.request.units);
         }
         if is_first && active.within_quota && plan.rate_per_second > 0.0 && own_bucket {
-            customer.tokens -= active.request.units;
-            customer.consumed += active.request.units;
+            customer.consume_quota(active.request.units);
         }
         if plan.open_limit > 0 || (is_first && active.within_quota) {
-            customer.pending_rounds = REPORT_ROUNDS;
-            self.customers.unreported.insert(active.tag);
+            self.customers.schedule_report(active.tag, REPORT_ROUNDS);
         }
     }
 
@@ -190,15 +189,13 @@
         if !active.quota.holds_slot_here() {
             return;
         }
-        let Some(customer) = self.customers.by_tag.get_mut(&active.tag) else { return };
-        customer.in_flight = customer.in_flight.saturating_sub(1);
+        let Some(customer) = self.customers.get_mut(active.tag) else { return };
+        customer.end_attempt();
         if own_bucket {
-            customer.tokens -= excess;
-            customer.consumed += excess;
+            customer.consume_quota(excess);
         }
         if own_bucket && (excess != 0.0 || plan.open_limit > 0) {
-            customer.pending_rounds = REPORT_ROUNDS;
-            self.customers.unreported.insert(active.tag);
+            self.customers.schedule_report(active.tag, REPORT_ROUNDS);
         }
     }
 
@@ -237,19 +234,18 @@
         let unused = -active.request.units;
         match active.quota {
             QuotaState::AdmittedByCounter { asked: true } => self.settle_counted(active, actions),
-            QuotaState::GrantedByOwner { keeper, number } if unsent => {
-                self.send_release(keeper, active.tag, number, unused, actions)
+            QuotaState::GrantedByOwner { owner, number } if unsent => {
+                self.send_release(owner, active.tag, number, unused, actions)
             }
-            QuotaState::GrantedByOwner { keeper, number } => {
+            QuotaState::GrantedByOwner { owner, number } => {
                 let holds_slot = self.settings.plans[active.request.plan].open_limit > 0;
                 if holds_slot || active.settled_units != 0.0 && !active.ample {
-                    self.send_release(keeper, active.tag, number, active.settled_units, actions);
+                    self.send_release(owner, active.tag, number, active.settled_units, actions);
                 }
             }
-            QuotaState::QueuedAtOwner { keeper, number }
-            | QuotaState::AwaitingOwner { keeper, number, .. } => {
-                self.quota_owner.pending.remove(&number);
-                self.send_release(keeper, active.tag, number, unused, actions);
+            QuotaState::QueuedAtOwner { owner, number } | QuotaState::AwaitingOwner { owner, number, .. } => {
+                self.quota_requests.remove(number);
+                self.send_release(owner, active.tag, number, unused, actions);
             }
             QuotaState::LocalBucket
             | QuotaState::OverQuota { .. }
@@ -268,8 +264,7 @@
         units: f64,
         actions: &mut Vec<Action>,
     ) {
-        let release = QuotaRelease { customer, number, quarters: (units * 4.0).round() as i32 };
-        let message = GossipMessage { releases: vec![release], ..GossipMessage::default() };
-        self.send_gossip(owner, message, actions);
+        let release = QuotaRelease { customer, number, additional_units: QuarterUnits::nearest(units) };
+        self.send_gossip(owner, GossipMessage::release(release), actions);
     }
 }
--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -3,6 +3,7 @@
 use crate::gateway::{Gateway, UPKEEP_MS};
 use crate::id::RequestId;
 use crate::policy::dispatch::MIN_WEIGHT;
+use crate::state::gateway_set::GatewaySet;
 use crate::state::request::{ActiveRequest, OwnBucketCheck, QuotaDecision};
 
 /// For this long after its start a gateway spends only its part of each burst: it may not have heard yet what
@@ -72,13 +73,14 @@
         let active = self.requests.active.get(&id)?;
         let (tag, request) = (active.tag, active.request.clone());
         let plan = self.settings.plans[request.plan].clone();
-        let spread = request.spread.clamp(1, self.settings.gateways);
+        let gateways = GatewaySet::new(request.first, request.spread, self.settings.gateways);
         let starting = self.clock.since_start_ms() < STARTUP_MS;
-        let withheld = if starting { plan.burst_units * (1.0 - 1.0 / spread as f64) } else { 0.0 };
+        let withheld = if starting { plan.burst_units * (1.0 - 1.0 / gateways.len() as f64) } else { 0.0 };
         let reserved = self.queue.queued_size(tag);
-        let customer = self.customer_entry(tag, request.plan, request.first, spread);
-        let room = customer.tokens - reserved - withheld;
-        let within_ceiling = plan.ceiling_rate_per_second <= 0.0 || customer.ceiling_tokens >= request.units;
+        let customer = self.customer_entry(tag, request.plan, gateways);
+        let room = customer.quota_tokens() - reserved - withheld;
+        let within_ceiling =
+            plan.ceiling_rate_per_second <= 0.0 || customer.ceiling_tokens() >= request.units;
         let wait_ms = 1000.0 * (request.units - room).max(0.0) / plan.rate_per_second;
         let check = OwnBucketCheck {
             is_met: plan.rate_per_second <= 0.0 || room >= request.units,
@@ -104,8 +106,7 @@
     /// Whether a request must get its final answer now: its deadline is near, or it was never sent and can't
     /// meet it.
     pub(crate) fn is_overdue(&self, active: &ActiveRequest) -> bool {
-        let margin_ms = UPKEEP_MS + 2.0 * self.settings.tick_ms;
-        let is_late = active.deadline_ms - self.clock.now_ms < margin_ms;
+        let is_late = active.deadline_ms - self.clock.now_ms < UPKEEP_MS + 2.0 * self.settings.tick_ms;
         !active.answered && (is_late || active.attempts.is_empty() && self.cannot_meet_deadline(active))
     }
 
