Merge the private state of endpoints and the latency model into the band's work

Band, retry and lifecycle call the endpoints' methods; how long a client has waited is decided in policy/admission.rs by the common-value vote.

--- a/crates/admission/src/coordination/gossip.rs
+++ b/crates/admission/src/coordination/gossip.rs
@@ -98,7 +98,8 @@
             self.gossip.received_stock = self.gossip.mean_stock;
             self.gossip.received_answer_rate = self.gossip.mean_answer_rate;
         }
-        self.latency.typical_age_ms = self.mean_attempt_age_ms();
+        let age_ms = self.mean_attempt_age_ms();
+        self.latency.set_typical_age_ms(age_ms);
     }
 
     /// How long attempts are in flight, by Little's law: what is in flight over what is answered shows a jam
--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -6,16 +6,19 @@
 use crate::mechanism::splitmix64::{mix, SplitMix64};
 use crate::mechanism::virtual_finish_queue::VirtualFinishQueue;
 use crate::policy::in_flight_band::INITIAL_DISPATCH_CREDIT;
+use crate::policy::outlier_detection::{INITIAL_OBJECTIVE_FRACTION, LATENCY_GAINS};
 use crate::policy::retry::MAX_RETRY_TOKENS;
 use crate::settings::{Settings, SettingsError};
 use crate::state::band::InFlightBand;
 use crate::state::customer::CustomerTable;
-use crate::state::endpoint::{EndpointTable, SlowStart};
+use crate::state::endpoint_table::EndpointTable;
 use crate::state::event_clock::EventClock;
-use crate::state::observation::{LatencyModel, OutlierDetector};
+use crate::state::latency_model::LatencyModel;
+use crate::state::outlier_detector::OutlierDetector;
 use crate::state::peer::{Peer, PeerTable};
 use crate::state::quota_requests::{CounterCalls, QuotaRequests};
 use crate::state::request::{RequestTable, RetryBudget};
+use crate::state::slow_start::SlowStart;
 use std::collections::BTreeMap;
 
 /// One gateway's decisions: takes events in and answers with actions. Each part owns the state of one
@@ -60,18 +63,12 @@
         settings.check()?;
         let peers: BTreeMap<usize, Peer> =
             (0..settings.gateways).filter(|p| *p != settings.me).map(|p| (p, Peer::unknown())).collect();
-        let mean_by_class_ms: Vec<f64> =
-            settings.classes.iter().map(|c| c.latency_objective_ms * 0.15).collect();
+        let objectives_ms = settings.classes.iter().map(|class| class.latency_objective_ms);
         let mut gateway = Gateway {
             clock: EventClock::new(now_ms),
             incarnation: (mix(seed) & 0x3_ffff) as u32,
             random: SplitMix64::new(seed),
-            latency: LatencyModel {
-                objective_fraction: 0.15,
-                time_budgets: vec![(0.0, 0); mean_by_class_ms.len()],
-                mean_by_class_ms,
-                ..LatencyModel::default()
-            },
+            latency: LatencyModel::new(objectives_ms, INITIAL_OBJECTIVE_FRACTION, LATENCY_GAINS),
             retries: RetryBudget::new(MAX_RETRY_TOKENS / 2.0),
             peers: PeerTable { by_index: peers, message_tokens: 10.0, ..PeerTable::default() },
             coordination: Coordination::from_settings(&settings),
@@ -99,7 +96,9 @@
     fn handle(&mut self, event: Event, actions: &mut Vec<Action>) {
         let broadcast = self.coordination.is_broadcast();
         match event {
-            Event::EndpointList { kind, entries } => self.on_list(kind, entries),
+            Event::EndpointList { kind, entries } => {
+                self.endpoints.apply_list(kind, entries, self.clock.now_ms, &mut self.random)
+            }
             Event::Request(request) => self.on_request(request, actions),
             Event::Timer { .. } if broadcast || self.clock.tick_is_due() => self.upkeep(actions),
             Event::Timer { .. } => {}
@@ -123,11 +122,12 @@
         let broadcast = self.coordination.is_broadcast();
         let idle = !broadcast && self.requests.active.is_empty();
         self.schedule_tick(if idle { LARGE_FLEET_REVIEW_MS } else { UPKEEP_MS }, actions);
-        if broadcast || self.review_is_due() {
-            self.detect_correlated_failure();
-        }
         if broadcast {
+            self.update_typical_age();
+            self.detect_correlated_failure();
             self.refill_warm_up_tokens();
+        } else if self.review_is_due() {
+            self.detect_correlated_failure();
         }
         self.measure_saturation();
         self.finish_overdue_requests(actions);
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -7,6 +7,7 @@
 mod action;
 mod coordination;
 mod customer_lifecycle;
+mod endpoint_records;
 mod event;
 mod gateway;
 mod id;
--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -2,6 +2,7 @@
 use crate::action::Action;
 use crate::gateway::{Gateway, UPKEEP_MS};
 use crate::id::RequestId;
+use crate::mechanism::common_value::VoteLimits;
 use crate::policy::dispatch::MIN_WEIGHT;
 use crate::state::gateway_set::GatewaySet;
 use crate::state::request::{ActiveRequest, OwnBucketCheck, QuotaDecision};
@@ -10,12 +11,9 @@
 /// its peers spent.
 const STARTUP_MS: f64 = 1000.0;
 
-/// First tries of a class come with the same time left. How near to it a time counts as the same (a part of
-/// it), how many votes make it sure, and how many it can have; each try that agrees adds votes.
-pub(crate) const FIRST_TRY_TOLERANCE: f64 = 0.02;
-pub(crate) const FIRST_TRY_MIN_VOTES: i32 = 10;
-pub(crate) const FIRST_TRY_MAX_VOTES: i32 = 30;
-pub(crate) const FIRST_TRY_VOTES: i32 = 4;
+/// First tries of a class come with the same time left, found by vote; and the votes that make sure of it.
+const FIRST_TRIES: VoteLimits = VoteLimits { tolerance: 0.02, votes_for: 4, max_votes: 30 };
+const MIN_FIRST_TRY_VOTES: i32 = 10;
 
 /// Mean response times that must be left before the deadline for a request to be sent. Response times spread
 /// widely, and a response that the client no longer waits for is wasted work; that costs most while endpoints
@@ -91,6 +89,19 @@
         Some(check)
     }
 
+    /// How long a request's client has waited already. First tries of a class all come with the same time
+    /// left, the commonest; a later try has what is left of the deadline. A time below the latency objective
+    /// is that of an impatient client. Nothing is concluded while no time is common.
+    pub(crate) fn already_waited_ms(&mut self, class: usize, time_left_ms: f64) -> f64 {
+        let settings = &self.settings.classes[class];
+        match self.latency.record_time_budget(class, time_left_ms, FIRST_TRIES) {
+            Some(votes) if votes >= MIN_FIRST_TRY_VOTES && time_left_ms > settings.latency_objective_ms => {
+                (settings.deadline_ms - time_left_ms).max(0.0)
+            }
+            _ => 0.0,
+        }
+    }
+
     /// Whether a response can no longer come within the latency objective or the client's wait. Late work is
     /// wasted.
     pub(crate) fn cannot_meet_deadline(&self, active: &ActiveRequest) -> bool {
@@ -100,7 +111,7 @@
         } else {
             MIN_RESPONSE_TIMES_LEFT
         };
-        end_ms - self.clock.now_ms < response_times * self.latency.mean_by_class_ms[active.request.class]
+        end_ms - self.clock.now_ms < response_times * self.latency.response_ms(active.request.class)
     }
 
     /// Whether a request must get its final answer now: its deadline is near, or it was never sent and can't
--- a/crates/admission/src/policy/dispatch.rs
+++ b/crates/admission/src/policy/dispatch.rs
@@ -67,9 +67,7 @@
         let own_bucket = active.quota == QuotaState::LocalBucket;
         let (tag, units) = (active.tag, active.request.units);
         let plan = &self.settings.plans[active.request.plan];
-        if let Some(customer) = self.customers.get_mut(tag) {
-            customer.refill(plan, self.clock.now_ms);
-        }
+        self.customers.refill(tag, plan, self.clock.now_ms);
         let Some(customer) = self.customers.get(tag) else { return QuotaDecision::OverQuota };
         if own_bucket && plan.rate_per_second > 0.0 && customer.quota_tokens() < units {
             return QuotaDecision::OverQuota;
--- a/crates/admission/src/state/customer.rs
+++ b/crates/admission/src/state/customer.rs
@@ -308,6 +308,13 @@
         self.by_tag.entry(tag).or_insert_with(|| Customer::new(now_ms))
     }
 
+    /// Brings a customer's quota and ceiling up to now.
+    pub(crate) fn refill(&mut self, tag: u64, plan: &PlanSettings, now_ms: f64) {
+        if let Some(customer) = self.by_tag.get_mut(&tag) {
+            customer.refill(plan, now_ms);
+        }
+    }
+
     /// Whether a customer's plan is known.
     pub(crate) fn knows_plan(&self, tag: u64) -> bool {
         self.by_tag.get(&tag).is_some_and(|c| c.plan.is_some())
--- a/crates/admission/src/state/request.rs
+++ b/crates/admission/src/state/request.rs
@@ -2,9 +2,6 @@
 use crate::event::{Outcome, Request};
 use crate::gateway::Gateway;
 use crate::id::{EndpointId, RequestId};
-use crate::policy::admission::{
-    FIRST_TRY_MAX_VOTES, FIRST_TRY_MIN_VOTES, FIRST_TRY_TOLERANCE, FIRST_TRY_VOTES,
-};
 use crate::settings::{DedupGroup, Idempotency};
 use crate::state::endpoint::Endpoint;
 use std::collections::BTreeMap;
@@ -107,8 +104,8 @@
     pub(crate) fn shares_keys_with(&self, endpoint: &Endpoint, group: DedupGroup) -> bool {
         match group {
             DedupGroup::All => true,
-            DedupGroup::Zone => self.zone == endpoint.zone,
-            DedupGroup::Cell => self.cell == endpoint.cell,
+            DedupGroup::Zone => self.zone == endpoint.zone(),
+            DedupGroup::Cell => self.cell == endpoint.cell(),
         }
     }
 }
@@ -173,6 +170,11 @@
         }
     }
 
+    /// Whether an attempt was sent to an endpoint before.
+    pub(crate) fn was_sent_to(&self, endpoint: EndpointId) -> bool {
+        self.attempts.iter().any(|attempt| attempt.endpoint == endpoint)
+    }
+
     /// Attempts whose endpoint may have done the work or may still do it, oldest first.
     pub(crate) fn risky_attempts(&self) -> impl Iterator<Item = &Attempt> {
         self.attempts.iter().filter(|attempt| attempt.is_risky())
@@ -269,26 +271,4 @@
             Idempotency::IdempotencyKey { group, .. } => !risky || group == DedupGroup::All,
         }
     }
-
-    /// How long the client of a request has waited already, where its time left tells. First tries of a class
-    /// all come with the same time left, the commonest; another one is what is left of the deadline, unless
-    /// it is under the aim, as an impatient client's. Nothing is concluded while no time left is common.
-    pub(crate) fn already_waited_ms(&mut self, class: usize, time_left_ms: f64) -> f64 {
-        let settings = &self.settings.classes[class];
-        let (usual_ms, seen) = &mut self.latency.time_budgets[class];
-        if (time_left_ms - *usual_ms).abs() <= FIRST_TRY_TOLERANCE * *usual_ms {
-            *seen = (*seen + FIRST_TRY_VOTES).min(FIRST_TRY_MAX_VOTES);
-            return 0.0;
-        }
-        *seen -= 1;
-        if *seen <= 0 {
-            (*usual_ms, *seen) = (time_left_ms, 1);
-        }
-        let later = *seen >= FIRST_TRY_MIN_VOTES && time_left_ms > settings.latency_objective_ms;
-        if later {
-            (settings.deadline_ms - time_left_ms).max(0.0)
-        } else {
-            0.0
-        }
-    }
 }
