--- a/crates/admission/src/id.rs
+++ b/crates/admission/src/id.rs
@@ -1,6 +1,6 @@
 //! Identifiers of requests, customers and endpoints.
 
-/// A request's id, unique among all that one gateway is given.
+/// A request's id, unique among all requests that one gateway is given.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 
