Ask the latency model for the mean response time, without a detour over the gateway

The gateway passed the latency model's mean response time on through a method of its own. Callers ask the model itself.

--- a/crates/admission/src/coordination/gossip.rs
+++ b/crates/admission/src/coordination/gossip.rs
@@ -105,7 +105,7 @@
     /// How long attempts are in flight, by Little's law: what is in flight over what is answered shows a jam
     /// before the answers do.
     fn mean_attempt_age_ms(&self) -> f64 {
-        let usual_ms = self.mean_response_ms();
+        let usual_ms = self.latency.mean_response_ms();
         let objectives = self.settings.classes.iter().map(|c| c.latency_objective_ms);
         let longest_ms = objectives.fold(usual_ms, f64::max);
         let age_ms = if self.gossip.received_answer_rate > 0.0 {
--- a/crates/admission/src/endpoint_records.rs
+++ b/crates/admission/src/endpoint_records.rs
@@ -81,7 +81,7 @@
     /// Small fleets: takes the age of own attempts at an endpoint that is not among the slowest. Each endpoint
     /// counts once, so that work piled up on a hung zone does not outweigh the rest.
     pub(crate) fn update_typical_age(&mut self) {
-        let idle_age_ms = IDLE_AGE_FRACTION * self.mean_response_ms();
+        let idle_age_ms = IDLE_AGE_FRACTION * self.latency.mean_response_ms();
         let age = |e: &Endpoint| e.mean_in_flight_age_ms(self.clock.now_ms).unwrap_or(idle_age_ms);
         let ages = self.endpoints.iter().map(age).collect();
         self.latency.set_typical_age_ms(percentile(ages, TYPICAL_AGE_PERCENTILE).unwrap_or(0.0));
@@ -112,9 +112,4 @@
         let counts: Vec<usize> = warm.map(|e| e.in_flight().len()).collect();
         counts.iter().sum::<usize>() as f64 / counts.len().max(1) as f64
     }
-
-    /// Mean of the classes' response times.
-    pub(crate) fn mean_response_ms(&self) -> f64 {
-        self.latency.mean_response_ms()
-    }
 }
--- a/crates/admission/src/policy/dispatch.rs
+++ b/crates/admission/src/policy/dispatch.rs
@@ -53,7 +53,7 @@
         let rate = if plan.rate_per_second > 0.0 {
             plan.rate_per_second
         } else {
-            f64::from(plan.open_limit.max(1)) / (self.mean_response_ms() / 1000.0)
+            f64::from(plan.open_limit.max(1)) / (self.latency.mean_response_ms() / 1000.0)
         };
         rate * plan.plan_weight.max(MIN_WEIGHT)
     }
--- a/crates/admission/src/policy/in_flight_band.rs
+++ b/crates/admission/src/policy/in_flight_band.rs
@@ -142,7 +142,7 @@
     /// response time.
     pub(crate) fn refill_dispatch_credit(&mut self, seconds: f64) {
         let even_part = self.band.watermark() * self.band.ready_capacity() / self.settings.gateways as f64;
-        let mean_response_s = self.mean_response_ms() / 1000.0;
+        let mean_response_s = self.latency.mean_response_ms() / 1000.0;
         let factor = (MAX_REFILL_FACTOR - (MAX_REFILL_FACTOR - 1.0) * self.band_fill())
             .clamp(MIN_REFILL_FACTOR, MAX_REFILL_FACTOR);
         let amount = factor * even_part / mean_response_s * seconds;
--- a/crates/admission/src/policy/outlier_detection.rs
+++ b/crates/admission/src/policy/outlier_detection.rs
@@ -108,7 +108,8 @@
         let Some(oldest_sent_ms) = endpoint.oldest_sent_ms() else { return 0.0 };
         let stalled_ms = self.clock.now_ms - oldest_sent_ms.max(endpoint.health.answered_ms());
         let relative = endpoint.response_time.last().max(1.0);
-        let usual_ms = self.usual_ms(self.mean_response_ms()) * relative / self.warm_fraction(endpoint);
+        let usual_ms =
+            self.usual_ms(self.latency.mean_response_ms()) * relative / self.warm_fraction(endpoint);
         let in_flight = endpoint.in_flight().len() as f64;
         stalled_ms / usual_ms * (in_flight / SINGLE_STALL_RESPONSE_TIMES).min(1.0 / STALL_RESPONSE_TIMES)
     }
--- a/crates/admission/src/policy/slow_start.rs
+++ b/crates/admission/src/policy/slow_start.rs
@@ -57,7 +57,7 @@
     pub(crate) fn warm_up_budget(&self, endpoint: &Endpoint) -> Option<WarmUpBudget> {
         let warm_fraction = Some(self.warm_fraction(endpoint)).filter(|fraction| *fraction < 1.0)?;
         let warm_rate = WARM_PEER_FRACTION * self.slow_start.warm_send_rate(endpoint.kind());
-        let response_ms = self.mean_response_ms().max(self.latency.typical_age_ms());
+        let response_ms = self.latency.mean_response_ms().max(self.latency.typical_age_ms());
         let even_rate = 1000.0 / response_ms / self.settings.gateways as f64;
         let window_s = SAVED_WINDOW_FRACTION * self.settings.overload_window_ms / 1000.0;
         let multiple = WARM_UP_BUDGET_FRACTION * self.settings.overload_multiple;
