Type the gateway's errors, and make start, reload and shutdown read from top to bottom

main.rs began with thirty lines of figures and a function of sixty lines, and every error on the way was a String without its cause. main.rs now only starts, waits and ends; startup.rs builds the parts, reload.rs handles SIGHUP, and shutdown.rs ends them. DescriptorBudget and ShutdownTimes are a struct each with named parts, with the sums and bounds of before.

| before | after | | --- | --- | | tests::everything_is_answered_between_the_last_deadline_and_sigkill_whatever_the_classes | shutdown::tests, same name | | tests::the_descriptors_add_up_to_what_the_least_limit_leaves_for_connections | descriptor_budget::tests::the_parts_add_up_to_the_limit_and_leave_endpoints_a_minimum |

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,9 +1,14 @@
-//! What the gateway is told: the file that `LB_CONFIG` names, read at the start and on SIGHUP.
+//! The configuration: the file that `LB_CONFIG` names, read at the start and on SIGHUP.
 use crate::discovery::EndpointList;
-use irishinge_admission::Settings;
+use irishinge_admission::{Settings, SettingsError};
 use irishinge_settings::{Conf, Names, SocketSettings};
 use serde::Deserialize;
+use std::env;
+use std::error::Error;
+use std::fs;
+use std::io;
 use std::net::SocketAddr;
+use std::num::ParseIntError;
 
 /// The configuration, read and checked.
 pub(crate) struct Config {
@@ -11,23 +16,23 @@
     pub listen: SocketAddr,
     /// Discovery's address.
     pub discovery: SocketAddr,
-    /// The counter's address, where there is one.
+    /// The quota counter's address, where there is one.
     pub counter: Option<SocketAddr>,
-    /// For random numbers.
+    /// The seed of random numbers.
     pub seed: u64,
     /// File descriptors the process may hold.
     pub sockets: usize,
-    /// Where peers' datagrams arrive; none where there are no peers.
+    /// The address that peers' messages arrive at; none where there are no peers.
     pub peer_listen: Option<SocketAddr>,
-    /// One address for each gateway, by its number.
+    /// The address of each gateway, by its number.
     pub peers: Vec<SocketAddr>,
-    /// The list of hosts as last held before a restart.
+    /// The endpoint list as last held before a restart.
     pub known: Option<EndpointList>,
-    /// The module's settings.
+    /// The decision library's settings.
     pub settings: Settings,
-    /// The names behind their indexes.
+    /// The names behind the settings' indexes.
     pub names: Names,
-    /// The figures for sockets.
+    /// The settings of the network code.
     pub socket_settings: SocketSettings,
 }
 
@@ -51,28 +56,89 @@
     sockets: usize,
 }
 
-/// Fewer descriptors than this leave no room for clients and hosts.
-const LEAST_SOCKETS: usize = 64;
+/// Fewer descriptors than this leave no room for connections of clients and to endpoints.
+const MIN_SOCKETS: usize = 64;
+
+/// Why there is no configuration.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ConfigError {
+    /// The file is not named.
+    #[error("LB_CONFIG does not name the configuration file")]
+    NoPath(#[source] env::VarError),
+    /// The file cannot be read.
+    #[error("cannot read the configuration {path}")]
+    Unreadable {
+        /// The file.
+        path: String,
+        /// Why.
+        source: io::Error,
+    },
+    /// The file cannot be used.
+    #[error("cannot use the configuration {path}")]
+    Invalid {
+        /// The file.
+        path: String,
+        /// What in it is wrong.
+        source: InvalidConfig,
+    },
+}
+
+/// What in a configuration is wrong.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum InvalidConfig {
+    /// It is not JSON, or not of the form that is asked for.
+    #[error(transparent)]
+    Form(#[from] serde_json::Error),
+    /// `seed` is not a number.
+    #[error("seed is not a hexadecimal number of 64 bits")]
+    Seed(#[source] ParseIntError),
+    /// `settings` cannot be translated.
+    #[error("settings")]
+    Settings(#[source] Box<dyn Error + Send + Sync>),
+    /// The decision library refuses the settings.
+    #[error("settings")]
+    Refused(#[from] SettingsError),
+    /// `limits.sockets` is too low.
+    #[error("limits.sockets is {0}, but must be at least {MIN_SOCKETS}")]
+    TooFewSockets(usize),
+    /// `peers` does not name each gateway.
+    #[error("peers has {peers} addresses, but settings.balancers is {gateways}")]
+    PeerCount {
+        /// Addresses in `peers`.
+        peers: usize,
+        /// Gateways in the settings.
+        gateways: usize,
+    },
+}
 
 impl Config {
     /// Reads the file that `LB_CONFIG` names.
-    pub(crate) fn load() -> Result<Self, String> {
-        let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set".to_string())?;
-        let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-        Self::read(&text).map_err(|e| format!("{path}: {e}"))
+    ///
+    /// # Errors
+    ///
+    /// When there is no such file, or it cannot be used.
+    pub(crate) fn load() -> Result<Self, ConfigError> {
+        let path = env::var("LB_CONFIG").map_err(ConfigError::NoPath)?;
+        match fs::read(&path) {
+            Ok(text) => Self::parse(&text).map_err(|source| ConfigError::Invalid { path, source }),
+            Err(source) => Err(ConfigError::Unreadable { path, source }),
+        }
     }
 
-    fn read(text: &[u8]) -> Result<Self, String> {
-        let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-        let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| "seed is not hexadecimal")?;
-        let socket_settings = file.settings.socket_settings()?;
-        let (settings, names) = file.settings.translate()?;
-        settings.check().map_err(|e| e.to_string())?;
-        if file.limits.sockets < LEAST_SOCKETS {
-            return Err(format!("limits.sockets is under {LEAST_SOCKETS}"));
+    fn parse(text: &[u8]) -> Result<Self, InvalidConfig> {
+        let file: File = serde_json::from_slice(text)?;
+        let seed = u64::from_str_radix(&file.seed, 16).map_err(InvalidConfig::Seed)?;
+        let socket_settings =
+            file.settings.socket_settings().map_err(|error| InvalidConfig::Settings(error.into()))?;
+        let (settings, names) =
+            file.settings.translate().map_err(|error| InvalidConfig::Settings(error.into()))?;
+        settings.check()?;
+        if file.limits.sockets < MIN_SOCKETS {
+            return Err(InvalidConfig::TooFewSockets(file.limits.sockets));
         }
-        if file.peer_listen.is_some() && !file.peers.is_empty() && file.peers.len() != settings.gateways {
-            return Err("peers are not as many as the gateways of the settings".into());
+        let (peers, gateways) = (file.peers.len(), settings.gateways);
+        if file.peer_listen.is_some() && peers > 0 && peers != gateways {
+            return Err(InvalidConfig::PeerCount { peers, gateways });
         }
         Ok(Config {
             listen: file.listen,
--- /dev/null
+++ b/crates/gateway/src/descriptor_budget/tests.rs
@@ -0,0 +1,18 @@
+use super::*;
+
+#[test]
+fn the_parts_add_up_to_the_limit_and_leave_endpoints_a_minimum() {
+    assert_eq!(RESERVED.total(), 32);
+    for limit in [64, 1024] {
+        let budget = DescriptorBudget::new(limit);
+        let downstream = budget.downstream + downstream::MAX_REFUSING_CONNECTIONS;
+        let own = RESERVED.standard_streams
+            + RESERVED.runtime
+            + RESERVED.listeners
+            + RESERVED.discovery
+            + RESERVED.configuration
+            + RESERVED.shed_connections;
+        assert_eq!(downstream + budget.upstream + quota_counter::MAX_CONNECTIONS + own, limit);
+        assert!(budget.upstream >= 13, "a minimum of connections to endpoints");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/error_chain.rs
@@ -0,0 +1,21 @@
+//! An error with its causes on one line, as an operator reads it.
+use std::error::Error;
+use std::fmt;
+
+/// Displays an error, and after it each source, parted by colons.
+pub(crate) struct ErrorChain<'a>(pub &'a dyn Error);
+
+impl fmt::Display for ErrorChain<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)?;
+        let mut source = self.0.source();
+        while let Some(error) = source {
+            write!(formatter, ": {error}")?;
+            source = error.source();
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -40,6 +40,14 @@
     }
 }
 
+/// The address for messages cannot be bound.
+#[derive(Debug, thiserror::Error)]
+#[error("cannot listen for peers on {addr}")]
+pub(crate) struct BindError {
+    addr: SocketAddr,
+    source: io::Error,
+}
+
 /// Receives what peers send.
 pub(crate) trait PeerMessageHandler {
     /// A message of the gateway of this number has arrived.
@@ -68,9 +76,9 @@
         addrs: Vec<SocketAddr>,
         me: usize,
         accepted_per_second: f64,
-    ) -> io::Result<Self> {
+    ) -> Result<Self, BindError> {
         let socket = match listen {
-            Some(addr) => Some(UdpSocket::bind(addr).await?),
+            Some(addr) => Some(UdpSocket::bind(addr).await.map_err(|source| BindError { addr, source })?),
             None => None,
         };
         let send_rate_limit = RefCell::new(SendRateLimit::full(accepted_per_second, Instant::now()));
--- /dev/null
+++ b/crates/gateway/src/shutdown/tests.rs
@@ -0,0 +1,22 @@
+use super::*;
+use irishinge_admission::{ClassSettings, Idempotency};
+
+#[test]
+fn everything_is_answered_between_the_last_deadline_and_sigkill_whatever_the_classes() {
+    for (deadlines, kill_ms) in [(&[1200.0][..], 1900), (&[200.0, 150.0], 900), (&[2500.0, 8000.0], 3700)] {
+        let class = |deadline_ms: &f64| ClassSettings {
+            latency_objective_ms: 100.0,
+            deadline_ms: *deadline_ms,
+            priority_weight: 1.0,
+            late_value_fraction: 0.0,
+            idempotency: Idempotency::NonIdempotent,
+        };
+        let settings = Settings { classes: deadlines.iter().map(class).collect(), ..Settings::default() };
+        let times = ShutdownTimes::new(&settings);
+        let kill = Duration::from_millis(kill_ms);
+        assert_eq!(times.stop_accepting, ACCEPT_FOR);
+        assert!(times.stop_accepting <= times.respond_to_all, "{deadlines:?}");
+        assert!(times.respond_to_all < times.finish && times.finish < kill, "{deadlines:?}");
+        assert!(kill - times.respond_to_all <= Duration::from_millis(300), "{deadlines:?}");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/startup.rs
@@ -0,0 +1,133 @@
+//! The start of the process: builds the parts from the configuration, from the lowest up, and starts their tasks.
+use crate::clock::Clock;
+use crate::config::{Config, ConfigError};
+use crate::descriptor_budget::DescriptorBudget;
+use crate::discovery::{watch_endpoint_list, EndpointListObserver, RefreshPolicy};
+use crate::dispatcher::Dispatcher;
+use crate::downstream::DownstreamServer;
+use crate::logging::target;
+use crate::peers::{BindError, Peers};
+use crate::quota_counter::QuotaCounter;
+use crate::shutdown::{Shutdown, ShutdownTimes};
+use crate::upstream::{UpstreamPool, IDLE_CHECK_INTERVAL};
+use irishinge_admission::{Gateway, ListKind, SettingsError};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{interval, MissedTickBehavior};
+
+/// Why the process cannot start.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum StartupError {
+    /// The log was set up before.
+    #[error("cannot set up the log")]
+    Logging(#[from] tracing::subscriber::SetGlobalDefaultError),
+    /// The operating system denies what the runtime needs.
+    #[error("cannot start the runtime")]
+    Runtime(#[source] io::Error),
+    /// SIGHUP or SIGTERM cannot be handled.
+    #[error("cannot handle signals")]
+    Signals(#[source] io::Error),
+    /// There is no configuration.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// The decision library refuses the settings.
+    #[error("cannot use the settings")]
+    Settings(#[from] SettingsError),
+    /// The peers' address cannot be bound.
+    #[error(transparent)]
+    Peers(#[from] BindError),
+    /// The clients' address cannot be bound.
+    #[error("cannot listen for clients on {addr}")]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+}
+
+/// What of a running gateway can be changed or ended.
+pub(crate) struct RunningGateway {
+    /// Discovery's address.
+    pub discovery_addr: watch::Sender<SocketAddr>,
+    /// For the quota counter's address.
+    pub dispatcher: Rc<Dispatcher>,
+    /// Ends the gateway.
+    pub shutdown: Shutdown,
+}
+
+/// Starts a gateway. When this returns it accepts connections; its tasks run on the present `LocalSet`.
+///
+/// # Errors
+///
+/// When the settings are refused or an address cannot be bound.
+pub(crate) async fn start(config: Config) -> Result<RunningGateway, StartupError> {
+    let settings = config.settings;
+    let socket_settings = config.socket_settings;
+    let budget = DescriptorBudget::new(config.sockets);
+    let clock = Clock::start();
+    let gateway = Gateway::new(settings.clone(), config.seed, clock.now_ms())?;
+    let upstream = UpstreamPool::new(&socket_settings, budget.upstream);
+    let accepted_per_second = settings.peer_messages_per_second;
+    let peers =
+        Rc::new(Peers::bind(config.peer_listen, config.peers, settings.me, accepted_per_second).await?);
+    let quota_counter = QuotaCounter::new(config.counter, socket_settings.count_limit_ms);
+    let dispatcher = Dispatcher::new(gateway, clock, config.names, upstream, peers.clone(), quota_counter);
+
+    // An empty list is not worth continuing from.
+    let known_version = config.known.as_ref().filter(|list| !list.is_empty()).map(|list| list.rev);
+    if let Some(known) = config.known {
+        dispatcher.list_received(ListKind::Remembered, known);
+    }
+
+    let listener = listen(config.listen, &peers).await?;
+    let times = ShutdownTimes::new(&settings);
+    let refresh_policy = RefreshPolicy::new(&socket_settings, settings.gateways);
+    let (discovery_addr, watched_addr) = watch::channel(config.discovery);
+    let retry_after = socket_settings.retry_after;
+    let downstream = DownstreamServer::new(dispatcher.clone(), settings, retry_after, budget.downstream);
+
+    spawn_local(dispatcher.clone().run_timers());
+    spawn_local(watch_endpoint_list(
+        dispatcher.clone(),
+        watched_addr,
+        known_version,
+        refresh_policy,
+        config.seed,
+    ));
+    spawn_local(receive_from_peers(peers, dispatcher.clone()));
+    spawn_local(close_stale_connections(dispatcher.clone()));
+    let accepting = spawn_local(downstream.clone().accept(listener.clone()));
+    let shutdown = Shutdown { downstream, dispatcher: dispatcher.clone(), listener, accepting, times };
+    Ok(RunningGateway { discovery_addr, dispatcher, shutdown })
+}
+
+/// Binds the clients' address and reports where the gateway listens.
+async fn listen(addr: SocketAddr, peers: &Peers) -> Result<Rc<TcpListener>, StartupError> {
+    let error = |source| StartupError::Listen { addr, source };
+    let listener = TcpListener::bind(addr).await.map_err(error)?;
+    let bound = listener.local_addr().map_err(error)?;
+    match peers.local_addr() {
+        Some(peer_addr) => tracing::info!(target: target::LIFECYCLE, "listening on {bound} {peer_addr}"),
+        None => tracing::info!(target: target::LIFECYCLE, "listening on {bound}"),
+    }
+    Ok(Rc::new(listener))
+}
+
+async fn receive_from_peers(peers: Rc<Peers>, dispatcher: Rc<Dispatcher>) {
+    peers.receive(dispatcher).await;
+}
+
+/// Closes idle connections that have grown old, for good.
+async fn close_stale_connections(dispatcher: Rc<Dispatcher>) {
+    let mut ticks = interval(IDLE_CHECK_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        dispatcher.close_stale_connections();
+    }
+}
