--- a/crates/gateway/src/startup.rs
+++ b/crates/gateway/src/startup.rs
@@ -2,9 +2,9 @@
 use crate::clock::Clock;
 use crate::config::{Config, ConfigError};
 use crate::descriptor_budget::DescriptorBudget;
-use crate::discovery::{watch_endpoint_list, EndpointListObserver, RefreshPolicy};
+use crate::discovery::{watch_endpoint_list, EndpointList, EndpointListObserver, RefreshPolicy};
 use crate::dispatcher::Dispatcher;
-use crate::downstream::DownstreamServer;
+use crate::downstream::{DownstreamServer, DownstreamSettings};
 use crate::logging::target;
 use crate::peers::{BindError, Peers};
 use crate::quota_counter::QuotaCounter;
@@ -77,25 +77,24 @@
         Rc::new(Peers::bind(config.peer_listen, config.peers, settings.me, accepted_per_second).await?);
     let quota_counter = QuotaCounter::new(config.counter, socket_settings.count_limit_ms);
     let dispatcher = Dispatcher::new(gateway, clock, config.names, upstream, peers.clone(), quota_counter);
-
-    // An empty list is not worth continuing from.
-    let known_version = config.known.as_ref().filter(|list| !list.is_empty()).map(|list| list.rev);
-    if let Some(known) = config.known {
-        dispatcher.list_received(ListKind::Remembered, known);
-    }
+    let known_revision = restore_known_list(&dispatcher, config.known);
 
     let listener = listen(config.listen, &peers).await?;
     let times = ShutdownTimes::new(&settings);
     let refresh_policy = RefreshPolicy::new(&socket_settings, settings.gateways);
     let (discovery_addr, watched_addr) = watch::channel(config.discovery);
-    let retry_after = socket_settings.retry_after;
-    let downstream = DownstreamServer::new(dispatcher.clone(), settings, retry_after, budget.downstream);
+    let downstream_settings = DownstreamSettings {
+        admission: settings,
+        sends_retry_after: socket_settings.retry_after,
+        max_connections: budget.downstream,
+    };
+    let downstream = DownstreamServer::new(dispatcher.clone(), downstream_settings);
 
     spawn_local(dispatcher.clone().run_timers());
     spawn_local(watch_endpoint_list(
         dispatcher.clone(),
         watched_addr,
-        known_version,
+        known_revision,
         refresh_policy,
         config.seed,
     ));
@@ -106,6 +105,15 @@
     Ok(RunningGateway { discovery_addr, dispatcher, shutdown })
 }
 
+/// Has the list that was held before a restart applied, and returns the revision that discovery continues from.
+fn restore_known_list(dispatcher: &Rc<Dispatcher>, known: Option<EndpointList>) -> Option<u64> {
+    let known = known?;
+    // An empty list is not worth continuing from.
+    let revision = (!known.is_empty()).then_some(known.revision);
+    dispatcher.list_received(ListKind::Remembered, known);
+    revision
+}
+
 /// Binds the clients' address and reports where the gateway listens.
 async fn listen(addr: SocketAddr, peers: &Peers) -> Result<Rc<TcpListener>, StartupError> {
     let error = |source| StartupError::Listen { addr, source };
