Name the gateway's module tests for the behaviour that they pin

The tests of clock, peers, upstream and shutdown had names and comments in the wording of a house style.

| before | after | | --- | --- | | clock: the_clock_converts_both_ways_and_takes_odd_figures | converts_both_ways_and_tolerates_figures_that_are_no_time | | peers: one_peer_of_many_may_be_told_as_much_as_all_together_and_no_more | one_peer_may_be_sent_the_whole_rate_limit_and_no_more | | peers: a_gateway_of_a_hundred_hears_ten_messages_in_a_row_from_another | ten_messages_in_a_row_reach_one_of_a_hundred_peers | | upstream: once_more_came_than_an_answer_connections_rest_for_a_while_and_else_they_do_not | reuse_is_delayed_for_a_period_after_surplus_bytes_and_not_otherwise | | upstream: more_than_an_answer_makes_wary_whenever_it_comes | surplus_bytes_begin_the_reuse_delay_whenever_they_arrive | | upstream: nothing_is_sent_by_a_list_that_has_expired | nothing_is_sent_by_an_expired_list | | shutdown: everything_is_answered_between_the_last_deadline_and_sigkill_whatever_the_classes | requests_are_answered_between_the_longest_deadline_and_sigkill |

--- a/crates/gateway/src/clock/tests.rs
+++ b/crates/gateway/src/clock/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 #[test]
-fn the_clock_converts_both_ways_and_takes_odd_figures() {
+fn converts_both_ways_and_tolerates_figures_that_are_no_time() {
     let clock = Clock::start();
     let now = clock.now_ms();
     assert!(clock.now_ms() >= now);
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -1,26 +1,26 @@
 use super::*;
 
 #[test]
-fn one_peer_of_many_may_be_told_as_much_as_all_together_and_no_more() {
+fn one_peer_may_be_sent_the_whole_rate_limit_and_no_more() {
     let start = Instant::now();
     let mut limit = SendRateLimit::full(40.0, start);
-    // A second's worth at once, all of it to whoever the gateway has something to say to.
+    // A second's worth at once, all of it to one peer.
     assert_eq!((0..100).filter(|_| limit.try_take(start)).count(), 40);
     let later = start + Duration::from_millis(500);
     assert_eq!((0..100).filter(|_| limit.try_take(later)).count(), 20);
-    // An hour of silence saves up no more than a second's worth.
+    // An hour without a message saves up no more than a second's worth.
     let much_later = start + Duration::from_secs(3600);
     assert_eq!((0..100).filter(|_| limit.try_take(much_later)).count(), 40);
 }
 
 #[tokio::test]
-async fn a_gateway_of_a_hundred_hears_ten_messages_in_a_row_from_another() {
+async fn ten_messages_in_a_row_reach_one_of_a_hundred_peers() {
     let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
     let receiver = std::net::UdpSocket::bind(loopback).expect("a socket");
     receiver.set_read_timeout(Some(Duration::from_secs(10))).expect("a time-out");
     let addrs = vec![receiver.local_addr().expect("an address"); 100];
     let peers = Peers::bind(Some(loopback), addrs, 0, 40.0).await.expect("a socket");
-    // A new socket may be sent on once the runtime has looked at it.
+    // The runtime must have polled a new socket before it can be sent on.
     peers.socket.as_ref().expect("a socket").writable().await.expect("a sound socket");
     for number in 0..10 {
         peers.send(Some(1), &format!("message {number}"));
--- a/crates/gateway/src/shutdown/tests.rs
+++ b/crates/gateway/src/shutdown/tests.rs
@@ -2,7 +2,7 @@
 use irishinge_admission::{ClassSettings, Idempotency};
 
 #[test]
-fn everything_is_answered_between_the_last_deadline_and_sigkill_whatever_the_classes() {
+fn requests_are_answered_between_the_longest_deadline_and_sigkill() {
     for (deadlines, kill_ms) in [(&[1200.0][..], 1900), (&[200.0, 150.0], 900), (&[2500.0, 8000.0], 3700)] {
         let class = |deadline_ms: &f64| ClassSettings {
             latency_objective_ms: 100.0,
--- a/crates/gateway/src/upstream/tests.rs
+++ b/crates/gateway/src/upstream/tests.rs
@@ -5,8 +5,7 @@
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::{Method, Uri};
-use irishinge_admission::EndpointEntry;
-use irishinge_admission::{EndpointId, EndpointState, ListKind, Outcome};
+use irishinge_admission::{EndpointEntry, EndpointId, EndpointState, ListKind, Outcome};
 use irishinge_settings::SocketSettings;
 use std::io::{Read, Write};
 use std::time::Duration;
@@ -25,9 +24,22 @@
     UpstreamPool::new(&settings, 10)
 }
 
+fn request() -> UpstreamRequest {
+    UpstreamRequest {
+        method: Method::GET,
+        uri: Uri::from_static("/"),
+        host: HeaderValue::from_static("a"),
+        call_id: HeaderValue::from_static("a"),
+        idempotency_key: None,
+        content_type: None,
+        body: Bytes::new(),
+    }
+}
+
 #[test]
-fn once_more_came_than_an_answer_connections_rest_for_a_while_and_else_they_do_not() {
-    let (reuse_delay, now) = (ReuseDelay::default(), Instant::now());
+fn reuse_is_delayed_for_a_period_after_surplus_bytes_and_not_otherwise() {
+    let reuse_delay = ReuseDelay::default();
+    let now = Instant::now();
     assert!(reuse_delay.allows_reuse(now, now), "nothing has happened");
     reuse_delay.begin(now);
     let answered = now + Duration::from_secs(1);
@@ -38,27 +50,28 @@
     assert!(reuse_delay.allows_reuse(later, later), "it is over");
 }
 
-/// The second copy is there when the connection is put by, or comes when it lies there, or is no answer at all.
+/// The surplus is there when the connection becomes idle, or arrives while it is idle, or is no response at all.
 #[tokio::test]
-async fn more_than_an_answer_makes_wary_whenever_it_comes() {
+async fn surplus_bytes_begin_the_reuse_delay_whenever_they_arrive() {
     for more in [false, true] {
         let pool = pool();
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("bound");
-        let (link, accepted) = tokio::join!(HttpConnection::connect(addr), listener.accept());
-        let (mut link, (far, _)) = (link.expect("a connection"), accepted.expect("a connection"));
+        let (connection, accepted) = tokio::join!(HttpConnection::connect(addr), listener.accept());
+        let mut connection = connection.expect("a connection");
+        let (far, _) = accepted.expect("a connection");
         let mut far = far.into_std().expect("a socket");
         far.set_nonblocking(false).expect("a socket");
-        assert!(pool.is_usable(&mut link));
+        assert!(pool.is_usable(&mut connection));
         if more {
             far.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("written");
         }
-        // The close comes behind it: once seen, all has come.
+        // The close follows it: once it is seen, all has arrived.
         far.shutdown(std::net::Shutdown::Write).expect("a close");
-        while pool.is_usable(&mut link) {
+        while pool.is_usable(&mut connection) {
             tokio::task::yield_now().await;
         }
-        drop(link);
+        drop(connection);
         assert!(matches!(far.read(&mut [0; 16]), Ok(0) | Err(_)));
         let now = Instant::now();
         assert_eq!(pool.reuse_delay.allows_reuse(now, now), !more);
@@ -66,26 +79,18 @@
 }
 
 /// The list expires while a connection comes up, or just before a pooled one is used: nothing is written, and the
-/// host is not to blame.
+/// endpoint is not blamed.
 #[tokio::test]
-async fn nothing_is_sent_by_a_list_that_has_expired() {
+async fn nothing_is_sent_by_an_expired_list() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let (pool, addr, id) = (pool(), listener.local_addr().expect("bound"), EndpointId(1));
+    let addr = listener.local_addr().expect("bound");
+    let (pool, id) = (pool(), EndpointId(1));
     let state = EndpointState::Ready;
     let entry = EndpointEntry { id, zone: 0, kind: 0, cell: 0, state, started_at_ms: None };
     pool.apply_list(ListKind::Whole, &[DiscoveredEndpoint { entry, address: addr }]);
-    let value = || HeaderValue::from_static("a");
-    let request = UpstreamRequest {
-        method: Method::GET,
-        uri: Uri::from_static("/"),
-        host: value(),
-        call_id: value(),
-        idempotency_key: None,
-        content_type: None,
-        body: Bytes::new(),
-    };
+    let request = request();
     let until = Instant::now() + Duration::from_secs(60);
-    // It expires once the attempt has begun, whose connection is then kept for the next.
+    // The list expires once the attempt has begun, whose connection is then kept for the next.
     for pooled in [false, true] {
         pool.set_lease_end(until);
         let attempt = pool.attempt(id, &request, until, || true);
@@ -97,11 +102,11 @@
     let mut far = far.into_std().expect("a socket");
     far.set_nonblocking(false).expect("a socket");
     assert!(matches!(far.read(&mut [0; 16]), Ok(0)), "nothing was written");
-    // With a list that holds the same attempt is sent.
+    // While the list holds, the same attempt is sent.
     pool.set_lease_end(until);
     let (attempt, answered) = tokio::join!(pool.attempt(id, &request, until, || true), async {
         let (far, _) = listener.accept().await?;
-        // It may be called readable before it is.
+        // It may be reported readable before it is.
         while far.try_read(&mut [0; 4096]).is_err() {
             far.readable().await?;
             tokio::task::yield_now().await;
