--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,10 +1,9 @@
 //! The configuration: the file that `LB_CONFIG` names, read at the start and on SIGHUP.
 use crate::discovery::EndpointList;
 use irishinge_admission::{Settings, SettingsError};
-use irishinge_settings::{Conf, Names, SocketSettings};
+use irishinge_settings::{Names, SettingsDocument, SettingsDocumentError, SocketSettings};
 use serde::Deserialize;
 use std::env;
-use std::error::Error;
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
@@ -48,7 +47,7 @@
     #[serde(default)]
     peers: Vec<SocketAddr>,
     known: Option<EndpointList>,
-    settings: Conf,
+    settings: SettingsDocument,
 }
 
 #[derive(Deserialize)]
@@ -94,7 +93,7 @@
     Seed(#[source] ParseIntError),
     /// `settings` cannot be translated.
     #[error("settings")]
-    Settings(#[source] Box<dyn Error + Send + Sync>),
+    Settings(#[from] SettingsDocumentError),
     /// The decision library refuses the settings.
     #[error("settings")]
     Refused(#[from] SettingsError),
@@ -128,10 +127,8 @@
     fn parse(text: &[u8]) -> Result<Self, InvalidConfig> {
         let file: File = serde_json::from_slice(text)?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(InvalidConfig::Seed)?;
-        let socket_settings =
-            file.settings.socket_settings().map_err(|error| InvalidConfig::Settings(error.into()))?;
-        let (settings, names) =
-            file.settings.translate().map_err(|error| InvalidConfig::Settings(error.into()))?;
+        let socket_settings = file.settings.socket_settings()?;
+        let (settings, names) = file.settings.translate()?;
         settings.check()?;
         if file.limits.sockets < MIN_SOCKETS {
             return Err(InvalidConfig::TooFewSockets(file.limits.sockets));
--- a/crates/gateway/src/discovery/refresh_policy.rs
+++ b/crates/gateway/src/discovery/refresh_policy.rs
@@ -2,7 +2,7 @@
 //! service for the whole fleet.
 use super::list_lease::LEASE_DURATION;
 use crate::clock::duration_from_ms;
-use irishinge_settings::{Lists, SocketSettings};
+use irishinge_settings::{DiscoveryMode, SocketSettings};
 use std::time::Duration;
 
 /// Where lists are pushed, the agent answers at once and at no cost, and a change counts as known as soon as the
@@ -53,9 +53,9 @@
 impl RefreshPolicy {
     /// The policy that the settings ask for, in a fleet of `gateways`.
     pub(crate) fn new(settings: &SocketSettings, gateways: usize) -> Self {
-        match settings.lists {
-            Lists::Pushed => Self::for_pushed_lists(duration_from_ms(settings.drain_grace_ms)),
-            Lists::Asked => Self::for_requested_lists(gateways),
+        match settings.discovery_mode {
+            DiscoveryMode::Pushed => Self::for_pushed_lists(duration_from_ms(settings.drain_grace_ms)),
+            DiscoveryMode::OnRequest => Self::for_requested_lists(gateways),
         }
     }
 
--- a/crates/gateway/src/discovery/tests/mod.rs
+++ b/crates/gateway/src/discovery/tests/mod.rs
@@ -8,24 +8,24 @@
 use super::error::{CallError, DiscoveryError};
 use super::refresh_policy::RefreshPolicy;
 use super::refresh_schedule::RefreshSchedule;
-use irishinge_settings::{Lists, SocketSettings};
+use irishinge_settings::{DiscoveryMode, SocketSettings};
 use std::io;
 use tokio::time::Instant;
 
-fn policy(lists: Lists, gateways: usize, drain_grace_ms: f64) -> RefreshPolicy {
+fn policy(mode: DiscoveryMode, gateways: usize, drain_grace_ms: f64) -> RefreshPolicy {
     let settings = SocketSettings {
-        conn_idle_ms: 1000.0,
+        idle_connection_timeout_ms: 1000.0,
         connect_timeout_ms: 250.0,
-        retry_after: true,
-        count_limit_ms: 50.0,
-        lists,
+        retry_after_enabled: true,
+        counter_timeout_ms: 50.0,
+        discovery_mode: mode,
         drain_grace_ms,
     };
     RefreshPolicy::new(&settings, gateways)
 }
 
 fn schedule_for_requested_lists(gateways: usize, seed: u64, now: Instant) -> RefreshSchedule {
-    RefreshSchedule::new(policy(Lists::Asked, gateways, 2000.0), seed, now)
+    RefreshSchedule::new(policy(DiscoveryMode::OnRequest, gateways, 2000.0), seed, now)
 }
 
 /// Discovery is down: an attempt to connect that began then has failed.
--- a/crates/gateway/src/startup.rs
+++ b/crates/gateway/src/startup.rs
@@ -75,7 +75,7 @@
     let accepted_per_second = settings.peer_messages_per_second;
     let peers =
         Rc::new(Peers::bind(config.peer_listen, config.peers, settings.me, accepted_per_second).await?);
-    let quota_counter = QuotaCounter::new(config.counter, socket_settings.count_limit_ms);
+    let quota_counter = QuotaCounter::new(config.counter, socket_settings.counter_timeout_ms);
     let dispatcher = Dispatcher::new(gateway, clock, config.names, upstream, peers.clone(), quota_counter);
     let known_revision = restore_known_list(&dispatcher, config.known);
 
@@ -85,7 +85,7 @@
     let (discovery_addr, watched_addr) = watch::channel(config.discovery);
     let downstream_settings = DownstreamSettings {
         admission: settings,
-        sends_retry_after: socket_settings.retry_after,
+        sends_retry_after: socket_settings.retry_after_enabled,
         max_connections: budget.downstream,
     };
     let downstream = DownstreamServer::new(dispatcher.clone(), downstream_settings);
