Test that every log statement has its line in docs/LOGS.md

The table of log lines could fall behind the code without anybody noticing. The test reads level, target and message of each tracing call in the gateway's sources and looks for the row that begins with them. Tried by changing the message of fourteen rows, one at a time: the test failed each time.

--- a/crates/gateway/src/logging/tests.rs
+++ b/crates/gateway/src/logging/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use std::cell::Cell;
+use std::path::Path;
 
 /// A writer that keeps what is written.
 #[derive(Clone, Default)]
@@ -96,3 +97,41 @@
     assert_eq!(limit.take_dropped(), 15);
     assert_eq!(limit.take_dropped(), 0);
 }
+
+/// The level, target and message of each log statement below a directory.
+fn logged_below(directory: &Path, found: &mut Vec<(String, String, String)>) {
+    for entry in std::fs::read_dir(directory).expect("a directory") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            logged_below(&path, found);
+        } else if !path.ends_with("logging/tests.rs") {
+            let text = std::fs::read_to_string(&path).expect("a source file");
+            found.extend(text.split("tracing::").skip(1).filter_map(statement));
+        }
+    }
+}
+
+/// Reads `warn!(target: target::NAME, fields, "message")`; none where it is no log statement.
+fn statement(text: &str) -> Option<(String, String, String)> {
+    let (level, rest) = text.split_once("!(")?;
+    let level = ["error", "warn", "info"].into_iter().find(|known| *known == level)?.to_uppercase();
+    let (arguments, _) = rest.split_once(");").unwrap_or((rest, ""));
+    let (_, target) = arguments.split_once("target::").expect("a target");
+    let target = target.split(',').next().expect("a name").to_lowercase();
+    let message = arguments.rsplit('"').nth(1).expect("a message");
+    Some((level, target, message.to_string()))
+}
+
+#[test]
+fn every_log_statement_has_a_line_in_the_documentation() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let table = std::fs::read_to_string(root.join("../../docs/LOGS.md")).expect("docs/LOGS.md");
+    let mut found = Vec::new();
+    logged_below(&root.join("src"), &mut found);
+    assert!(found.len() >= 17, "{found:?}");
+    for (level, target, message) in found {
+        let text = message.split('{').next().expect("a beginning").trim_end();
+        let row = format!("| {level} | {target} | {text}");
+        assert!(table.contains(&row), "docs/LOGS.md has no line {row}");
+    }
+}
