--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,9 +1,11 @@
-//! The gateway's clock: Unix milliseconds at the start, and from there on only forward.
+//! The gateway's clock: Unix milliseconds, read once at the start and monotonic from then on.
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
-/// Anchored once, so that discovery's `boot_ms` can be compared with it, and monotonic from then on, since
-/// the system's time of day may be set back.
+/// A monotonic clock that counts Unix milliseconds.
+///
+/// It is anchored to the system's time of day once, so that discovery's `boot_ms` can be compared with it. After that
+/// it follows the monotonic clock, because the time of day may be set back.
 #[derive(Clone, Copy)]
 pub(crate) struct Clock {
     start: Instant,
@@ -11,7 +13,7 @@
 }
 
 impl Clock {
-    /// Anchors the clock.
+    /// Anchors the clock to the present time of day.
     pub(crate) fn start() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { start: Instant::now(), start_ms: unix.as_secs_f64() * 1000.0 }
@@ -22,13 +24,13 @@
         self.start_ms + self.start.elapsed().as_secs_f64() * 1000.0
     }
 
-    /// The instant of a time in milliseconds; one before the start is the start.
+    /// Converts a time of this clock to an instant. A time before the start is converted to the start.
     pub(crate) fn instant(&self, at_ms: f64) -> Instant {
         self.start + duration_from_ms(at_ms - self.start_ms)
     }
 }
 
-/// A duration of milliseconds: none where negative or no number, a day at most.
+/// Converts milliseconds to a duration. Negative figures and NaN become zero, and a day is the maximum.
 pub(crate) fn duration_from_ms(ms: f64) -> Duration {
     Duration::from_secs_f64((ms / 1000.0).clamp(0.0, 86_400.0).max(0.0))
 }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,4 +1,4 @@
-//! The configuration: the file that `LB_CONFIG` names, read at the start and on SIGHUP.
+//! The configuration: the JSON file that `LB_CONFIG` names, read at startup and on SIGHUP.
 use crate::discovery::EndpointList;
 use irishinge_admission::{Settings, SettingsError};
 use irishinge_settings::{Names, SettingsDocument, SettingsDocumentError, SocketSettings};
@@ -9,19 +9,19 @@
 use std::net::SocketAddr;
 use std::num::ParseIntError;
 
-/// The configuration, read and checked.
+/// A validated configuration.
 pub(crate) struct Config {
-    /// Where clients connect.
+    /// The address that clients connect to.
     pub listen: SocketAddr,
     /// Discovery's address.
     pub discovery: SocketAddr,
-    /// The quota counter's address, where there is one.
+    /// The quota counter's address, if the fleet has one.
     pub counter: Option<SocketAddr>,
     /// The seed of random numbers.
     pub seed: u64,
     /// File descriptors the process may hold.
     pub sockets: usize,
-    /// The address that peers' messages arrive at; none where there are no peers.
+    /// The address that receives peers' messages, or `None` if there are no peers.
     pub peer_listen: Option<SocketAddr>,
     /// The address of each gateway, by its number.
     pub peers: Vec<SocketAddr>,
@@ -55,16 +55,16 @@
     sockets: usize,
 }
 
-/// Fewer descriptors than this leave no room for connections of clients and to endpoints.
+/// With fewer descriptors there would be too few connections for clients and endpoints.
 const MIN_SOCKETS: usize = 64;
 
-/// Why there is no configuration.
+/// Why the configuration could not be loaded.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum ConfigError {
-    /// The file is not named.
+    /// The environment variable that names the file is missing or not UTF-8.
     #[error("LB_CONFIG does not name the configuration file")]
     NoPath(#[source] env::VarError),
-    /// The file cannot be read.
+    /// The file could not be read.
     #[error("cannot read the configuration {path}")]
     Unreadable {
         /// The file.
@@ -72,7 +72,7 @@
         /// Why.
         source: io::Error,
     },
-    /// The file cannot be used.
+    /// The file's content is invalid.
     #[error("cannot use the configuration {path}")]
     Invalid {
         /// The file.
@@ -82,40 +82,40 @@
     },
 }
 
-/// What in a configuration is wrong.
+/// What is wrong with a configuration's content.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum InvalidConfig {
-    /// It is not JSON, or not of the form that is asked for.
+    /// It is not JSON, or a field is missing or has the wrong type.
     #[error(transparent)]
     Form(#[from] serde_json::Error),
-    /// `seed` is not a number.
+    /// `seed` is not a hexadecimal number.
     #[error("seed is not a hexadecimal number of 64 bits")]
     Seed(#[source] ParseIntError),
-    /// `settings` cannot be translated.
+    /// `settings` says something that the gateway cannot act on.
     #[error("settings")]
     Settings(#[from] SettingsDocumentError),
-    /// The decision library refuses the settings.
+    /// The decision library rejected the settings.
     #[error("settings")]
     Refused(#[from] SettingsError),
     /// `limits.sockets` is too low.
     #[error("limits.sockets is {0}, but must be at least {MIN_SOCKETS}")]
     TooFewSockets(usize),
-    /// `peers` does not name each gateway.
+    /// `peers` does not list every gateway of the fleet.
     #[error("peers has {peers} addresses, but settings.balancers is {gateways}")]
     PeerCount {
-        /// Addresses in `peers`.
+        /// The number of addresses in `peers`.
         peers: usize,
-        /// Gateways in the settings.
+        /// The number of gateways in the settings.
         gateways: usize,
     },
 }
 
 impl Config {
-    /// Reads the file that `LB_CONFIG` names.
+    /// Reads and validates the file that `LB_CONFIG` names.
     ///
     /// # Errors
     ///
-    /// When there is no such file, or it cannot be used.
+    /// Fails if the file is not named, cannot be read, or is invalid.
     pub(crate) fn load() -> Result<Self, ConfigError> {
         let path = env::var("LB_CONFIG").map_err(ConfigError::NoPath)?;
         match fs::read(&path) {
--- a/crates/gateway/src/connection_budget.rs
+++ b/crates/gateway/src/connection_budget.rs
@@ -3,14 +3,14 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// The connections of one kind, and how many there may be.
+/// Counts the open connections of one kind against a limit.
 pub(crate) struct ConnectionBudget {
     open: Rc<Cell<usize>>,
     limit: usize,
 }
 
 impl ConnectionBudget {
-    /// None is open yet.
+    /// Creates a budget of `limit` connections, none of them open yet.
     pub(crate) fn new(limit: usize) -> Self {
         ConnectionBudget { open: Rc::default(), limit }
     }
@@ -20,7 +20,7 @@
         self.open.get() >= self.limit
     }
 
-    /// The permit for one more connection; none where the budget is exhausted.
+    /// Returns a permit for one more connection, or `None` if the budget is exhausted.
     pub(crate) fn try_acquire(&self) -> Option<ConnectionPermit> {
         if self.is_exhausted() {
             return None;
@@ -47,7 +47,7 @@
 }
 
 impl PooledConnection {
-    /// A connection that holds this permit.
+    /// Ties a connection to its permit.
     pub(crate) fn new(connection: HttpConnection, permit: ConnectionPermit) -> Self {
         PooledConnection { connection, _permit: permit }
     }
--- a/crates/gateway/src/descriptor_budget.rs
+++ b/crates/gateway/src/descriptor_budget.rs
@@ -1,27 +1,27 @@
-//! How the file descriptors that the process may hold (`limits.sockets`) are divided, so that clients cannot take what
-//! endpoints' connections need, nor either what the process itself needs.
+//! Divides the file descriptors that the process may hold (`limits.sockets`), so that clients cannot exhaust those that
+//! connections to endpoints need, and neither can exhaust those that the process itself needs.
 use crate::{downstream, quota_counter};
 
-/// Part of the descriptors that are left for connections which clients get; the rest is for endpoints.
+/// The share of the unreserved descriptors that clients' connections get. Connections to endpoints get the rest.
 const DOWNSTREAM_FRACTION: f64 = 0.6;
 
-/// Descriptors that connections of clients and of endpoints cannot take.
+/// Descriptors that are kept out of the division between clients and endpoints.
 struct Reserved {
     /// Standard input, output and error.
     standard_streams: usize,
-    /// What the runtime holds: epoll twice, its waker, and three ends of the signals' socket pair.
+    /// Those of the runtime: two for epoll, one for its waker, and three ends of the signal handler's socket pair.
     runtime: usize,
     /// The clients' listener and the peers' socket.
     listeners: usize,
-    /// The connection to the old address of discovery and to the new one.
+    /// One connection to discovery's previous address and one to its new address, which overlap after SIGHUP.
     discovery: usize,
-    /// The configuration while it is read.
+    /// The configuration file while it is read.
     configuration: usize,
-    /// A connection that was accepted and is dropped, and one to spare.
+    /// A connection that was accepted only to be closed, and one to spare.
     shed_connections: usize,
     /// Connections to the quota counter.
     quota_counter: usize,
-    /// Clients' connections beyond their bound, over which requests are rejected.
+    /// Clients' connections beyond their limit, accepted only to reject the requests on them.
     rejecting_connections: usize,
 }
 
@@ -49,16 +49,16 @@
     }
 }
 
-/// How many connections clients and endpoints may have.
+/// The maximum numbers of connections from clients and to endpoints.
 pub(crate) struct DescriptorBudget {
-    /// Clients' connections, besides those over which requests are rejected.
+    /// Connections from clients, not counting those that are accepted only to reject requests.
     pub downstream: usize,
     /// Connections to endpoints.
     pub upstream: usize,
 }
 
 impl DescriptorBudget {
-    /// Divides `limit` descriptors, which must be more than are reserved.
+    /// Divides `limit` descriptors. The configuration guarantees that `limit` exceeds the reserved number.
     pub(crate) fn new(limit: usize) -> Self {
         let available = limit - RESERVED.total();
         let downstream = (available as f64 * DOWNSTREAM_FRACTION) as usize;
--- a/crates/gateway/src/dispatcher/actions.rs
+++ b/crates/gateway/src/dispatcher/actions.rs
@@ -1,4 +1,4 @@
-//! Carries out what the decision library asks for.
+//! Carries out the actions of the decision library.
 use super::active_call::{Attempt, EndedAttempt, FinalResponse};
 use super::timers::Due;
 use super::{Dispatcher, State};
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 impl Dispatcher {
-    /// Carries out one action. Events that it brings about at once are queued in `state`.
+    /// Carries out one action. Events that it causes at once are queued in `state`.
     pub(super) fn carry_out(self: &Rc<Self>, state: &mut State, action: Action) {
         match action {
             Action::Send { request, endpoint, timeout_ms } => self.send(state, request, endpoint, timeout_ms),
@@ -26,7 +26,7 @@
             Action::Log { line } => tracing::warn!(target: target::DISPATCHER, "{line}"),
             Action::Probe { endpoint } => refuse_probe(state, endpoint),
             Action::AddToCounter { name, amount, ttl_ms } => self.add_to_counter(name, amount, ttl_ms),
-            // The list is always watched, so there is nothing to start or to fetch.
+            // Discovery is always watched, so there is nothing to subscribe to or to fetch.
             Action::Subscribe { .. } | Action::FetchList => {}
         }
     }
@@ -67,7 +67,7 @@
     }
 }
 
-/// Gives a request its final response, unless it has one.
+/// Gives a call its final response, unless it has one.
 fn respond(state: &mut State, request: RequestId, response: FinalResponse) {
     let Some(call) = state.calls.get_mut(&request) else { return };
     if let Some(responder) = call.take_responder() {
@@ -78,7 +78,7 @@
     }
 }
 
-/// Ends an attempt in flight.
+/// Cancels an attempt in flight.
 fn cancel(state: &mut State, request: RequestId, index: usize) {
     let Some(call) = state.calls.get_mut(&request) else { return };
     let Some(attempt) = call.take_attempt(index) else { return };
@@ -93,7 +93,7 @@
     state.events.push_back(ended.into_event_without_response(Outcome::Cancelled));
 }
 
-/// The decision library asks for no probes today. Should it, it learns that this one led to nothing.
+/// Reports a probe as not sent. The decision library requests none at present.
 fn refuse_probe(state: &mut State, endpoint: EndpointId) {
     tracing::error!(
         target: target::DISPATCHER,
--- a/crates/gateway/src/dispatcher/active_call.rs
+++ b/crates/gateway/src/dispatcher/active_call.rs
@@ -1,4 +1,4 @@
-//! A request in work: the right to answer it, and its attempts.
+//! The state of an active call: the channel for its response, and its attempts.
 use crate::clock::duration_from_ms;
 use crate::upstream::{AttemptResult, UpstreamRequest};
 use bytes::Bytes;
@@ -9,26 +9,26 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-/// The final response to a request.
+/// The final response to a call.
 pub(crate) enum FinalResponse {
-    /// Served with an endpoint's response.
+    /// An endpoint's response.
     Served(Response<Bytes>),
-    /// Rejected: trying again is harmless.
+    /// The call was rejected and never processed, so that a retry is safe.
     Rejected {
-        /// When to come back.
+        /// How long the client should wait before a retry.
         retry_after_ms: Option<f64>,
     },
-    /// Failed: it may have been processed or not.
+    /// The call failed, and may have been processed.
     Failed,
 }
 
-/// The right to give a request its final response. Using it consumes it, so there can be no second response.
+/// Sends a call's final response. Sending consumes it, so that there can be no second response.
 pub(super) struct Responder(oneshot::Sender<FinalResponse>);
 
 impl Responder {
-    /// Gives the request its final response.
+    /// Sends the final response.
     pub(super) fn respond(self, response: FinalResponse) {
-        // A client that has gone does not take it, and is reported by its connection.
+        // Fails only if the client has disconnected, which its connection reports.
         let _ = self.0.send(response);
     }
 }
@@ -37,7 +37,7 @@
 pub(super) struct Attempt {
     pub(super) endpoint: EndpointId,
     pub(super) sent_at: Instant,
-    /// Ends the attempt, and with it its connection, which is how an endpoint learns of it.
+    /// Aborting the task closes the attempt's connection, which cancels the request at the endpoint.
     pub(super) task: AbortHandle,
 }
 
@@ -47,18 +47,18 @@
     }
 }
 
-/// A request that has no final response, or that has attempts in flight.
+/// A call that waits for its response or has attempts in flight.
 pub(super) struct ActiveCall {
-    /// None once the request has its final response or its client has gone.
+    /// `None` once the call has its response or its client has disconnected.
     responder: Option<Responder>,
     pub(super) request: Rc<UpstreamRequest>,
     deadline: Instant,
-    /// By index; none where the attempt has ended.
+    /// Indexed in the order sent; `None` if the attempt has ended.
     attempts: Vec<Option<Attempt>>,
 }
 
 impl ActiveCall {
-    /// A request that must have its response by `deadline`.
+    /// Creates a call without attempts that must have its response by `deadline`.
     pub(super) fn new(
         responder: oneshot::Sender<FinalResponse>,
         request: UpstreamRequest,
@@ -72,22 +72,22 @@
         }
     }
 
-    /// Whether the request still waits for its response.
+    /// Whether the call still waits for its response.
     pub(super) fn awaits_response(&self) -> bool {
         self.responder.is_some()
     }
 
-    /// Whether nothing is left to do: it does not wait for its response, and has no attempt in flight.
+    /// Whether the call neither waits for its response nor has an attempt in flight.
     pub(super) fn is_over(&self) -> bool {
         self.responder.is_none() && self.attempts.iter().all(Option::is_none)
     }
 
-    /// Takes the right to answer the request; none where it was used.
+    /// Takes the responder, or returns `None` if it was taken before.
     pub(super) fn take_responder(&mut self) -> Option<Responder> {
         self.responder.take()
     }
 
-    /// Whether any attempt was ever begun.
+    /// Whether any attempt was ever started.
     pub(super) fn was_attempted(&self) -> bool {
         !self.attempts.is_empty()
     }
@@ -97,17 +97,17 @@
         self.attempts.len()
     }
 
-    /// Adds the next attempt; none where it ended before it was sent.
+    /// Adds the next attempt, which is `None` if it ended before it was sent.
     pub(super) fn push_attempt(&mut self, attempt: Option<Attempt>) {
         self.attempts.push(attempt);
     }
 
-    /// Takes an attempt that has ended; none where it had ended before.
+    /// Takes an attempt that ends now, or returns `None` if it ended before.
     pub(super) fn take_attempt(&mut self, index: usize) -> Option<Attempt> {
         self.attempts.get_mut(index)?.take()
     }
 
-    /// Until when an attempt that is sent now may last; a time-out of 0 means that only the request bounds it.
+    /// The deadline of an attempt. With a timeout of 0 it is the deadline of the call.
     pub(super) fn attempt_deadline(&self, sent_at: Instant, timeout_ms: f64) -> Instant {
         if timeout_ms == 0.0 {
             self.deadline
@@ -117,18 +117,18 @@
     }
 }
 
-/// An attempt that has ended.
+/// Describes an attempt that has ended.
 pub(super) struct EndedAttempt {
     pub(super) request: RequestId,
     pub(super) index: usize,
     pub(super) endpoint: EndpointId,
     pub(super) took_ms: f64,
-    /// Whether the request has its final response, this attempt's included.
+    /// Whether the call has its final response, perhaps through this attempt.
     pub(super) request_answered: bool,
 }
 
 impl EndedAttempt {
-    /// What the decision library is told of it.
+    /// The event that reports the attempt's end to the decision library.
     pub(super) fn into_event(self, result: &AttemptResult) -> Event {
         Event::AttemptEnded(AttemptEnd {
             request: self.request,
@@ -143,7 +143,7 @@
         })
     }
 
-    /// The event of an attempt that ended without a response.
+    /// The event for an attempt that ended without a response.
     pub(super) fn into_event_without_response(self, outcome: Outcome) -> Event {
         self.into_event(&AttemptResult::without_response(outcome))
     }
--- a/crates/gateway/src/dispatcher/mod.rs
+++ b/crates/gateway/src/dispatcher/mod.rs
@@ -1,5 +1,5 @@
-//! The only owner of the decision library. The dispatcher feeds it events with a clock, carries out its actions in
-//! order, and holds the requests in work, their attempts and the right to answer them.
+//! Connects the decision library to the sockets. The dispatcher is the only owner of the library's `Gateway`: it passes
+//! events to it, carries out its actions in order, and holds the active calls with their attempts.
 mod actions;
 mod active_call;
 mod timers;
@@ -21,11 +21,11 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
 
-/// So long before a client's time runs out the dispatcher itself answers. The decision library answers sooner; this
-/// guards the rule that no request is lost, whatever the library does.
+/// How long before a request's deadline the dispatcher responds itself. The decision library normally responds sooner;
+/// this guarantees that every request gets a response, whatever the library does.
 const RESPONSE_GUARD_MS: f64 = 5.0;
 
-/// What changes with events.
+/// The state that events change.
 struct State {
     gateway: Gateway,
     events: VecDeque<Event>,
@@ -33,7 +33,7 @@
     timers: TimerQueue,
 }
 
-/// Dispatches requests to endpoints as the decision library says; all of it on one thread.
+/// Dispatches requests to endpoints as the decision library decides. Everything runs on one thread.
 pub(crate) struct Dispatcher {
     state: RefCell<State>,
     /// Wakes the timer task.
@@ -46,7 +46,7 @@
 }
 
 impl Dispatcher {
-    /// A dispatcher that has received nothing yet.
+    /// Creates a dispatcher that has handled no event yet.
     pub(crate) fn new(
         gateway: Gateway,
         clock: Clock,
@@ -68,29 +68,31 @@
         })
     }
 
-    /// The names of classes and plans.
+    /// The names that the settings give to classes, plans, zones and machine kinds.
     pub(crate) fn names(&self) -> &Names {
         &self.names
     }
 
-    /// Whether any endpoint takes requests.
+    /// Whether any endpoint accepts requests.
     pub(crate) fn has_ready_endpoint(&self) -> bool {
         self.upstream.has_ready_endpoint()
     }
 
-    /// The quota counter is at this address from now on.
+    /// Sends calls to the quota counter at this address from now on.
     pub(crate) fn set_quota_counter_addr(&self, addr: Option<SocketAddr>) {
         self.quota_counter.set_addr(addr);
     }
 
-    /// Closes idle connections that have grown old or that their far end has closed.
+    /// Closes connections that have been idle for too long or that the far end has closed.
     pub(crate) fn close_stale_connections(&self) {
         self.upstream.close_stale_connections();
         self.quota_counter.close_stale_connections();
     }
 
-    /// Takes a request in, and returns where its final response will arrive. None where a request of its id is still
-    /// in work: the client is owed one response, and sending the same request twice could have its effect twice.
+    /// Starts a call and returns the channel that its final response arrives on.
+    ///
+    /// Returns `None` if a call with the same id is active: executing the same request twice could have its effect
+    /// twice.
     pub(crate) fn on_request(
         self: &Rc<Self>,
         request: Request,
@@ -111,7 +113,7 @@
         Some(receiver)
     }
 
-    /// The client has gone; nothing happens where its request has been answered.
+    /// Ends the call of a client that has disconnected. Does nothing if the call has its response.
     pub(crate) fn on_client_gone(self: &Rc<Self>, request: RequestId) {
         let responder = self.state.borrow_mut().calls.get_mut(&request).and_then(ActiveCall::take_responder);
         if responder.is_some() {
@@ -120,13 +122,13 @@
         }
     }
 
-    /// Gives every request that is still open its final response: the process is about to end.
-    pub(crate) fn answer_all(self: &Rc<Self>) {
+    /// Gives every active call its final response, because the process is about to end.
+    pub(crate) fn respond_to_all(self: &Rc<Self>) {
         let open: Vec<RequestId> = self.state.borrow().calls.keys().copied().collect();
         open.into_iter().for_each(|request| self.give_up(request));
     }
 
-    /// Whether a request still waits for its response.
+    /// Whether a call still waits for its response.
     fn awaits_response(&self, request: RequestId) -> bool {
         self.state.borrow().calls.get(&request).is_some_and(ActiveCall::awaits_response)
     }
@@ -137,7 +139,7 @@
         }
     }
 
-    /// The final guard: answers a request that nobody has answered. It is rejected only if nothing was sent.
+    /// Responds to a call that still waits for its response. It is rejected only if nothing was ever sent.
     fn give_up(self: &Rc<Self>, request: RequestId) {
         let (responder, was_attempted) = {
             let mut state = self.state.borrow_mut();
@@ -177,7 +179,7 @@
         self.forget_if_over(request);
     }
 
-    /// Drops what is kept of a request once it is answered and has no attempt in flight.
+    /// Removes a call that has its response and no attempt in flight.
     fn forget_if_over(&self, request: RequestId) {
         let mut state = self.state.borrow_mut();
         if state.calls.get(&request).is_some_and(ActiveCall::is_over) {
@@ -185,7 +187,8 @@
         }
     }
 
-    /// Delivers an event to the decision library, and those that carrying out its actions brings about.
+    /// Passes an event to the decision library and carries out its actions, and so on with the events that the actions
+    /// cause at once.
     fn on_event(self: &Rc<Self>, event: Event) {
         let mut state = self.state.borrow_mut();
         let mut actions = Vec::new();
--- a/crates/gateway/src/dispatcher/timers.rs
+++ b/crates/gateway/src/dispatcher/timers.rs
@@ -1,4 +1,4 @@
-//! What the dispatcher does at a given time: the decision library's timers and the guards of requests' deadlines.
+//! Timers: those that the decision library sets, and the guards of calls' deadlines.
 use super::Dispatcher;
 use irishinge_admission::{Event, RequestId};
 use std::cmp::Reverse;
@@ -6,24 +6,24 @@
 use std::rc::Rc;
 use tokio::time::{sleep_until, Instant};
 
-/// What is due at a time.
+/// What happens when a timer expires.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Due {
-    /// A timer of the decision library, with its token.
+    /// The decision library's timer with this token expires.
     Timer(u64),
-    /// The last moment at which a request can be answered in time.
+    /// A call must be answered now to meet its deadline.
     ResponseGuard(RequestId),
 }
 
-/// What is due, by time.
+/// Timers in the order in which they expire.
 #[derive(Default)]
 pub(super) struct TimerQueue {
     entries: BinaryHeap<Reverse<(Instant, Due)>>,
-    /// What the timer task sleeps for.
+    /// The time until which the timer task sleeps.
     armed: Option<Instant>,
 }
 
-/// Whether the timer task must wake up sooner than it would.
+/// Whether the timer task must be woken to sleep for a shorter time.
 #[derive(PartialEq, Eq)]
 pub(super) enum Rearm {
     Needed,
@@ -49,7 +49,7 @@
         self.entries.pop().map(|Reverse((_, due))| due)
     }
 
-    /// Notes that the timer task sleeps for the next entry, and returns its time.
+    /// Records that the timer task will sleep until the next entry, and returns its time.
     fn arm(&mut self) -> Option<Instant> {
         self.armed = self.entries.peek().map(|Reverse((at, _))| *at);
         self.armed
@@ -57,7 +57,7 @@
 }
 
 impl Dispatcher {
-    /// Fires timers when they are due, for good.
+    /// Runs timers as they expire. Never returns.
     pub(crate) async fn run_timers(self: Rc<Self>) {
         loop {
             match self.fire_due() {
@@ -70,7 +70,7 @@
         }
     }
 
-    /// Handles all that is due, and returns when the next entry is.
+    /// Handles all expired timers and returns when the next one expires.
     fn fire_due(self: &Rc<Self>) -> Option<Instant> {
         loop {
             let due = {
--- a/crates/gateway/src/error_chain.rs
+++ b/crates/gateway/src/error_chain.rs
@@ -1,8 +1,8 @@
-//! An error with its causes on one line, as an operator reads it.
+//! Formats an error and its causes as one line for the operator.
 use std::error::Error;
 use std::fmt;
 
-/// Displays an error, and after it each source, parted by colons.
+/// Displays an error followed by each of its sources, separated by colons.
 pub(crate) struct ErrorChain<'a>(pub &'a dyn Error);
 
 impl fmt::Display for ErrorChain<'_> {
--- a/crates/gateway/src/http_connection/mod.rs
+++ b/crates/gateway/src/http_connection/mod.rs
@@ -1,8 +1,7 @@
-//! One HTTP/1.1 client connection that carries one request at a time: to an endpoint, to discovery or to the quota
-//! counter.
+//! An HTTP/1.1 client connection that carries one request at a time, for endpoints, discovery and the quota counter.
 //!
-//! Connection and request are driven by the same future, so that dropping it closes the socket at once: no request can
-//! outlive its attempt, and nothing is sent again.
+//! The connection and the request are driven by the same future. Dropping that future closes the socket at once, so no
+//! request outlives its attempt, and nothing is ever sent again.
 mod observed_stream;
 
 use self::observed_stream::{ExchangeState, ObservedStream};
@@ -27,25 +26,26 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Sleep};
 
-/// A response's head must fit this.
+/// The maximum size of a response's head.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
-/// An endpoint writes a response in one go: one that has begun and is not whole after this will never be.
+/// How long a response may take to arrive once it has begun. Endpoints write a response in one go, so one that is
+/// incomplete after this time will never be completed.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Interim (1xx) responses ahead of one response, at most.
+/// The maximum number of interim (1xx) responses before the final one.
 const MAX_INTERIM_RESPONSES: u32 = 8;
 
-/// Why an exchange brought no whole response.
+/// Why an exchange brought no complete response.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum ExchangeError {
     /// The connection broke or ended.
     #[error("the connection was lost")]
     ConnectionLost,
-    /// What arrived is not a response, or not one within the bounds, and nothing but that ended the exchange.
+    /// The connection stayed up, but the response is malformed, incomplete or too large.
     #[error("the response is invalid")]
     InvalidResponse,
 }
 
-/// A connection that is up.
+/// An established connection.
 pub(crate) struct HttpConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: Pin<Box<http1::Connection<TokioIo<ObservedStream>, Full<Bytes>>>>,
@@ -53,8 +53,8 @@
     state: Rc<ExchangeState>,
 }
 
-/// Says whether a byte of a connection's present request has been written, also after the exchange was given up. A
-/// partly written request counts as written: when in doubt, it may have been processed.
+/// Tells whether any byte of a connection's current request has been written, even after its exchange was dropped. A
+/// partly written request counts as written, because it may have been processed.
 pub(crate) struct WriteStatus(Rc<ExchangeState>);
 
 impl WriteStatus {
@@ -65,11 +65,11 @@
 }
 
 impl HttpConnection {
-    /// Connects.
+    /// Establishes a connection.
     ///
     /// # Errors
     ///
-    /// What the operating system says of the connection.
+    /// Returns the operating system's error if the connection cannot be established.
     pub(crate) async fn connect(addr: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
@@ -81,35 +81,36 @@
         Ok(HttpConnection { sender, driver: Box::pin(driver), stream, state })
     }
 
-    /// What says whether the present request was written.
+    /// Returns a handle that tells whether the current request was written.
     pub(crate) fn write_status(&self) -> WriteStatus {
         WriteStatus(self.state.clone())
     }
 
-    /// Whether the connection can carry another request: the far end may have closed it meanwhile, or sent more than
-    /// belonged to its last response, which would be taken for the next one. The runtime may not have noticed either
-    /// yet, so the socket itself is asked too.
+    /// Whether the connection can carry another request.
+    ///
+    /// The far end may have closed it, or may have sent surplus bytes after its last response, which would be taken for
+    /// the next one. The runtime may not have noticed either yet, so this looks at the socket itself too.
     pub(crate) fn is_usable(&mut self) -> bool {
         let mut cx = Context::from_waker(Waker::noop());
         self.state.response_begun.set(false);
         let idle = self.driver.as_mut().poll(&mut cx).is_pending() && self.sender.is_ready();
-        // hyper may have read bytes in this very turn that it would complain of in the next.
+        // hyper may have read bytes during this poll that it would report as an error only in the next.
         let waiting = SockRef::from(&*self.stream.borrow()).peek(&mut [MaybeUninit::uninit()]);
         let surplus = self.state.response_begun.get() || matches!(waiting, Ok(1));
         self.state.surplus_received.set(surplus);
         idle && !surplus && matches!(waiting, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Whether what made the connection unusable when that was last asked was more than belonged to its response.
+    /// Whether [`is_usable`](Self::is_usable), when it was last called, found surplus bytes.
     pub(crate) fn received_surplus(&self) -> bool {
         self.state.surplus_received.get()
     }
 
-    /// Sends a request and waits for the whole response.
+    /// Sends a request and waits for the complete response.
     ///
     /// # Errors
     ///
-    /// When no whole response arrives, or one beyond the bounds. The connection is then of no further use.
+    /// Fails if no complete response arrives or it exceeds a limit. The connection cannot be used again then.
     pub(crate) async fn exchange(
         &mut self,
         mut request: Request<Full<Bytes>>,
@@ -128,8 +129,8 @@
             if let Poll::Ready(response) = response.as_mut().poll(cx) {
                 return Poll::Ready(response.ok_or_else(|| failure(state)));
             }
-            // The driver writes what the request queued, and a response that it reads is taken up in the same turn.
-            // Once it has ended, it must not be polled again.
+            // The driver writes the queued request, and reads a response that the second poll below picks up. Once it
+            // has ended, it must not be polled again.
             if !driver_ended {
                 driver_ended = driver.as_mut().poll(cx).is_ready();
             }
@@ -145,13 +146,13 @@
     }
 }
 
-/// Reads a response with its body; none where it cannot be read or is too large.
+/// Reads a response with its body. Returns `None` if it cannot be read or is too large.
 async fn read_response(
     response: impl Future<Output = hyper::Result<Response<Incoming>>>,
     max_body_bytes: usize,
 ) -> Option<Response<Bytes>> {
     let (head, body) = response.await.ok()?.into_parts();
-    // A body whose announced length is too large is not waited for.
+    // Not even begun if the announced length is too large.
     if body.size_hint().lower() > max_body_bytes as u64 {
         return None;
     }
@@ -166,7 +167,7 @@
     }
 }
 
-/// Bounds how long a response that has begun may take, and how many interim responses may precede it.
+/// Limits the duration of a response once it has begun, and the number of interim responses before it.
 #[derive(Default)]
 struct ResponseWatchdog {
     interim_seen: u32,
@@ -174,11 +175,11 @@
 }
 
 impl ResponseWatchdog {
-    /// Ready with the error when a bound is passed.
+    /// Returns the error once a limit is exceeded.
     fn poll(&mut self, cx: &mut Context<'_>, state: &ExchangeState) -> Poll<ExchangeError> {
         let interim = state.interim_responses.load(Relaxed);
         if interim > self.interim_seen {
-            // What arrived was an interim response; the final one has not begun.
+            // Only an interim response has arrived: the final one has not begun.
             self.interim_seen = interim;
             self.timeout = None;
             state.response_begun.set(false);
--- a/crates/gateway/src/http_connection/observed_stream.rs
+++ b/crates/gateway/src/http_connection/observed_stream.rs
@@ -1,4 +1,4 @@
-//! A TCP stream that records what passes over it during an exchange, for the questions that hyper does not answer.
+//! A TCP stream that records the progress of an exchange, which hyper does not report.
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
@@ -9,23 +9,24 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// What is known of a connection's present exchange besides its response.
+/// The recorded progress of a connection's current exchange.
 #[derive(Default)]
 pub(super) struct ExchangeState {
-    /// A byte of the request was written.
+    /// Whether any byte of the request was written.
     pub(super) request_begun: Cell<bool>,
-    /// A byte of the response has arrived.
+    /// Whether any byte of the response has arrived.
     pub(super) response_begun: Cell<bool>,
-    /// The far end has closed, or the connection broke.
+    /// Whether the far end has closed the connection, or it broke.
     pub(super) connection_ended: Cell<bool>,
-    /// More has arrived than belonged to the last response.
+    /// Whether bytes have arrived that did not belong to the last response.
     pub(super) surplus_received: Cell<bool>,
-    /// Interim responses that arrived; behind an `Arc` only because hyper calls back through one.
+    /// The number of interim responses that arrived. It is shared through an `Arc` because hyper's callback must be
+    /// `Send` and `Sync`.
     pub(super) interim_responses: Arc<AtomicU32>,
 }
 
 impl ExchangeState {
-    /// Begins a new exchange.
+    /// Resets the progress for a new exchange.
     pub(super) fn reset(&self) {
         self.request_begun.set(false);
         self.response_begun.set(false);
@@ -33,15 +34,15 @@
     }
 }
 
-/// A socket that records what passes over it. It is shared so that its connection can look at it while hyper owns the
-/// rest.
+/// A stream that records the progress of its exchange. The socket is shared, so that the connection can inspect it
+/// while hyper owns this stream.
 pub(super) struct ObservedStream {
     stream: Rc<RefCell<TcpStream>>,
     state: Rc<ExchangeState>,
 }
 
 impl ObservedStream {
-    /// Records what passes over `stream` in `state`.
+    /// Wraps `stream` and records progress in `state`.
     pub(super) fn new(stream: Rc<RefCell<TcpStream>>, state: Rc<ExchangeState>) -> Self {
         ObservedStream { stream, state }
     }
--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -1,9 +1,9 @@
-//! Log lines on standard error, at most [`MAX_LINES_PER_SECOND`] of them: trouble that comes with every request must
-//! not fill the disk. A line over the limit is counted before anything of it is formatted, and the next line that is
-//! written is preceded by that count. `docs/LOGS.md` lists every line.
+//! Writes log lines to standard error, at most [`MAX_LINES_PER_SECOND`] of them, so that a fault that recurs with every
+//! request cannot fill the disk. A line over the limit is dropped before it is formatted, and the next line that is
+//! written is preceded by the number dropped. `docs/LOGS.md` lists every line.
 //!
-//! A line is `irishinge: LEVEL TARGET: MESSAGE FIELD=VALUE...`, without colours and without a time, which the process
-//! supervisor adds.
+//! A line has the form `irishinge: LEVEL TARGET: MESSAGE FIELD=VALUE...`. It has no colours, and no time: the process
+//! supervisor adds that.
 use std::fmt;
 use std::io;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -15,35 +15,35 @@
 use tracing_subscriber::layer::{Context, Layer, SubscriberExt};
 use tracing_subscriber::registry::{LookupSpan, Registry};
 
-/// What a line is about, as the operator knows it. Lines name one of these as their target.
+/// The targets of log lines: the parts of the gateway as an operator knows them.
 pub(crate) mod target {
-    /// Starting, reloading the configuration and ending.
+    /// Startup, reload and shutdown.
     pub(crate) const LIFECYCLE: &str = "lifecycle";
     /// Clients' connections.
     pub(crate) const DOWNSTREAM: &str = "downstream";
-    /// The endpoint list and the service that it comes from.
+    /// The endpoint list and the service that publishes it.
     pub(crate) const DISCOVERY: &str = "discovery";
     /// Messages between gateways.
     pub(crate) const PEERS: &str = "peers";
-    /// Requests between the decision library and the sockets.
+    /// The execution of the decision library's actions.
     pub(crate) const DISPATCHER: &str = "dispatcher";
 }
 
-/// Lines in a second; further ones are counted only.
+/// Lines over this number in a period are dropped and counted.
 const MAX_LINES_PER_SECOND: u32 = 10;
-/// The period that the limit is for.
+/// The period of the limit.
 const PERIOD: Duration = Duration::from_secs(1);
 
-/// Sends what the process logs from now on to standard error.
+/// Installs the process's log subscriber, which writes to standard error.
 ///
 /// # Errors
 ///
-/// When it was called before.
+/// Fails if a subscriber is already installed.
 pub(crate) fn init() -> Result<(), SetGlobalDefaultError> {
     set_global_default(limited_subscriber(io::stderr))
 }
 
-/// A subscriber that writes lines within the limit.
+/// Creates a subscriber that writes lines within the limit.
 fn limited_subscriber<W>(writer: W) -> impl Subscriber + Send + Sync
 where
     W: for<'writer> MakeWriter<'writer> + Send + Sync + 'static,
@@ -52,12 +52,12 @@
     let lines = tracing_subscriber::fmt::layer()
         .event_format(LineFormat { limit: limit.clone() })
         .with_writer(writer)
-        // What cannot be written is lost: there is nowhere else to say so.
+        // If standard error cannot be written, there is nowhere to report that.
         .log_internal_errors(false);
     Registry::default().with(lines).with(LimitLayer { limit }).with(tracing::level_filters::LevelFilter::INFO)
 }
 
-/// How many lines this period has had, and how many were dropped since the last that was written.
+/// Counts the lines written in the present period, and those dropped since the last one that was written.
 struct LineLimit {
     period_start: Instant,
     written: u32,
@@ -69,7 +69,7 @@
         LineLimit { period_start: now, written: 0, dropped: 0 }
     }
 
-    /// Whether a line may be written now; counts it either way.
+    /// Counts a line and returns whether it may be written.
     fn admit(&mut self, now: Instant) -> bool {
         if now.saturating_duration_since(self.period_start) >= PERIOD {
             self.period_start = now;
@@ -84,13 +84,13 @@
         admitted
     }
 
-    /// The number of lines dropped since this was last asked.
+    /// Returns the number of lines dropped since the previous call.
     fn take_dropped(&mut self) -> u64 {
         std::mem::take(&mut self.dropped)
     }
 }
 
-/// Decides on each event before it is formatted.
+/// Applies the limit to each event before it is formatted.
 struct LimitLayer {
     limit: Arc<Mutex<LineLimit>>,
 }
@@ -101,7 +101,7 @@
     }
 }
 
-/// Writes an event as one line, after the count of those dropped before it.
+/// Formats an event as one line, preceded by a line with the number of dropped ones if there are any.
 struct LineFormat {
     limit: Arc<Mutex<LineLimit>>,
 }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,8 +1,7 @@
-//! irishinge: an API gateway on sockets. It accepts clients' requests, and sends them to the endpoints that discovery
-//! lists as the decision library (`irishinge-admission`) says.
+//! irishinge: an API gateway. It accepts clients' requests over HTTP/1.1 and sends them to the endpoints that discovery
+//! publishes. The decision library (`irishinge-admission`) decides whether, when and where each request is sent.
 //!
-//! The process starts, reads its configuration again on each SIGHUP, and ends on SIGTERM. `docs/LOGS.md` lists what it
-//! logs.
+//! The process reloads its configuration on SIGHUP and shuts down on SIGTERM. `docs/LOGS.md` lists its log lines.
 mod clock;
 mod config;
 mod connection_budget;
@@ -31,7 +30,7 @@
     match run_on_one_thread() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            // One plain line, whatever the log is.
+            // Always one plain line, also if the log could not be set up.
             eprintln!("irishinge: {}", ErrorChain(&error));
             ExitCode::FAILURE
         }
@@ -42,13 +41,13 @@
     logging::init()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(StartupError::Runtime)?;
-    // Dropped before the runtime that its tasks' sockets belong to.
+    // Declared after the runtime, so that the tasks are dropped before it.
     let tasks = LocalSet::new();
     tasks.block_on(&runtime, run())
 }
 
 async fn run() -> Result<(), StartupError> {
-    // First of all: unhandled, either signal would end the process at once.
+    // Installed first: an unhandled signal would end the process at once.
     let hangup = signal(SignalKind::hangup()).map_err(StartupError::Signals)?;
     let mut terminate = signal(SignalKind::terminate()).map_err(StartupError::Signals)?;
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,4 +1,4 @@
-//! Messages between gateways, each a UDP datagram. Like the network, a gateway may lose them.
+//! Messages between gateways, one to a UDP datagram. Delivery is not guaranteed.
 use crate::logging::target;
 use std::cell::RefCell;
 use std::io;
@@ -7,14 +7,16 @@
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, Instant};
 
-/// A datagram holds this much at most.
+/// The maximum size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 256;
-/// After a failed receive, so that one that fails on and on does not spin.
+/// The pause after a failed receive, so that a persistent failure does not spin.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(10);
 
-/// A token bucket for what this gateway sends its peers, all of them together. Where each sends no more than one
-/// accepts, none is sent more than it accepts but by chance. Even parts for each peer would not do: in a large fleet a
-/// gateway has much to say to the few that own its customers' quotas, and nothing to the rest.
+/// A token bucket for the messages that this gateway sends to all of its peers together.
+///
+/// If no gateway sends more messages than one gateway accepts, it is unlikely that any gateway receives more than it
+/// accepts. Equal limits for each peer would not work: in a large fleet a gateway sends many messages to the few peers
+/// that own its customers' quotas, and none to the rest.
 struct SendRateLimit {
     per_second: f64,
     tokens: f64,
@@ -22,12 +24,12 @@
 }
 
 impl SendRateLimit {
-    /// A full bucket: a second's worth, and one message at least.
+    /// Creates a full bucket, which holds the messages of one second and at least one message.
     fn full(per_second: f64, now: Instant) -> Self {
         SendRateLimit { per_second, tokens: per_second.max(1.0), refilled_at: now }
     }
 
-    /// Takes one message's token, if there is one.
+    /// Takes a token for one message and returns whether there was one.
     fn try_take(&mut self, now: Instant) -> bool {
         let seconds = now.saturating_duration_since(self.refilled_at).as_secs_f64();
         self.tokens = (self.tokens + self.per_second * seconds).min(self.per_second.max(1.0));
@@ -40,7 +42,7 @@
     }
 }
 
-/// The address for messages cannot be bound.
+/// The address for peers' messages could not be bound.
 #[derive(Debug, thiserror::Error)]
 #[error("cannot listen for peers on {addr}")]
 pub(crate) struct BindError {
@@ -48,17 +50,17 @@
     source: io::Error,
 }
 
-/// Receives what peers send.
+/// Handles the messages of peers.
 pub(crate) trait PeerMessageHandler {
-    /// A message of the gateway of this number has arrived.
+    /// Handles a message from the gateway with the number `from`.
     fn on_peer_message(&self, from: usize, body: String);
 }
 
-/// The other gateways.
+/// The socket to the other gateways of the fleet.
 pub(crate) struct Peers {
-    /// None where this gateway exchanges no messages.
+    /// `None` if this gateway exchanges no messages.
     socket: Option<UdpSocket>,
-    /// By the gateway's number.
+    /// Indexed by the gateway's number.
     addrs: Vec<SocketAddr>,
     /// This gateway's number.
     me: usize,
@@ -66,11 +68,11 @@
 }
 
 impl Peers {
-    /// Binds the socket at `listen`, where there is one. `accepted_per_second` is how many messages a gateway accepts.
+    /// Binds the socket to `listen`, if given. `accepted_per_second` is the number of messages that a gateway accepts.
     ///
     /// # Errors
     ///
-    /// When the address cannot be bound.
+    /// Fails if the address cannot be bound.
     pub(crate) async fn bind(
         listen: Option<SocketAddr>,
         addrs: Vec<SocketAddr>,
@@ -85,12 +87,12 @@
         Ok(Peers { socket, addrs, me, send_rate_limit })
     }
 
-    /// The address that messages arrive at; none where none do.
+    /// The address that receives messages, or `None` if there is no socket.
     pub(crate) fn local_addr(&self) -> Option<SocketAddr> {
         self.socket.as_ref()?.local_addr().ok()
     }
 
-    /// Sends a message to the peer of this number, or to all.
+    /// Sends a message to the peer with the number `to`, or to all peers.
     pub(crate) fn send(&self, to: Option<usize>, body: &str) {
         let Some(socket) = &self.socket else {
             return tracing::warn!(
@@ -123,7 +125,8 @@
         }
     }
 
-    /// Hands what peers send to `handler`, for good. What a stranger sends, and what is no text, is ignored.
+    /// Passes peers' messages to `handler`. Datagrams from other senders and invalid ones are ignored. Never returns,
+    /// except where there is no socket.
     pub(crate) async fn receive(&self, handler: impl PeerMessageHandler) {
         let Some(socket) = &self.socket else { return };
         let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
@@ -131,7 +134,7 @@
             match socket.recv_from(&mut buffer).await {
                 Ok((length, sender)) => self.on_datagram(&buffer[..length], sender, &handler),
                 Err(error) => {
-                    // A peer that is down makes an earlier send come back as an error here.
+                    // A message sent to a peer that is down is reported here as an error.
                     tracing::warn!(target: target::PEERS, %error, "cannot receive from peers");
                     sleep(RECEIVE_RETRY_DELAY).await;
                 }
--- a/crates/gateway/src/quota_counter.rs
+++ b/crates/gateway/src/quota_counter.rs
@@ -1,5 +1,5 @@
-//! Calls to the quota counter, the service that counts what a whole fleet has used: a few connections, each with one
-//! call at a time.
+//! The client of the quota counter, the service that counts the units used over the whole fleet. It holds a few
+//! connections, each with one call at a time.
 use crate::clock::duration_from_ms;
 use crate::connection_budget::{ConnectionBudget, PooledConnection};
 use crate::http_connection::HttpConnection;
@@ -13,11 +13,11 @@
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
 
-/// Connections at most: part of the descriptors that are neither clients' nor endpoints'.
+/// The maximum number of connections, which the descriptor budget reserves.
 pub(crate) const MAX_CONNECTIONS: usize = 8;
-/// The counter closes a connection that has been idle for about 10 s or less.
+/// Idle connections are closed after this time: the counter itself may close them after 10 s or less.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
-/// A response is a number.
+/// The maximum size of a response, which is one number.
 const MAX_BODY_BYTES: usize = 256;
 
 struct IdleConnection {
@@ -31,7 +31,7 @@
     }
 }
 
-/// The quota counter, where there is one.
+/// The client of the quota counter, if the fleet has one.
 pub(crate) struct QuotaCounter {
     addr: Cell<Option<SocketAddr>>,
     call_timeout: Duration,
@@ -40,7 +40,7 @@
 }
 
 impl QuotaCounter {
-    /// No connections yet; a call is given up after `timeout_ms`.
+    /// Creates a client without connections, whose calls time out after `timeout_ms`.
     pub(crate) fn new(addr: Option<SocketAddr>, timeout_ms: f64) -> Self {
         QuotaCounter {
             addr: Cell::new(addr),
@@ -50,19 +50,19 @@
         }
     }
 
-    /// Calls go to this address from now on; those in flight end where they are.
+    /// Sends calls to this address from now on. Calls in flight are not affected.
     pub(crate) fn set_addr(&self, addr: Option<SocketAddr>) {
         if self.addr.replace(addr) != addr {
             self.idle.borrow_mut().clear();
         }
     }
 
-    /// Closes connections that have been idle for long or that the counter has closed.
+    /// Closes connections that have been idle for too long or that the counter has closed.
     pub(crate) fn close_stale_connections(&self) {
         self.idle.borrow_mut().retain_mut(IdleConnection::is_fresh);
     }
 
-    /// Adds `amount` to the total of this name, which the counter forgets `ttl_ms` later.
+    /// Adds `amount` to the total called `name`. A new total expires `ttl_ms` after its first call.
     pub(crate) async fn add(&self, name: u64, amount: f64, ttl_ms: f64) -> CounterOutcome {
         let deadline = Instant::now() + self.call_timeout;
         let Some(addr) = self.addr.get() else { return CounterOutcome::Rejected };
@@ -73,19 +73,19 @@
         let write_status = pooled.connection.write_status();
         let response = timeout_at(deadline, pooled.connection.exchange(request, MAX_BODY_BYTES)).await;
         let Ok(Ok(response)) = response else {
-            // What was written, if only in part, may have been added, or may yet be.
+            // A request that was written, even in part, may still be processed.
             let written = write_status.any_written();
             return if written { CounterOutcome::Unanswered } else { CounterOutcome::Rejected };
         };
         let outcome = outcome_of(&response);
-        // A connection that brought what cannot be understood is of no further use.
+        // After a response that cannot be understood, the connection's state is unknown.
         if !matches!(outcome, CounterOutcome::Unanswered) {
             self.release(addr, pooled);
         }
         outcome
     }
 
-    /// A connection with no call on it; none where none comes up in time or too many are open.
+    /// Returns a free connection, or `None` if none comes up by `deadline` or too many are open.
     async fn acquire(&self, addr: SocketAddr, deadline: Instant) -> Option<PooledConnection> {
         while let Some(mut idle) = { self.idle.borrow_mut().pop() } {
             if idle.is_fresh() {
@@ -109,7 +109,7 @@
     let total = text.and_then(|text| text.trim().parse::<f64>().ok()).filter(|total| total.is_finite());
     match (response.status(), total) {
         (StatusCode::OK, Some(total)) => CounterOutcome::Total(total),
-        // Added, but the total is unknown.
+        // The amount was added, but the new total is unknown.
         (StatusCode::OK, None) => CounterOutcome::Unanswered,
         (StatusCode::SERVICE_UNAVAILABLE | StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND, _) => {
             CounterOutcome::Rejected
--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -1,4 +1,4 @@
-//! A change of configuration while the process runs.
+//! Reloads the configuration while the process runs.
 use crate::config::Config;
 use crate::dispatcher::Dispatcher;
 use crate::error_chain::ErrorChain;
@@ -8,8 +8,10 @@
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 
-/// On each SIGHUP reads the configuration again. The addresses of discovery and of the quota counter are all in it
-/// that can change while the process runs; a file that cannot be used changes nothing.
+/// Reads the configuration again on each SIGHUP.
+///
+/// Only the addresses of discovery and of the quota counter can change while the process runs. If the file cannot be
+/// used, the previous configuration stays in force.
 pub(crate) async fn reload_on_hangup(
     mut hangup: Signal,
     discovery_addr: watch::Sender<SocketAddr>,
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! The end of the process: after SIGTERM requests in work get their responses, and none is lost to SIGKILL.
+//! Graceful shutdown: after SIGTERM every active request gets its response before SIGKILL can arrive.
 use crate::clock::duration_from_ms;
 use crate::dispatcher::Dispatcher;
 use crate::downstream::DownstreamServer;
@@ -9,30 +9,30 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout_at, Instant};
 
-/// After SIGTERM new connections are accepted for this long: they go on coming for up to 0.4 s. A request that comes
-/// later than 0.7 s after it, over one of them, may find SIGKILL before its response.
+/// How long new connections are accepted after SIGTERM. Clients keep connecting for up to 0.4 s. A request that arrives
+/// on such a connection more than 0.7 s after SIGTERM may be cut off by SIGKILL.
 const ACCEPT_FOR: Duration = Duration::from_millis(600);
-/// SIGKILL comes no sooner than this after the longest deadline.
+/// SIGKILL arrives no sooner than this after the longest deadline of any class.
 const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
-/// As how long the longest deadline counts at most.
+/// Longer deadlines count as this long.
 const MAX_DEADLINE: Duration = Duration::from_millis(3000);
-/// So long before SIGKILL every open request is answered.
+/// How long before SIGKILL all requests that are still active are answered.
 const RESPOND_BEFORE_KILL: Duration = Duration::from_millis(300);
-/// So long before SIGKILL the responses are written.
+/// How long before SIGKILL all responses must be written.
 const FINISH_BEFORE_KILL: Duration = Duration::from_millis(150);
 
-/// When the steps of the shutdown end, each counted from SIGTERM.
+/// The times of the shutdown's steps, counted from SIGTERM.
 pub(crate) struct ShutdownTimes {
-    /// New connections are accepted until then.
+    /// When new connections are no longer accepted.
     pub stop_accepting: Duration,
-    /// Requests that are still open are answered then.
+    /// When all requests that are still active are answered.
     pub respond_to_all: Duration,
-    /// The process ends then, whatever is not written.
+    /// When the process ends, even if responses are not written yet.
     pub finish: Duration,
 }
 
 impl ShutdownTimes {
-    /// The times that these classes' deadlines ask for.
+    /// Computes the times from the deadlines of the request classes.
     pub(crate) fn new(settings: &Settings) -> Self {
         let longest_ms = settings.classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
         let kill = duration_from_ms(longest_ms).min(MAX_DEADLINE) + KILL_AFTER_DEADLINE;
@@ -44,22 +44,22 @@
     }
 }
 
-/// What the shutdown ends.
+/// The parts of the gateway that the shutdown ends.
 pub(crate) struct Shutdown {
-    /// Its connections are drained.
+    /// Drained: its connections close once they have no active request.
     pub downstream: Rc<DownstreamServer>,
-    /// Its open requests are answered.
+    /// Answers the requests that are still active near the end.
     pub dispatcher: Rc<Dispatcher>,
-    /// Closed once no connection is accepted any more.
+    /// Closed when new connections are no longer accepted.
     pub listener: Rc<TcpListener>,
-    /// The task that accepts connections.
+    /// The task that accepts connections, which holds the listener too.
     pub accepting: JoinHandle<()>,
-    /// When each step ends.
+    /// When each step happens.
     pub times: ShutdownTimes,
 }
 
 impl Shutdown {
-    /// Ends what was taken, as far as the times allow. To be called at once on SIGTERM.
+    /// Drains the gateway and returns when the process can end. To be called as soon as SIGTERM arrives.
     pub(crate) async fn run(self) {
         let start = Instant::now();
         self.downstream.drain();
@@ -69,8 +69,8 @@
         self.downstream.drain_all();
         let all_ended = timeout_at(start + self.times.respond_to_all, self.downstream.all_ended()).await;
         if all_ended.is_err() {
-            self.dispatcher.answer_all();
-            // What is not written by then is lost with the process.
+            self.dispatcher.respond_to_all();
+            // Past this time SIGKILL would cut off what is not written, so an expired timeout is no error.
             let _ = timeout_at(start + self.times.finish, self.downstream.all_ended()).await;
         }
     }
--- a/crates/gateway/src/startup.rs
+++ b/crates/gateway/src/startup.rs
@@ -1,4 +1,4 @@
-//! The start of the process: builds the parts from the configuration, from the lowest up, and starts their tasks.
+//! Startup: builds the parts of the gateway from the configuration, lowest layer first, and starts their tasks.
 use crate::clock::Clock;
 use crate::config::{Config, ConfigError};
 use crate::descriptor_budget::DescriptorBudget;
@@ -22,25 +22,25 @@
 /// Why the process cannot start.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum StartupError {
-    /// The log was set up before.
+    /// A log subscriber was already installed.
     #[error("cannot set up the log")]
     Logging(#[from] tracing::subscriber::SetGlobalDefaultError),
-    /// The operating system denies what the runtime needs.
+    /// The operating system denied the runtime a resource.
     #[error("cannot start the runtime")]
     Runtime(#[source] io::Error),
-    /// SIGHUP or SIGTERM cannot be handled.
+    /// A handler for SIGHUP or SIGTERM could not be installed.
     #[error("cannot handle signals")]
     Signals(#[source] io::Error),
-    /// There is no configuration.
+    /// The configuration could not be loaded.
     #[error(transparent)]
     Config(#[from] ConfigError),
-    /// The decision library refuses the settings.
+    /// The decision library rejected the settings.
     #[error("cannot use the settings")]
     Settings(#[from] SettingsError),
-    /// The peers' address cannot be bound.
+    /// The address for peers' messages could not be bound.
     #[error(transparent)]
     Peers(#[from] BindError),
-    /// The clients' address cannot be bound.
+    /// The address for clients could not be bound.
     #[error("cannot listen for clients on {addr}")]
     Listen {
         /// The address.
@@ -50,21 +50,21 @@
     },
 }
 
-/// What of a running gateway can be changed or ended.
+/// Handles to a running gateway, for reload and shutdown.
 pub(crate) struct RunningGateway {
-    /// Discovery's address.
+    /// Changes discovery's address.
     pub discovery_addr: watch::Sender<SocketAddr>,
-    /// For the quota counter's address.
+    /// Changes the quota counter's address.
     pub dispatcher: Rc<Dispatcher>,
-    /// Ends the gateway.
+    /// Shuts the gateway down.
     pub shutdown: Shutdown,
 }
 
-/// Starts a gateway. When this returns it accepts connections; its tasks run on the present `LocalSet`.
+/// Starts the gateway. Its tasks run on the current `LocalSet` and accept connections as soon as the caller awaits.
 ///
 /// # Errors
 ///
-/// When the settings are refused or an address cannot be bound.
+/// Fails if the decision library rejects the settings or an address cannot be bound.
 pub(crate) async fn start(config: Config) -> Result<RunningGateway, StartupError> {
     let settings = config.settings;
     let socket_settings = config.socket_settings;
@@ -105,7 +105,7 @@
     Ok(RunningGateway { discovery_addr, dispatcher, shutdown })
 }
 
-/// Has the list that was held before a restart applied, and returns the revision that discovery continues from.
+/// Applies the endpoint list that was known before a restart, and returns the revision that discovery continues from.
 fn restore_known_list(dispatcher: &Rc<Dispatcher>, known: Option<EndpointList>) -> Option<u64> {
     let known = known?;
     // An empty list is not worth continuing from.
@@ -114,7 +114,7 @@
     revision
 }
 
-/// Binds the clients' address and reports where the gateway listens.
+/// Binds the clients' address and logs the addresses that the gateway listens on.
 async fn listen(addr: SocketAddr, peers: &Peers) -> Result<Rc<TcpListener>, StartupError> {
     let error = |source| StartupError::Listen { addr, source };
     let listener = TcpListener::bind(addr).await.map_err(error)?;
@@ -130,7 +130,7 @@
     peers.receive(dispatcher).await;
 }
 
-/// Closes idle connections that have grown old, for good.
+/// Closes stale idle connections at regular intervals. Never returns.
 async fn close_stale_connections(dispatcher: Rc<Dispatcher>) {
     let mut ticks = interval(IDLE_CHECK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/gateway/src/upstream/attempt.rs
+++ b/crates/gateway/src/upstream/attempt.rs
@@ -1,4 +1,4 @@
-//! One attempt at a request: a connection, the exchange on it, and what became of it.
+//! A single attempt to serve a request: acquires a connection, sends the request and classifies the outcome.
 use super::pool::UpstreamPool;
 use super::request::UpstreamRequest;
 use super::MAX_BODY_BYTES;
@@ -12,27 +12,27 @@
 use std::net::SocketAddr;
 use tokio::time::{timeout_at, Instant};
 
-/// How an attempt ended.
+/// The result of an attempt.
 pub(crate) struct AttemptResult {
-    /// The outcome.
+    /// How the attempt ended.
     pub outcome: Outcome,
-    /// The endpoint's whole response, where there is one.
+    /// The endpoint's complete response, if there was one.
     pub response: Option<Response<Bytes>>,
 }
 
 impl AttemptResult {
-    /// An end that brought no response.
+    /// A result without a response.
     pub(crate) fn without_response(outcome: Outcome) -> Self {
         AttemptResult { outcome, response: None }
     }
 
-    /// The true units (`X-Settled`), where the response states them.
+    /// The units that the request really used (`X-Settled`), if the response states them.
     pub(crate) fn true_units(&self) -> Option<f64> {
         let text = self.header("x-settled")?;
         text.trim().parse().ok().filter(|units: &f64| units.is_finite() && *units > 0.0)
     }
 
-    /// The endpoint's load report (`X-Load-Report`), where the response carries one.
+    /// The endpoint's load report (`X-Load-Report`), or nothing if the response has none.
     pub(crate) fn load(&self) -> Vec<(String, f64)> {
         let report = self.header("x-load-report").map(serde_json::from_str::<BTreeMap<String, f64>>);
         report.and_then(Result::ok).into_iter().flatten().collect()
@@ -46,8 +46,10 @@
 }
 
 impl UpstreamPool {
-    /// Makes one attempt, until `deadline` at the latest. When its connection is up, `is_wanted` is asked whether the
-    /// request is still to be sent. Dropping the future closes the connection.
+    /// Makes one attempt, which ends by `deadline`. Once the connection is established, `is_wanted` decides whether the
+    /// request is still to be sent.
+    ///
+    /// Dropping the future cancels the attempt: it closes the connection.
     pub(crate) async fn attempt(
         &self,
         endpoint: EndpointId,
@@ -92,8 +94,9 @@
         }
     }
 
-    /// The list may have changed while the connection came up: nothing new goes to an endpoint that drains. And the
-    /// client may have left, or have its response from another endpoint, where attempts may not be cancelled.
+    /// Decides whether the request is still to be sent once the connection is established. Meanwhile the list may have
+    /// expired or the endpoint may be draining. The client may have disconnected, or may have the response of another
+    /// attempt if the settings forbid cancelling.
     fn reason_not_to_send(
         &self,
         endpoint: EndpointId,
@@ -123,7 +126,7 @@
     }
     match error {
         ExchangeError::ConnectionLost => Outcome::Reset,
-        // The endpoint is up and has responded, if with nothing that can be read.
+        // The endpoint is up and has responded, but not with valid HTTP.
         ExchangeError::InvalidResponse => Outcome::Error,
     }
 }
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -1,4 +1,4 @@
-//! The endpoints that requests are sent to: the pool of connections to them, and single attempts at a request.
+//! The upstream side: the endpoints, the pool of connections to them, and single attempts to serve a request.
 mod attempt;
 mod pool;
 mod request;
@@ -10,5 +10,5 @@
 pub(crate) use self::pool::{UpstreamPool, IDLE_CHECK_INTERVAL};
 pub(crate) use self::request::UpstreamRequest;
 
-/// Bodies of requests and of responses hold this much at most.
+/// The maximum size of a request's or response's body.
 pub(crate) const MAX_BODY_BYTES: usize = 64 * 1024;
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -1,4 +1,4 @@
-//! The endpoints' addresses and states, and the idle connections to them.
+//! The connection pool: the known endpoints with their addresses, states and idle connections.
 use super::reuse_delay::ReuseDelay;
 use crate::clock::duration_from_ms;
 use crate::connection_budget::{ConnectionBudget, ConnectionPermit, PooledConnection};
@@ -12,9 +12,9 @@
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
 
-/// An idle connection is closed after this part of the time after which its endpoint would close it: a request that
-/// crosses the endpoint's closing ends as a reset, and may have been processed. Closing sooner costs a large fleet a
-/// handshake each time: its gateways come to an endpoint once in seconds.
+/// Idle connections are closed after this fraction of the endpoint's own idle timeout. A request that is sent while the
+/// endpoint closes the connection ends with a reset, and may have been processed. A lower fraction would cost a large
+/// fleet, whose gateways use each endpoint only every few seconds, additional handshakes.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.8;
 /// How often idle connections are checked.
 pub(crate) const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(1000);
@@ -27,14 +27,14 @@
 struct Endpoint {
     addr: SocketAddr,
     state: EndpointState,
-    /// The most recently used last.
+    /// The most recently used connection is last.
     idle: Vec<IdleConnection>,
 }
 
-/// The endpoints that this gateway knows, and its idle connections to them.
+/// The known endpoints and the idle connections to them.
 pub(crate) struct UpstreamPool {
     endpoints: RefCell<HashMap<EndpointId, Endpoint>>,
-    /// Nothing is sent by the list from then on; none before its lease is known.
+    /// When the endpoint list's lease ends, after which nothing is sent. `None` if the list has no lease.
     lease_end: Cell<Option<Instant>>,
     budget: ConnectionBudget,
     connect_timeout: Duration,
@@ -43,7 +43,7 @@
 }
 
 impl UpstreamPool {
-    /// No endpoints yet; `max_connections` bounds the connections to all of them.
+    /// Creates a pool without endpoints. `max_connections` limits the connections to all endpoints together.
     pub(crate) fn new(settings: &SocketSettings, max_connections: usize) -> Self {
         UpstreamPool {
             endpoints: RefCell::default(),
@@ -55,12 +55,12 @@
         }
     }
 
-    /// Whether any endpoint takes requests.
+    /// Whether any endpoint accepts requests.
     pub(crate) fn has_ready_endpoint(&self) -> bool {
         self.endpoints.borrow().values().any(|endpoint| endpoint.state == EndpointState::Ready)
     }
 
-    /// Applies an endpoint list. Idle connections to endpoints that take no more requests are closed.
+    /// Applies an endpoint list. Idle connections to endpoints that no longer accept requests are closed.
     pub(crate) fn apply_list(&self, kind: ListKind, discovered: &[DiscoveredEndpoint]) {
         let mut endpoints = self.endpoints.borrow_mut();
         if kind != ListKind::Changes {
@@ -84,7 +84,7 @@
         }
     }
 
-    /// The list may be used until then.
+    /// Sets the end of the endpoint list's lease.
     pub(crate) fn set_lease_end(&self, until: Instant) {
         self.lease_end.set(Some(until));
     }
@@ -100,21 +100,21 @@
         }
     }
 
-    /// Closes idle connections that have grown old or that their endpoint has closed.
+    /// Closes connections that have been idle for too long or that their endpoint has closed.
     pub(crate) fn close_stale_connections(&self) {
         for endpoint in self.endpoints.borrow_mut().values_mut() {
             endpoint.idle.retain_mut(|idle| self.is_fresh(idle));
         }
     }
 
-    /// The address of an endpoint that takes requests.
+    /// The address of an endpoint, if it accepts requests.
     pub(super) fn ready_addr(&self, endpoint: EndpointId) -> Option<SocketAddr> {
         let endpoints = self.endpoints.borrow();
         endpoints.get(&endpoint).filter(|e| e.state == EndpointState::Ready).map(|e| e.addr)
     }
 
-    /// A connection to an endpoint: an idle one, else a new one. None where it does not come up in time, or where as
-    /// many connections as allowed are in use.
+    /// Returns an idle connection to an endpoint, or else a new one. Returns `None` if a new one cannot be established
+    /// in time or all permitted connections are in use.
     pub(super) async fn acquire(&self, endpoint: EndpointId, addr: SocketAddr) -> Option<PooledConnection> {
         if let Some(pooled) = self.take_idle(endpoint) {
             return Some(pooled);
@@ -124,7 +124,7 @@
         Some(PooledConnection::new(connection, permit))
     }
 
-    /// The most recently used connection that may be reused.
+    /// Takes the most recently used idle connection that may be reused.
     fn take_idle(&self, endpoint: EndpointId) -> Option<PooledConnection> {
         let mut endpoints = self.endpoints.borrow_mut();
         let endpoint = endpoints.get_mut(&endpoint)?;
@@ -142,7 +142,7 @@
         idle.since.elapsed() < self.idle_timeout && self.is_usable(&mut idle.pooled.connection)
     }
 
-    /// Whether a connection may carry another request, now or after the reuse delay.
+    /// Whether a connection can carry another request, now or after the reuse delay.
     pub(super) fn is_usable(&self, connection: &mut HttpConnection) -> bool {
         let usable = connection.is_usable();
         if connection.received_surplus() {
@@ -151,7 +151,7 @@
         usable
     }
 
-    /// Keeps a connection with nothing on it for the next request, where its endpoint takes any.
+    /// Returns a connection to the pool, or closes it if it is not usable or its endpoint accepts no more requests.
     pub(super) fn release(&self, endpoint: EndpointId, addr: SocketAddr, mut pooled: PooledConnection) {
         if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(&endpoint) {
             let accepts = endpoint.state == EndpointState::Ready && endpoint.addr == addr;
@@ -161,7 +161,7 @@
         }
     }
 
-    /// The permit for one more connection. Where all are in use, the longest idle connection is closed.
+    /// Returns a permit for one more connection. If the budget is exhausted, the longest idle connection is closed.
     fn acquire_permit(&self) -> Option<ConnectionPermit> {
         if self.budget.is_exhausted() {
             let mut endpoints = self.endpoints.borrow_mut();
--- a/crates/gateway/src/upstream/request.rs
+++ b/crates/gateway/src/upstream/request.rs
@@ -1,30 +1,30 @@
-//! A client's request as it goes on to endpoints.
+//! A client's request as it is sent to endpoints.
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Method, Request, Uri};
 use tokio::time::Instant;
 
-/// What of a client's request goes on to an endpoint.
+/// The parts of a client's request that are sent to an endpoint.
 pub(crate) struct UpstreamRequest {
     /// The method.
     pub method: Method,
     /// Path and query, unchanged.
     pub uri: Uri,
-    /// `Host`, as the client gave it.
+    /// `Host`, unchanged.
     pub host: HeaderValue,
     /// `X-Call-Id`, unchanged.
     pub call_id: HeaderValue,
     /// `Idempotency-Key`, unchanged.
     pub idempotency_key: Option<HeaderValue>,
-    /// The body's type.
+    /// `Content-Type`, unchanged.
     pub content_type: Option<HeaderValue>,
     /// The body, unchanged.
     pub body: Bytes,
 }
 
 impl UpstreamRequest {
-    /// The request of one attempt, whose `X-Budget` says how long is left until `deadline`.
+    /// Creates the HTTP request of one attempt. Its `X-Budget` is the time left until `deadline`, in seconds.
     pub(super) fn to_http(&self, deadline: Instant) -> Request<Full<Bytes>> {
         let seconds_left = deadline.saturating_duration_since(Instant::now()).as_secs_f64();
         let mut request = Request::new(Full::new(self.body.clone()));
