--- a/crates/gateway/src/connection_budget.rs
+++ b/crates/gateway/src/connection_budget.rs
@@ -52,3 +52,6 @@
         PooledConnection { connection, _permit: permit }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/dispatcher/mod.rs
+++ b/crates/gateway/src/dispatcher/mod.rs
@@ -2,6 +2,8 @@
 //! events to it, carries out its actions in order, and holds the active calls with their attempts.
 mod actions;
 mod active_call;
+#[cfg(test)]
+mod tests;
 mod timers;
 
 pub(crate) use self::active_call::FinalResponse;
--- /dev/null
+++ b/crates/gateway/src/dispatcher/tests.rs
@@ -0,0 +1,30 @@
+use super::timers::{Due, Rearm, TimerQueue};
+use irishinge_admission::RequestId;
+use std::time::Duration;
+use tokio::time::Instant;
+
+#[test]
+fn timers_expire_in_order_of_time_and_not_before() {
+    let start = Instant::now();
+    let later = start + Duration::from_millis(1);
+    let mut timers = TimerQueue::default();
+    timers.push(later, Due::Timer(2));
+    timers.push(start, Due::ResponseGuard(RequestId(1)));
+    assert!(timers.pop_due(start) == Some(Due::ResponseGuard(RequestId(1))));
+    assert!(timers.pop_due(start).is_none(), "the other is due later");
+    assert!(timers.pop_due(later) == Some(Due::Timer(2)));
+    assert!(timers.pop_due(later).is_none());
+}
+
+#[test]
+fn the_timer_task_is_woken_only_for_an_earlier_time_than_it_sleeps_for() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut timers = TimerQueue::default();
+    assert!(timers.push(at(20), Due::Timer(1)) == Rearm::Needed, "it sleeps for nothing yet");
+    assert_eq!(timers.arm(), Some(at(20)));
+    assert!(timers.push(at(30), Due::Timer(2)) == Rearm::NotNeeded);
+    assert!(timers.push(at(20), Due::Timer(3)) == Rearm::NotNeeded);
+    assert!(timers.push(at(10), Due::Timer(4)) == Rearm::Needed);
+    assert_eq!(timers.arm(), Some(at(10)));
+}
--- a/crates/gateway/src/dispatcher/timers.rs
+++ b/crates/gateway/src/dispatcher/timers.rs
@@ -31,6 +31,7 @@
 }
 
 impl TimerQueue {
+    /// Adds a timer.
     pub(super) fn push(&mut self, at: Instant, due: Due) -> Rearm {
         self.entries.push(Reverse((at, due)));
         if self.armed.is_none_or(|armed| at < armed) {
@@ -41,7 +42,8 @@
         }
     }
 
-    fn pop_due(&mut self, now: Instant) -> Option<Due> {
+    /// Removes and returns a timer that has expired by `now`.
+    pub(super) fn pop_due(&mut self, now: Instant) -> Option<Due> {
         let Reverse((at, _)) = self.entries.peek()?;
         if *at > now {
             return None;
@@ -50,7 +52,7 @@
     }
 
     /// Records that the timer task will sleep until the next entry, and returns its time.
-    fn arm(&mut self) -> Option<Instant> {
+    pub(super) fn arm(&mut self) -> Option<Instant> {
         self.armed = self.entries.peek().map(|Reverse((at, _))| *at);
         self.armed
     }
