--- a/crates/admission/src/state/request.rs
+++ b/crates/admission/src/state/request.rs
@@ -2,40 +2,28 @@
 use crate::event::Request;
 use crate::gateway::Gateway;
 use crate::id::{EndpointId, RequestId};
-use crate::policy::admission::FIRST_TRIES;
+use crate::policy::admission::{FIRST_TRIES, MIN_FIRST_TRY_VOTES};
 use crate::settings::{DedupGroup, Idempotency};
 use std::collections::BTreeMap;
 
-/// Where a request stands with its customer's keeper.
+/// Who decides whether a request is within its customer's quota, and what was decided.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub(crate) enum QuotaState {
-    /// Nobody needs to be asked.
+    /// This gateway's own token bucket decides; nobody is asked.
     #[default]
-    Own,
-    Asked {
-        keeper: usize,
-        number: u32,
-        at_ms: f64,
-        tries: u32,
-    },
-    /// The keeper holds the question until a slot is free.
-    Queued {
-        keeper: usize,
-        number: u32,
-    },
-    Granted {
-        keeper: usize,
-        number: u32,
-    },
-    Beyond {
-        ceiling: bool,
-    },
-    /// The counter is asked.
-    Counting,
-    /// It may go, by the counter or since that was not asked about it.
-    Counted {
-        asked: bool,
-    },
+    LocalBucket,
+    /// The quota's owner was asked and has not answered.
+    AwaitingOwner { keeper: usize, number: u32, at_ms: f64, tries: u32 },
+    /// The owner keeps the request waiting until the customer has a free slot.
+    QueuedAtOwner { keeper: usize, number: u32 },
+    /// The owner granted it.
+    GrantedByOwner { keeper: usize, number: u32 },
+    /// It is over the quota. Within the ceiling it may still be sent while there is room.
+    OverQuota { within_ceiling: bool },
+    /// The quota counter was asked and has not answered.
+    AwaitingCounter,
+    /// It may be sent: the counter said so, or was not asked about it.
+    AdmittedByCounter { asked: bool },
 }
 
 #[derive(Debug, Clone)]
@@ -68,6 +56,11 @@
 }
 
 impl ActiveRequest {
+    /// Whether an attempt was sent to an endpoint before.
+    pub(crate) fn was_sent_to(&self, endpoint: EndpointId) -> bool {
+        self.attempts.iter().any(|attempt| attempt.endpoint == endpoint)
+    }
+
     /// A request just taken in.
     pub(crate) fn new(request: Request, tag: u64, now: f64, aim: f64, inside: bool) -> Self {
         ActiveRequest {
@@ -78,7 +71,7 @@
             answered: false,
             closed: false,
             within_quota: inside,
-            quota: QuotaState::Own,
+            quota: QuotaState::LocalBucket,
             settled_units: 0.0,
             ample: false,
             request,
@@ -113,41 +106,24 @@
     /// it is under the aim, as an impatient client's. Nothing is concluded while no time left is common.
     pub(crate) fn already_waited_ms(&mut self, class: usize, time_left_ms: f64) -> f64 {
         let settings = &self.settings.classes[class];
-        let (near, sure, most) = FIRST_TRIES;
-        let (usual_ms, seen) = &mut self.latency.time_budgets[class];
-        if (time_left_ms - *usual_ms).abs() <= near * *usual_ms {
-            *seen = (*seen + 4).min(most);
-            return 0.0;
-        }
-        *seen -= 1;
-        if *seen <= 0 {
-            (*usual_ms, *seen) = (time_left_ms, 1);
-        }
-        let later = *seen >= sure && time_left_ms > settings.latency_objective_ms;
+        let votes = self.latency.record_time_budget(class, time_left_ms, FIRST_TRIES);
+        let is_common_known = votes.is_some_and(|votes| votes >= MIN_FIRST_TRY_VOTES);
+        let later = is_common_known && time_left_ms > settings.latency_objective_ms;
         if later {
             (settings.deadline_ms - time_left_ms).max(0.0)
         } else {
             0.0
         }
     }
-
-    pub(crate) fn remove_queued(&mut self, tag: u64, id: RequestId) {
-        let Some(flow) = self.queue.flows.get_mut(&tag) else { return };
-        if let Some(at) = flow.queue.iter().position(|h| h.0 == id) {
-            flow.queue.remove(at);
-            self.queue.len -= 1;
-            flow.units -= self.requests.active.get(&id).map_or(0.0, |o| o.request.units);
-        }
-        if flow.queue.is_empty() {
-            self.queue.flows.remove(&tag);
-        }
-    }
 }
 
-/// Whether a held request's customer lets it go now.
+/// Whether a request may be sent as far as its customer's quota goes.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) enum Gate {
-    Go,
+pub(crate) enum QuotaDecision {
+    /// It may be sent now.
+    Admit,
+    /// It stays queued: an answer, a slot or a part of the ceiling is still to come.
     Wait,
-    Beyond,
+    /// It is over the quota, so it leaves the queue.
+    OverQuota,
 }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,25 +1,26 @@
 //! irishinge: an api gateway on real sockets. Starts the parts, tells them of a new configuration on SIGHUP, and
 //! ends them on SIGTERM.
-mod clients;
 mod clock;
 mod config;
+mod connection_budget;
 mod discovery;
 mod dispatcher;
+mod downstream;
 mod http_connection;
 mod logging;
 mod peers;
 mod quota_counter;
 mod upstream;
 
-use crate::clients::Clients;
 use crate::clock::{duration_from_ms, Clock};
 use crate::config::Config;
-use crate::discovery::Pace;
+use crate::discovery::{EndpointListObserver, RefreshPolicy};
 use crate::dispatcher::Dispatcher;
+use crate::downstream::{DownstreamServer, DownstreamSettings};
 use crate::logging::target;
 use crate::peers::Peers;
 use crate::quota_counter::QuotaCounter;
-use crate::upstream::{UpstreamPool, REAP_INTERVAL};
+use crate::upstream::{UpstreamPool, IDLE_CHECK_INTERVAL};
 use irishinge_admission::{Gateway, ListKind, Settings};
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -48,7 +49,7 @@
     + CONFIGURATION
     + SHED
     + quota_counter::MAX_CONNECTIONS
-    + clients::FURTHER_MOST;
+    + downstream::MAX_REFUSING_CONNECTIONS;
 /// Part of the rest that is for clients.
 const CLIENTS_PART: f64 = 0.6;
 /// After SIGTERM new connections are taken for this long: they go on coming for up to 0.4 s. A request that comes
@@ -85,16 +86,20 @@
     let counter = QuotaCounter::new(config.counter, config.socket_settings.counter_timeout_ms);
     let core = Dispatcher::new(gateway, clock, config.names, hosts, peers.clone(), counter);
     // A list with nobody on it is not worth going on from.
-    let known = config.known.as_ref().filter(|list| !list.is_empty()).map(|list| list.rev);
+    let known = config.known.as_ref().filter(|list| !list.is_empty()).map(|list| list.revision);
     if let Some(known) = config.known {
-        core.on_list(ListKind::Remembered, known);
+        core.list_received(ListKind::Remembered, known);
     }
     let listener = TcpListener::bind(config.listen).await;
     let listener = Rc::new(listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?);
-    let pace = Pace::new(&config.socket_settings, settings.gateways);
+    let pace = RefreshPolicy::new(&config.socket_settings, settings.gateways);
     let (answer_by, write_by) = last_answers(&settings);
-    let clients =
-        Clients::new(core.clone(), settings, config.socket_settings.retry_after_enabled, clients_most);
+    let downstream_settings = DownstreamSettings {
+        admission: settings,
+        sends_retry_after: config.socket_settings.retry_after_enabled,
+        max_connections: clients_most,
+    };
+    let clients = DownstreamServer::new(core.clone(), downstream_settings);
 
     let bound = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
     match peers.local_addr() {
@@ -104,11 +109,11 @@
 
     spawn_local(core.clone().run_timers());
     let (discovery, watched) = watch::channel(config.discovery);
-    spawn_local(discovery::watch(core.clone(), watched, known, pace, config.seed));
+    spawn_local(discovery::watch_endpoint_list(core.clone(), watched, known, pace, config.seed));
     spawn_local(reload(hangup, discovery, core.clone()));
     spawn_local({
         let core = core.clone();
-        async move { peers.listen(core).await }
+        async move { peers.receive(core).await }
     });
     spawn_local(reap(core.clone()));
     let accepting = spawn_local(clients.clone().accept(listener.clone()));
@@ -134,7 +139,7 @@
         match Config::load() {
             Ok(config) => {
                 tracing::info!(target: target::LIFECYCLE, discovery = %config.discovery, "configuration reloaded");
-                core.counter().move_to(config.counter);
+                core.set_quota_counter_addr(config.counter);
                 discovery
                     .send_if_modified(|addr| std::mem::replace(addr, config.discovery) != config.discovery);
             }
@@ -146,12 +151,11 @@
 }
 
 async fn reap(core: Rc<Dispatcher>) {
-    let mut ticks = interval(REAP_INTERVAL);
+    let mut ticks = interval(IDLE_CHECK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        core.hosts().reap();
-        core.counter().reap();
+        core.close_stale_connections();
     }
 }
 
