Split the gateway's tests by concern, with one module for each party that a test plays

The tests stood in sockets.rs, leaving.rs, listing.rs and descriptors.rs, with 533 lines of stand-ins in common/mod.rs behind allow(dead_code), two copies of the late listener and three of the counter's configuration. They are now one test binary, tests/it, with a file for each concern, and tests/it/common has the process, the client, the discovery, the discovery agent, the scripted server (an endpoint or the counter) and the late listener apart. Nothing in it is unused, so that the allow attributes are gone. Assertions, bytes on the wire and time bounds are unchanged.

Old name -> new module::name in crates/gateway/tests/it:

sockets.rs::a_request_goes_on_unchanged_and_its_answer_comes_back -> requests::forwards_a_request_unchanged_and_returns_its_response sockets.rs::what_is_malformed_gets_its_answer_and_the_process_goes_on -> requests::answers_malformed_requests_with_their_status_and_goes_on sockets.rs::a_transfer_encoding_is_refused_whatever_else_tells_the_length -> requests::rejects_transfer_encoding_with_or_without_content_length sockets.rs::a_header_or_figure_that_is_there_twice_is_malformed -> requests::rejects_duplicate_headers_and_metering_figures sockets.rs::a_second_request_of_an_id_in_work_is_not_sent -> requests::rejects_a_second_request_with_the_id_of_an_active_one sockets.rs::refusals_tell_when_to_come_back_where_the_settings_let_clients_honour_it -> requests::rejections_carry_retry_after_only_where_clients_honour_it sockets.rs::only_a_marked_refusal_of_a_host_proves_that_an_unsafe_request_never_ran -> attempts::only_a_marked_rejection_proves_that_a_non_idempotent_request_never_ran sockets.rs::an_unsafe_request_whose_connection_broke_is_failed_and_not_sent_again -> attempts::fails_a_non_idempotent_request_whose_connection_broke sockets.rs::a_request_that_found_no_connection_never_ran -> attempts::a_request_that_found_no_connection_is_rejected_as_never_run sockets.rs::a_silent_host_does_not_keep_a_request_past_its_budget -> attempts::a_silent_endpoint_does_not_hold_a_request_past_its_deadline sockets.rs::a_connection_that_its_host_closed_is_not_used_again -> upstream_connections::never_reuses_a_connection_that_its_endpoint_closed sockets.rs::a_connection_with_more_on_it_than_its_answer_never_carries_another_request -> upstream_connections::never_reuses_a_connection_with_bytes_beyond_its_response sockets.rs::a_spoilt_answer_fails_its_attempt_at_once_and_the_connection_goes -> upstream_connections::fails_an_attempt_at_once_on_a_malformed_response_and_closes_its_connection sockets.rs::interim_answers_and_reports_that_cannot_be_read_leave_an_answer_good -> upstream_connections::accepts_a_response_after_interim_ones_and_with_unreadable_reports sockets.rs::a_newcomer_with_no_whole_request_is_let_go_within_3_s_and_a_served_one_is_not -> client_connections::closes_a_new_connection_without_a_whole_request_within_3_s sockets.rs::beyond_the_bound_on_connections_idle_ones_make_room -> client_connections::closes_the_longest_idle_connection_beyond_the_bound sockets.rs::beyond_the_bound_silent_connections_make_room_before_served_ones -> client_connections::closes_silent_connections_before_served_ones_beyond_the_bound sockets.rs::beyond_the_bound_with_none_idle_a_request_is_refused_at_once -> client_connections::rejects_a_request_at_once_beyond_the_bound_when_none_is_idle descriptors.rs::idle_clients_keep_neither_discovery_nor_hosts_out -> descriptors::idle_clients_leave_descriptors_for_discovery_and_endpoints descriptors.rs::clients_that_take_their_time_over_a_body_do_not_add_up_beyond_the_bound -> descriptors::clients_with_half_sent_bodies_stay_within_the_bound descriptors.rs::silent_clients_beyond_the_bound_keep_nobody_out -> descriptors::silent_clients_beyond_the_bound_leave_room_for_others sockets.rs::a_client_that_hangs_up_ends_its_attempt -> client_disconnects::cancels_the_attempt_of_a_client_that_disconnects sockets.rs::a_client_that_leaves_with_bytes_behind_its_request_ends_its_attempt_too -> client_disconnects::cancels_the_attempt_when_more_bytes_follow_the_request sockets.rs::a_request_whose_client_left_while_it_waited_for_its_quota_is_never_sent -> client_disconnects::never_sends_a_request_whose_client_left_during_its_quota_check sockets.rs::a_request_whose_client_left_before_its_connection_was_up_is_never_sent -> client_disconnects::never_sends_a_request_whose_client_left_before_its_connection_was_up leaving.rs::while_it_is_held_for_want_of_a_host -> disconnect_variants::never_sends_a_request_that_was_queued_without_an_endpoint leaving.rs::while_the_counter_is_asked -> disconnect_variants::never_sends_a_request_that_waited_for_the_counter leaving.rs::between_two_attempts -> disconnect_variants::makes_no_further_attempt_after_a_disconnect leaving.rs::while_its_connection_to_a_host_comes_up -> disconnect_variants::never_sends_a_request_that_waited_for_its_connection sockets.rs::health_is_told_only_once_there_is_a_host_to_serve_with -> discovery::is_healthy_only_once_it_knows_an_endpoint sockets.rs::after_an_outage_the_whole_list_is_asked_for_and_the_old_one_serves_meanwhile -> discovery::fetches_the_whole_list_after_an_outage_and_serves_by_the_old_one_meanwhile sockets.rs::a_gateway_that_is_turned_away_asks_on_from_the_version_it_knows -> discovery::after_503_watches_again_from_the_known_version sockets.rs::a_drained_hosts_idle_connection_goes_and_nothing_new_is_sent_there -> discovery::closes_idle_connections_of_a_draining_endpoint_and_sends_it_nothing sockets.rs::a_pushed_list_is_asked_for_again_at_once_in_a_fleet_of_any_size -> discovery_push::fetches_a_pushed_list_again_at_once_however_a_call_ends sockets.rs::a_new_process_asks_its_agent_for_the_whole_list_before_it_waits_for_news -> discovery_push::a_new_process_fetches_the_whole_list_before_it_watches sockets.rs::news_of_an_older_version_is_dropped_and_the_whole_list_asked_for -> discovery_push::ignores_changes_of_an_older_version_and_fetches_the_whole_list listing.rs::a_gateway_that_is_turned_away_goes_on_sending_and_asks_from_what_it_knows -> list_lease::goes_on_sending_while_discovery_answers_503 listing.rs::a_gateway_whose_calls_are_left_silent_stops_sending_before_changes_count_as_told -> list_lease::stops_sending_when_the_lease_expires_on_silent_calls listing.rs::a_gateway_whose_calls_are_reset_stops_sending_before_changes_count_as_told -> list_lease::stops_sending_when_the_lease_expires_on_reset_calls listing.rs::a_gateway_that_cannot_reach_discovery_goes_on_sending_by_the_last_list -> list_lease::goes_on_sending_by_the_last_list_while_discovery_is_unreachable listing.rs::after_sighup_a_gateway_that_gets_no_list_stops_sending_sooner -> list_lease::stops_sending_sooner_when_a_new_discovery_address_gives_no_list listing.rs::a_list_that_is_cut_off_is_asked_for_anew_and_as_a_whole -> list_lease::fetches_the_whole_list_after_a_truncated_one sockets.rs::sighup_moves_the_watch_to_the_new_address_and_keeps_the_list_meanwhile -> reload::sighup_moves_the_watch_to_the_new_address_and_keeps_the_list_meanwhile sockets.rs::sighup_moves_the_counter_and_a_call_that_is_out_ends_where_it_is -> reload::sighup_moves_the_counter_and_finishes_a_call_at_the_old_one sockets.rs::sigterm_answers_what_was_taken_accepts_for_a_while_and_ends_with_0 -> shutdown::sigterm_answers_active_requests_accepts_for_a_while_and_exits_with_0 sockets.rs::sigterm_lets_a_waiting_request_go_on_and_answers_it_once -> shutdown::sigterm_finishes_a_request_that_waits_for_its_quota_and_answers_it_once sockets.rs::a_bad_configuration_ends_the_start_with_one_line -> startup::a_wrong_configuration_ends_the_start_with_one_line sockets.rs::a_quota_goes_by_the_counter_where_gateways_may_not_tell_each_other -> quota_counter::decides_quotas_by_the_counters_total_and_admits_without_a_readable_one sockets.rs::peers_hear_each_other_and_strangers_are_ignored -> peers::sends_messages_to_peers_and_ignores_strangers

--- /dev/null
+++ b/crates/gateway/tests/it/client_connections.rs
@@ -0,0 +1,83 @@
+//! Connections of clients: how long a new one may take, and which are closed beyond the bound on their number.
+use crate::common::*;
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+/// A gateway that may hold few descriptors: 32 are for connections, 19 of them clients'. No quota binds.
+fn start_with_64_descriptors(endpoint: &ScriptedServer) -> (GatewayProcess, Discovery) {
+    start_gateway_with(&[endpoint.addr], |config| {
+        config["limits"]["sockets"] = json!(64);
+        config["settings"]["tiersOfService"][0]["peakUnits"] = json!(1000.0);
+    })
+}
+
+/// A new connection gets an error or a close within 3 s; one that has been served may stay idle.
+#[test]
+fn closes_a_new_connection_without_a_whole_request_within_3_s() {
+    let endpoint = ScriptedServer::serving("");
+    let (gateway, _discovery) = start_gateway(&[&endpoint]);
+    let mut served = gateway.client();
+    assert_eq!(served.request(&ClientRequest::new("read")).status(), 200);
+    let start = Instant::now();
+    let texts = [
+        String::new(),
+        "GET /api/00000000b4d65521 HTTP/1.1\r\nHost: ".to_string(),
+        ClientRequest::new("post").text().replace("Content-Length: 0", "Content-Length: 100"),
+    ];
+    let mut clients: Vec<_> = texts.iter().map(|_| gateway.client()).collect();
+    clients.iter_mut().zip(&texts).for_each(|(client, text)| client.write(text));
+    for client in &mut clients {
+        if let Some(response) = client.read() {
+            assert_eq!(response.status(), 408);
+            assert!(client.closes_within(TEST_TIMEOUT));
+        }
+    }
+    assert!(start.elapsed() < Duration::from_secs(3), "it took {:?}", start.elapsed());
+    assert_eq!(served.request(&ClientRequest::new("read")).status(), 200);
+}
+
+#[test]
+fn closes_the_longest_idle_connection_beyond_the_bound() {
+    let endpoint = ScriptedServer::serving("");
+    let (gateway, _discovery) = start_with_64_descriptors(&endpoint);
+    let mut first = gateway.client();
+    assert_eq!(first.health_status(), 200);
+    // All that come are answered, and in the end the one that stood idle longest is closed.
+    let (start, mut others) = (Instant::now(), Vec::new());
+    while !first.closes_within(Duration::from_millis(5)) {
+        assert!(start.elapsed() < TEST_TIMEOUT, "the first connection stays open");
+        let mut other = gateway.client();
+        assert_eq!(other.health_status(), 200);
+        others.push(other);
+    }
+    assert!(others.len() >= 19, "no connection is closed before the bound is reached");
+}
+
+/// Silent connections come faster than they time out, and must not keep out those with requests.
+#[test]
+fn closes_silent_connections_before_served_ones_beyond_the_bound() {
+    let endpoint = ScriptedServer::serving("");
+    let (gateway, _discovery) = start_with_64_descriptors(&endpoint);
+    let mut served = gateway.client();
+    assert_eq!(served.request(&ClientRequest::new("read")).status(), 200);
+    let silent: Vec<_> = (0..100).map(|_| gateway.client()).collect();
+    for _ in 0..4 {
+        assert_eq!(gateway.client().request(&ClientRequest::new("read")).status(), 200);
+    }
+    assert_eq!(served.request(&ClientRequest::new("read")).status(), 200);
+    drop(silent);
+}
+
+#[test]
+fn rejects_a_request_at_once_beyond_the_bound_when_none_is_idle() {
+    let endpoint = ScriptedServer::silent();
+    let (gateway, _discovery) = start_with_64_descriptors(&endpoint);
+    let mut busy = Vec::new();
+    for _ in 0..19 {
+        let mut client = gateway.client();
+        client.write(&ClientRequest::new("read").text());
+        busy.push(client);
+    }
+    let rejected = gateway.client().request(&ClientRequest::new("read"));
+    assert_eq!((rejected.status(), rejected.header("connection")), (503, Some("close")));
+}
--- /dev/null
+++ b/crates/gateway/tests/it/common/mod.rs
@@ -0,0 +1,34 @@
+//! What the tests share: the gateway as a process, and the parties around it that a test plays itself, all on
+//! loopback.
+mod client;
+mod config;
+mod discovery;
+mod discovery_agent;
+mod gateway_process;
+mod http_message;
+mod late_listener;
+mod scripted_server;
+
+pub(crate) use client::{Client, ClientRequest, HEALTH_CHECK};
+pub(crate) use config::{changes, config, endpoint_entry, use_counter, whole_list};
+pub(crate) use discovery::Discovery;
+pub(crate) use discovery_agent::{DiscoveryAgent, DiscoveryCall};
+pub(crate) use gateway_process::{
+    spawn, start_gateway, start_gateway_with, start_gateway_with_counter, GatewayProcess,
+};
+pub(crate) use http_message::{http_response, read_message};
+pub(crate) use late_listener::LateListener;
+pub(crate) use scripted_server::{respond, Received, Reply, ScriptedServer};
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// Far beyond what anything here takes: a test that waits for so long has failed.
+pub(crate) const TEST_TIMEOUT: Duration = Duration::from_secs(30);
+
+static LAST_NUMBER: AtomicU64 = AtomicU64::new(1);
+
+/// A number that no other call in this process gives.
+fn unique_number() -> u64 {
+    LAST_NUMBER.fetch_add(1, Ordering::Relaxed)
+}
--- /dev/null
+++ b/crates/gateway/tests/it/descriptors.rs
@@ -0,0 +1,79 @@
+//! Idle clients hold all descriptors they can get.
+use crate::common::*;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+/// Discovery goes and comes back meanwhile; the process really has no more descriptors than its configuration says.
+#[test]
+fn idle_clients_leave_descriptors_for_discovery_and_endpoints() {
+    for sockets in [64, 256] {
+        let endpoint = ScriptedServer::serving("new");
+        let discovery = Discovery::start();
+        let mut config = config(discovery.addr, &[]);
+        config["limits"]["sockets"] = json!(sockets);
+        let gateway = GatewayProcess::start_with_descriptor_limit(&config);
+        discovery.next_call();
+        discovery.push(whole_list(4, &[]));
+        discovery.next_call();
+        // Served ones and silent ones, more than there are descriptors.
+        let mut idle = Vec::new();
+        for n in 0..2 * sockets {
+            let mut client = gateway.client();
+            if n % 2 == 0 {
+                assert_eq!(client.health_status(), 503);
+            }
+            idle.push(client);
+        }
+        // Its connection breaks and must come up anew.
+        discovery.break_connection();
+        discovery.next_call();
+        discovery.push(whole_list(5, &[endpoint_entry("s-0", endpoint.addr, "up")]));
+        assert!(discovery.next_call().contains("after=5"));
+        assert_eq!(gateway.client().request(&ClientRequest::new("read")).body, b"new", "{sockets}");
+        drop(idle);
+    }
+}
+
+/// Each was served and is to be closed, but has a body half sent, for which it may stay open for seconds.
+#[test]
+fn clients_with_half_sent_bodies_stay_within_the_bound() {
+    let discovery = Discovery::start();
+    let mut config = config(discovery.addr, &[]);
+    config["limits"]["sockets"] = json!(64);
+    let gateway = GatewayProcess::start(&config);
+    let body = ClientRequest { body: "half", ..ClientRequest::new("post") }
+        .text()
+        .replace("Content-Length: 4", "Content-Length: 9");
+    let mut clients = Vec::new();
+    for _ in 0..200 {
+        let mut stream = TcpStream::connect(gateway.addr).expect("the gateway accepts");
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a time-out");
+        // Beyond the bound it may be closed at once.
+        let _ = stream.write_all(HEALTH_CHECK.as_bytes());
+        if stream.read(&mut [0; 512]).is_ok_and(|n| n > 0) {
+            let _ = stream.write_all(body.as_bytes());
+        }
+        clients.push(stream);
+        let held =
+            std::fs::read_dir(format!("/proc/{}/fd", gateway.process_id())).expect("descriptors").count();
+        assert!(held <= 64, "{held} descriptors");
+    }
+}
+
+/// All connections within the bound have an active request, and silent ones take all places beyond it.
+#[test]
+fn silent_clients_beyond_the_bound_leave_room_for_others() {
+    let (endpoint, discovery) = (ScriptedServer::silent(), Discovery::start());
+    let mut config = config(discovery.addr, &[endpoint_entry("s-0", endpoint.addr, "up")]);
+    config["limits"]["sockets"] = json!(64);
+    config["settings"]["tiersOfService"][0]["peakUnits"] = json!(1000.0);
+    let gateway = GatewayProcess::start_with_descriptor_limit(&config);
+    let mut busy: Vec<_> = (0..19).map(|_| gateway.client()).collect();
+    busy.iter_mut().for_each(|client| client.write(&ClientRequest::new("read").text()));
+    let silent: Vec<_> = (0..8).map(|_| gateway.client()).collect();
+    for _ in 0..4 {
+        assert_eq!(gateway.client().health_status(), 200);
+    }
+    drop(silent);
+}
--- /dev/null
+++ b/crates/gateway/tests/it/discovery.rs
@@ -0,0 +1,65 @@
+//! Endpoint lists that the gateway fetches from discovery.
+use crate::common::*;
+use serde_json::json;
+
+#[test]
+fn is_healthy_only_once_it_knows_an_endpoint() {
+    let endpoint = ScriptedServer::serving("");
+    let (gateway, discovery) = start_gateway(&[]);
+    assert_eq!(gateway.client().health_status(), 503);
+    assert_eq!(discovery.next_call(), "GET /v1/servers HTTP/1.1");
+    discovery.push(whole_list(4, &[endpoint_entry("s-0", endpoint.addr, "up"), json!({"uid": 5})]));
+    assert!(discovery.next_call().starts_with("GET /v1/servers?after=4&wait_ms="));
+    assert_eq!(gateway.client().health_status(), 200);
+}
+
+#[test]
+fn fetches_the_whole_list_after_an_outage_and_serves_by_the_old_one_meanwhile() {
+    let endpoint = ScriptedServer::serving("");
+    let (gateway, discovery) = start_gateway(&[&endpoint]);
+    discovery.next_call();
+    discovery.push(whole_list(4, &[endpoint_entry("s-0", endpoint.addr, "up")]));
+    assert!(discovery.next_call().contains("after=4"));
+    discovery.break_connection();
+    assert_eq!(discovery.next_call(), "GET /v1/servers HTTP/1.1");
+    assert_eq!(gateway.client().request(&ClientRequest::new("read")).status(), 200);
+    // A list that cannot be read is an outage too.
+    discovery.push(json!({"rev": "?"}));
+    assert_eq!(discovery.next_call(), "GET /v1/servers HTTP/1.1");
+    assert_eq!(gateway.client().request(&ClientRequest::new("read")).status(), 200);
+}
+
+/// An overloaded discovery must not be asked to write out the whole list for every gateway.
+#[test]
+fn after_503_watches_again_from_the_known_version() {
+    let endpoint = ScriptedServer::serving("");
+    let (_gateway, discovery) = start_gateway(&[&endpoint]);
+    // The list that it was started with is version 1.
+    assert!(discovery.next_call().starts_with("GET /v1/servers?after=1&wait_ms="));
+    discovery.reject();
+    assert!(discovery.next_call().starts_with("GET /v1/servers?after=1&wait_ms="));
+    discovery.push(changes(6, &[]));
+    assert!(discovery.next_call().starts_with("GET /v1/servers?after=6&wait_ms="));
+    discovery.reject();
+    assert!(discovery.next_call().starts_with("GET /v1/servers?after=6&wait_ms="));
+}
+
+#[test]
+fn closes_idle_connections_of_a_draining_endpoint_and_sends_it_nothing() {
+    let (old, new) = (ScriptedServer::serving("old"), ScriptedServer::serving("new"));
+    let (gateway, discovery) = start_gateway(&[&old]);
+    let mut client = gateway.client();
+    assert_eq!(client.request(&ClientRequest::new("read")).body, b"old");
+    old.next_request();
+    discovery.next_call();
+    discovery.push(whole_list(
+        2,
+        &[endpoint_entry("s-0", old.addr, "draining"), endpoint_entry("s-1", new.addr, "up")],
+    ));
+    discovery.next_call();
+    old.next_close();
+    for _ in 0..4 {
+        assert_eq!(client.request(&ClientRequest::new("read")).body, b"new");
+    }
+    assert!(old.has_received_nothing(), "nothing came to the drained endpoint");
+}
--- /dev/null
+++ b/crates/gateway/tests/it/quota_counter.rs
@@ -0,0 +1,35 @@
+//! Quotas that are held at the shared counter.
+use crate::common::*;
+
+/// Calls to the counter carry the amount, and its totals decide. An unreadable total decides nothing, and the
+/// connection it came over carries no other call.
+#[test]
+fn decides_quotas_by_the_counters_total_and_admits_without_a_readable_one() {
+    let endpoint = ScriptedServer::serving("");
+    let counter = ScriptedServer::serving("1");
+    let request = || ClientRequest { metering: "units=2,spread=2,first=0", ..ClientRequest::new("read") };
+    let (gateway, _discovery) = start_gateway_with_counter(&endpoint, &counter);
+    let mut client = gateway.client();
+    assert_eq!(client.request(&request()).status(), 200);
+    let call = counter.next_request();
+    let (path, amount) = call.message.start_line.split_once('?').expect("an amount");
+    assert!(path.starts_with("POST /counters/") && path.len() == "POST /counters/".len() + 16, "{path}");
+    assert_eq!(amount, "by=2.000000&expire_ms=60000 HTTP/1.1");
+    counter.set_reply(respond("200 OK", "", "1000000"));
+    assert_eq!(client.request(&request()).status(), 429);
+    assert_eq!(counter.next_request().connection, call.connection, "over the same connection");
+    for malformed in ["", "many", "NaN"] {
+        let counter = ScriptedServer::start(respond("200 OK", "", malformed));
+        let (gateway, _discovery) = start_gateway_with_counter(&endpoint, &counter);
+        assert_eq!(gateway.client().request(&request()).status(), 200, "{malformed}");
+        let connection = counter.next_request().connection;
+        assert_eq!(counter.next_close(), connection, "{malformed}");
+    }
+    let rejected = respond("503 Service Unavailable", "", "");
+    for lost in [Reply::Close, Reply::Response("noise\r\n\r\n".into()), rejected] {
+        let counter = ScriptedServer::start(lost);
+        let (gateway, _discovery) = start_gateway_with_counter(&endpoint, &counter);
+        assert_eq!(gateway.client().request(&request()).status(), 200);
+        counter.next_request();
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/it/requests.rs
@@ -0,0 +1,138 @@
+//! Requests as clients write them: what is forwarded, and what is rejected before it can reach an endpoint.
+use crate::common::*;
+use serde_json::json;
+
+#[test]
+fn forwards_a_request_unchanged_and_returns_its_response() {
+    let endpoint =
+        ScriptedServer::start(respond("200 OK", "Content-Type: text/plain\r\nX-Settled: 2\r\n", "balance 7"));
+    let (gateway, _discovery) = start_gateway(&[&endpoint]);
+    let mut client = gateway.client();
+    let request = ClientRequest { body: "meter=12", ..ClientRequest::new("post") };
+    let served = client.request(&request);
+    assert_eq!((served.status(), served.body.as_slice()), (200, &b"balance 7"[..]));
+    assert_eq!(served.header("content-type"), Some("text/plain"));
+    let received = endpoint.next_request();
+    let sent = received.message;
+    assert_eq!(sent.start_line, format!("POST /api/{}?page=2 HTTP/1.1", request.customer));
+    assert_eq!(sent.header("x-call-id"), Some(request.id.as_str()));
+    assert_eq!(sent.header("idempotency-key"), Some("5c0f6e1a"));
+    assert_eq!(sent.body, b"meter=12");
+    let budget: f64 = sent.header("x-budget").expect("a budget").parse().expect("seconds");
+    assert!(budget > 0.0 && budget <= 15.0, "the budget is what is left: {budget}");
+    // The pool: the next request takes the same connection.
+    assert_eq!(client.request(&ClientRequest::new("read")).status(), 200);
+    assert_eq!(endpoint.next_request().connection, received.connection);
+}
+
+#[test]
+fn answers_malformed_requests_with_their_status_and_goes_on() {
+    let endpoint = ScriptedServer::serving("");
+    let (gateway, _discovery) = start_gateway(&[&endpoint]);
+    let good = ClientRequest::new("read").text();
+    let cases = [
+        (good.replace("X-Call-Id", "X-Other"), 400),
+        (good.replace("X-Call-Class: read", "X-Call-Class: riddle"), 400),
+        (good.replace("X-Contract: basic", "X-Contract: none"), 400),
+        (good.replace("X-Budget: 15.000", "X-Budget: NaN"), 400),
+        (good.replace("X-Budget: 15.000", "X-Budget: -1"), 400),
+        (good.replace("units=1", "units=9"), 400),
+        (good.replace("spread=1", "spread=7"), 400),
+        (good.replace("first=0", "first=1"), 400),
+        (good.replace("X-Metering: ", "X-Metering: units"), 400),
+        (good.replace("00000000b4d65521", "ffffffffb4d65521"), 400),
+        (good.replace("00000000b4d65521", "b4d65521"), 400),
+        (good.replace("/api/", "/other/"), 404),
+        (good.replace("GET ", "POST "), 405),
+        (ClientRequest { extra_headers: "", ..ClientRequest::new("post") }.text(), 400),
+        (good.replace("X-Call-Id: ", "X-Call-Id: +"), 400),
+        ("nonsense\r\n\r\n".to_string(), 400),
+        (ClientRequest::new("post").text().replace("Content-Length: 0", "Content-Length: 70000"), 413),
+    ];
+    for (text, status) in cases {
+        assert_eq!(gateway.client().request_raw(&text).status(), status, "{text}");
+    }
+    // None of them took from the bucket of 8 units: as many are still served at once.
+    let mut client = gateway.client();
+    for _ in 0..8 {
+        assert_eq!(client.request(&ClientRequest::new("read")).status(), 200);
+    }
+}
+
+/// A body whose length is given in two ways may hide a request, and hyper keeps only one of the two.
+#[test]
+fn rejects_transfer_encoding_with_or_without_content_length() {
+    let endpoint = ScriptedServer::serving("");
+    let (gateway, _discovery) = start_gateway(&[&endpoint]);
+    let hidden = ClientRequest::new("post").text();
+    for length in ["", "Content-Length: 5\r\n"] {
+        let encoding = format!("{length}Transfer-Encoding: chunked");
+        let text = ClientRequest::new("post").text().replace("Content-Length: 0", &encoding);
+        let mut client = gateway.client();
+        client.write(&format!("{text}0\r\n\r\n{hidden}"));
+        let response = client.read().expect("a response");
+        assert_eq!((response.status(), response.header("connection")), (411, Some("close")));
+        assert!(client.read().is_none(), "nothing is read after it");
+    }
+    assert!(endpoint.has_received_nothing(), "nothing was forwarded");
+}
+
+/// Which of two values counts would be a guess.
+#[test]
+fn rejects_duplicate_headers_and_metering_figures() {
+    let endpoint = ScriptedServer::serving("");
+    let (gateway, _discovery) = start_gateway(&[&endpoint]);
+    for extra_headers in [
+        "X-Call-Id: 00000000000000aa\r\n",
+        "X-Budget: 15.000\r\n",
+        "X-Contract: basic\r\n",
+        "X-Metering: units=1,spread=1,first=0\r\n",
+        "Idempotency-Key: a\r\nIdempotency-Key: b\r\n",
+    ] {
+        let response =
+            gateway.client().request(&ClientRequest { extra_headers, ..ClientRequest::new("read") });
+        assert_eq!(
+            (response.status(), response.header("connection")),
+            (400, Some("close")),
+            "{extra_headers}"
+        );
+    }
+    let metering = "units=1,spread=1,first=0,units=2";
+    assert_eq!(
+        gateway.client().request(&ClientRequest { metering, ..ClientRequest::new("read") }).status(),
+        400
+    );
+    assert!(endpoint.has_received_nothing(), "nothing was forwarded");
+}
+
+#[test]
+fn rejects_a_second_request_with_the_id_of_an_active_one() {
+    let endpoint = ScriptedServer::silent();
+    let (gateway, _discovery) = start_gateway(&[&endpoint]);
+    let request = ClientRequest::new("once");
+    let mut first = gateway.client();
+    first.write(&request.text());
+    endpoint.next_request();
+    assert_eq!(gateway.client().request(&request).status(), 409);
+    assert!(endpoint.has_received_nothing(), "it reached the endpoint once");
+}
+
+#[test]
+fn rejections_carry_retry_after_only_where_clients_honour_it() {
+    let endpoint = ScriptedServer::serving("");
+    for honoured in [false, true] {
+        let discovery = Discovery::start();
+        let mut config = config(discovery.addr, &[endpoint_entry("s-0", endpoint.addr, "up")]);
+        config["settings"]["ceilings"]["retryAfter"] = json!(honoured);
+        config["settings"]["tiersOfService"][0]["refill"] = json!(0.01);
+        let gateway = GatewayProcess::start(&config);
+        let mut client = gateway.client();
+        let mut rejected = client.request(&ClientRequest::new("read"));
+        for _ in 0..8 {
+            rejected = client.request(&ClientRequest::new("read"));
+        }
+        assert_eq!(rejected.status(), 429);
+        // The wait for a unit is 100 s; clients honour 2 s at most.
+        assert_eq!(rejected.header("retry-after"), honoured.then_some("2.000"));
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/it/shutdown.rs
@@ -0,0 +1,46 @@
+//! SIGTERM: active requests are answered, and the process exits with 0.
+use crate::common::*;
+
+#[test]
+fn sigterm_answers_active_requests_accepts_for_a_while_and_exits_with_0() {
+    let endpoint = ScriptedServer::silent();
+    let (mut gateway, _discovery) = start_gateway(&[&endpoint]);
+    let (mut active, mut idle) = (gateway.client(), gateway.client());
+    idle.health_status();
+    active.write(&ClientRequest::new("once").text());
+    endpoint.next_request();
+    gateway.terminate();
+    assert!(idle.closes_within(TEST_TIMEOUT), "an idle connection is told to close");
+    endpoint.set_reply(respond("200 OK", "", ""));
+    let late = gateway.client().request(&ClientRequest::new("read"));
+    assert_eq!((late.status(), late.header("connection")), (200, Some("close")));
+    // Its endpoint never answers, and its budget is longer than SIGKILL leaves.
+    let response = active.read().expect("a response");
+    assert_eq!((response.status(), response.header("connection")), (502, Some("close")));
+    assert!(active.closes_within(TEST_TIMEOUT));
+    assert!(gateway.wait().success());
+}
+
+/// One request waits for its quota when SIGTERM comes, and what follows it on its connection is never read.
+#[test]
+fn sigterm_finishes_a_request_that_waits_for_its_quota_and_answers_it_once() {
+    let endpoint = ScriptedServer::serving("mine");
+    let counter = ScriptedServer::silent();
+    let (mut gateway, _discovery) = start_gateway_with_counter(&endpoint, &counter);
+    let (mut waiting, mut idle) = (gateway.client(), gateway.client());
+    idle.health_status();
+    let request = || ClientRequest { metering: "units=1,spread=2,first=0", ..ClientRequest::new("once") };
+    waiting.write(&request().text());
+    let connection = counter.next_request().connection;
+    gateway.terminate();
+    assert!(idle.closes_within(TEST_TIMEOUT), "the gateway has taken the signal");
+    waiting.write(&request().text());
+    counter.write(connection, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1");
+    let served = waiting.read().expect("a response");
+    assert_eq!((served.status(), served.header("connection")), (200, Some("close")));
+    assert_eq!(served.body, b"mine");
+    assert!(waiting.closes_within(TEST_TIMEOUT), "with no second answer");
+    assert!(gateway.wait().success());
+    let sent = endpoint.requests_so_far().count();
+    assert_eq!(sent, 1);
+}
--- /dev/null
+++ b/crates/gateway/tests/it/upstream_connections.rs
@@ -0,0 +1,92 @@
+//! Connections to endpoints: when they are reused, and what malformed responses do.
+use crate::common::*;
+use std::time::{Duration, Instant};
+
+#[test]
+fn never_reuses_a_connection_that_its_endpoint_closed() {
+    let text = http_response("200 OK", "", "");
+    let endpoint = ScriptedServer::start(Reply::ResponseAndClose(text));
+    let (gateway, _discovery) = start_gateway(&[&endpoint]);
+    let mut client = gateway.client();
+    for expected in 0..3 {
+        // A non-idempotent class: a request lost on a closed connection could not be sent again.
+        assert_eq!(client.request(&ClientRequest::new("once")).status(), 200);
+        assert_eq!(endpoint.next_request().connection, expected);
+        assert_eq!(endpoint.next_close(), expected);
+        // The health check passes the gateway's event loop once more, so that it has seen the close.
+        client.health_status();
+    }
+}
+
+/// Bytes behind a response would be taken for the response to the next request.
+#[test]
+fn never_reuses_a_connection_with_bytes_beyond_its_response() {
+    let text = http_response("200 OK", "", "mine");
+    let endpoint = ScriptedServer::start(Reply::Response(text.clone()));
+    let (gateway, _discovery) = start_gateway(&[&endpoint]);
+    let mut client = gateway.client();
+    let foreign = text.replace("mine", "last");
+    for (with, after) in [(foreign.as_str(), ""), ("noise", ""), ("", foreign.as_str()), ("", "noise")] {
+        endpoint.set_reply(Reply::Response(format!("{text}{with}")));
+        assert_eq!(client.request(&ClientRequest::new("once")).body, b"mine");
+        let connection = endpoint.next_request().connection;
+        endpoint.write(connection, after);
+        // It may not have been noticed when the next request is there.
+        endpoint.set_reply(Reply::Response(text.clone()));
+        assert_eq!(client.request(&ClientRequest::new("once")).body, b"mine");
+        assert_ne!(endpoint.next_request().connection, connection, "{with}{after}");
+    }
+}
+
+/// The connection of a malformed response stays open and silent: waiting for more would cost the whole budget. The
+/// request has run, so that only a class that allows it is attempted again.
+#[test]
+fn fails_an_attempt_at_once_on_a_malformed_response_and_closes_its_connection() {
+    let head = "HTTP/1.1 200 OK\r\n";
+    let long = "x".repeat(20_000);
+    let malformed = [
+        "noise\r\n\r\n".to_string(),
+        head.to_string(),
+        format!("{head}X-Long: {long}"),
+        format!("{head}Content-Length: -5\r\n\r\nx"),
+        format!("{head}Content-Length: 10\r\n\r\nshort"),
+        format!("{head}Content-Length: 3000000000\r\n\r\n"),
+        format!("{head}Transfer-Encoding: chunked\r\n\r\nzz\r\n"),
+        "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(20),
+    ];
+    let (bad, good) = (ScriptedServer::silent(), ScriptedServer::serving("good"));
+    let (alone, _discovery) = start_gateway(&[&bad]);
+    let (both, _discovery) = start_gateway(&[&bad, &good]);
+    for text in malformed {
+        bad.set_reply(Reply::Response(text.clone()));
+        let start = Instant::now();
+        assert_eq!(alone.client().request(&ClientRequest::new("once")).status(), 502, "{text:.60}");
+        assert!(start.elapsed() < Duration::from_secs(3), "{text:.60}: {:?}", start.elapsed());
+        let connection = bad.next_request().connection;
+        assert_eq!(bad.next_close(), connection, "{text:.60}");
+        assert_eq!(both.client().request(&ClientRequest::new("read")).body, b"good", "{text:.60}");
+    }
+}
+
+#[test]
+fn accepts_a_response_after_interim_ones_and_with_unreadable_reports() {
+    let endpoint = ScriptedServer::silent();
+    let (gateway, _discovery) = start_gateway(&[&endpoint]);
+    let mut client = gateway.client();
+    for headers in [
+        "X-Load-Report: {\"qps\":\r\n",
+        "X-Load-Report: {\"qps\":1e999}\r\n",
+        "X-Settled: many\r\n",
+        "X-Settled: -1e300\r\n",
+        "X-Settled: 1e300\r\n",
+        "X-Settled: 1\r\nX-Settled: 4\r\n",
+    ] {
+        let text = http_response("200 OK", headers, "good");
+        endpoint.set_reply(Reply::Response(format!(
+            "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n{text}"
+        )));
+        assert_eq!(client.request(&ClientRequest::new("read")).body, b"good", "{headers}");
+    }
+    // None of the figures has emptied the bucket of 8 units, of which 6 are spent.
+    assert_eq!(client.request(&ClientRequest::new("read")).status(), 200);
+}
