--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -1,15 +1,17 @@
 //! The gateway: takes an event and calls the parts in order.
 use crate::action::Action;
 use crate::coordination::gossip::Gossip;
+use crate::coordination::Coordination;
 use crate::event::Event;
-use crate::mechanism::splitmix64::mix;
+use crate::mechanism::splitmix64::{mix, SplitMix64};
 use crate::mechanism::virtual_finish_queue::VirtualFinishQueue;
-use crate::policy::coordination::{MAX_REPORT_INTERVAL_MS, MIN_REPORT_INTERVAL_MS, PEER_MESSAGE_FRACTION};
+use crate::policy::coordination::{MIN_REPORT_INTERVAL_MS, PEER_MESSAGE_FRACTION};
 use crate::policy::in_flight_band::{
     GOSSIP_AGE_WEIGHT, GOSSIP_BAND_FACTOR, GOSSIP_LATENCY_EASE, INITIAL_WATERMARK, MAX_REFILL_FACTOR,
     MAX_WATERMARK, MAX_WATERMARK_RISE, MIN_REFILL_FACTOR, PROMPT_FRACTION, SATURATED_FILL, SLUGGISH_FRACTION,
     UNGATED_FILL, WATERMARK_STEP_OBJECTIVES,
 };
+use crate::policy::outlier_detection::{INITIAL_OBJECTIVE_FRACTION, LATENCY_GAINS};
 use crate::policy::quota_owner::{
     MIN_QUOTA_MESSAGE_FRACTION, MIN_RESPONSE_WAIT_MS, QUOTA_MESSAGE_FRACTION, QUOTA_RATE_SPAN_S,
     RESPONSE_WAIT_FRACTION, SUSPECT_MS,
@@ -18,10 +20,12 @@
 use crate::settings::{Settings, SettingsError};
 use crate::state::band::InFlightBand;
 use crate::state::customer::{CustomerTable, QuotaCounter, QuotaOwner};
-use crate::state::endpoint::{EndpointTable, SlowStart};
-use crate::state::observation::{LatencyModel, OutlierDetector};
+use crate::state::endpoint_table::EndpointTable;
+use crate::state::latency_model::LatencyModel;
+use crate::state::outlier_detector::OutlierDetector;
 use crate::state::peer::{Peer, PeerTable};
 use crate::state::request::{QuotaState, RequestTable, RetryBudget};
+use crate::state::slow_start::SlowStart;
 use std::collections::BTreeMap;
 
 /// One gateway's decisions: takes events in and answers with actions. Each part owns the state of one
@@ -29,10 +33,12 @@
 #[derive(Debug, Default)]
 pub struct Gateway {
     pub(crate) settings: Settings,
+    /// The way in which this fleet agrees on quotas and attempts in flight.
+    pub(crate) coordination: Coordination,
     pub(crate) clock: EventClock,
     /// Tells this start of the gateway from earlier ones.
     pub(crate) incarnation: u32,
-    pub(crate) random: u64,
+    pub(crate) random: SplitMix64,
     pub(crate) endpoints: EndpointTable,
     pub(crate) requests: RequestTable,
     pub(crate) customers: CustomerTable,
@@ -71,30 +77,25 @@
         settings.check()?;
         let peers: BTreeMap<usize, Peer> =
             (0..settings.gateways).filter(|p| *p != settings.me).map(|p| (p, Peer::unknown())).collect();
-        let mean_by_class_ms: Vec<f64> =
-            settings.classes.iter().map(|c| c.latency_objective_ms * 0.15).collect();
+        let objectives_ms = settings.classes.iter().map(|class| class.latency_objective_ms);
         let mut gateway = Gateway {
             clock: EventClock { now_ms, started_ms: now_ms, ..EventClock::default() },
             incarnation: (mix(seed) & 0x3_ffff) as u32,
-            random: seed,
+            random: SplitMix64::new(seed),
             band: InFlightBand {
                 watermark: INITIAL_WATERMARK,
                 dispatch_credit: 1.0,
                 ..InFlightBand::default()
             },
-            latency: LatencyModel {
-                objective_fraction: 0.15,
-                time_budgets: vec![(0.0, 0); mean_by_class_ms.len()],
-                mean_by_class_ms,
-                ..LatencyModel::default()
-            },
+            latency: LatencyModel::new(objectives_ms, INITIAL_OBJECTIVE_FRACTION, LATENCY_GAINS),
             retries: RetryBudget { tokens: MAX_RETRY_TOKENS / 2.0 },
             peers: PeerTable { by_index: peers, message_tokens: 10.0, ..PeerTable::default() },
             quota_counter: QuotaCounter { sampling_fraction: 1.0, ..QuotaCounter::default() },
+            coordination: Coordination::from_settings(&settings),
             settings,
             ..Gateway::default()
         };
-        if gateway.gossip_mode() {
+        if !gateway.coordination.is_broadcast() {
             gateway.band.watermark *= GOSSIP_BAND_FACTOR;
         }
         Ok(gateway)
@@ -108,17 +109,19 @@
             self.schedule_tick(UPKEEP_MS, actions);
         }
         match event {
-            Event::EndpointList { kind, entries } => self.on_list(kind, entries),
+            Event::EndpointList { kind, entries } => {
+                self.endpoints.apply_list(kind, entries, self.clock.now_ms, &mut self.random)
+            }
             Event::Request(request) => self.on_request(request, actions),
             Event::Timer { .. }
-                if !self.gossip_mode() || self.clock.now_ms >= self.clock.next_tick_ms - 0.5 =>
+                if self.coordination.is_broadcast() || self.clock.now_ms >= self.clock.next_tick_ms - 0.5 =>
             {
                 self.upkeep(actions)
             }
             Event::Timer { .. } => {}
             Event::AttemptEnded(end) => self.on_attempt_end(&end, actions),
             Event::ClientGone { request } => self.close(request, actions),
-            Event::PeerMessage { from, body } if self.gossip_mode() => {
+            Event::PeerMessage { from, body } if !self.coordination.is_broadcast() => {
                 self.on_gossip_message(from, &body, actions)
             }
             Event::PeerMessage { from, body } => self.on_counts_message(from, &body),
@@ -138,12 +141,15 @@
     }
 
     pub(crate) fn upkeep(&mut self, actions: &mut Vec<Action>) {
-        let wide = self.gossip_mode();
+        let wide = !self.coordination.is_broadcast();
         self.schedule_tick(
             if wide && self.requests.active.is_empty() { IDLE_UPKEEP_MS } else { UPKEEP_MS },
             actions,
         );
         if !wide || self.clock.now_ms - self.gossip.measured_ms >= IDLE_UPKEEP_MS {
+            if !wide {
+                self.update_typical_age();
+            }
             self.detect_correlated_failure();
             if !wide {
                 self.refill_warm_up_tokens();
@@ -176,7 +182,7 @@
             self.band.stepped_ms = self.clock.now_ms;
             // What is still out tells of trouble before the answers do.
             let (told, ease) = if wide { (GOSSIP_AGE_WEIGHT, GOSSIP_LATENCY_EASE) } else { (1.5, 1.0) };
-            let part = self.latency.objective_fraction.max(told * self.latency.typical_age_ms / aim);
+            let part = self.latency.objective_fraction().max(told * self.latency.typical_age_ms() / aim);
             if part > ease * SLUGGISH_FRACTION {
                 self.band.watermark = (self.band.watermark * 0.93).max(self.watermark_floor());
             } else if part < ease * PROMPT_FRACTION
@@ -194,9 +200,8 @@
             / (PEER_MESSAGE_FRACTION * self.settings.peer_messages_per_second).max(0.1))
         .max(MIN_REPORT_INTERVAL_MS);
         if self.clock.now_ms - self.peers.reported_ms >= gap
-            && self.settings.peer_messages_allowed
             && peers > 0.0
-            && !self.gossip_mode()
+            && self.coordination.is_broadcast()
         {
             self.peers.reported_ms = self.clock.now_ms;
             self.broadcast_counts(actions);
@@ -207,18 +212,6 @@
         }
     }
 
-    pub(crate) fn random_fraction(&mut self) -> f64 {
-        self.random = mix(self.random);
-        (self.random >> 11) as f64 / (1u64 << 53) as f64
-    }
-
-    /// Whether the gateways are more than could each be heard often enough for the band's silence.
-    pub(crate) fn gossip_mode(&self) -> bool {
-        let told =
-            if self.settings.peer_messages_allowed { self.settings.peer_messages_per_second } else { 0.0 };
-        self.settings.gateways as f64 - 1.0 > PEER_MESSAGE_FRACTION * told * MAX_REPORT_INTERVAL_MS / 1000.0
-    }
-
     /// Upkeep of a wide fleet's gateway.
     pub(crate) fn gossip_upkeep(&mut self, actions: &mut Vec<Action>) {
         if self.clock.now_ms - self.gossip.measured_ms >= IDLE_UPKEEP_MS {
@@ -244,7 +237,7 @@
         let now = self.clock.now_ms;
         let mut late = Vec::new();
         for id in self.quota_owner.pending.values() {
-            if let Some(QuotaState::Asked { keeper, at_ms, tries, .. }) =
+            if let Some(QuotaState::AwaitingOwner { keeper, at_ms, tries, .. }) =
                 self.requests.active.get(id).map(|o| o.quota)
             {
                 if now - at_ms > patience {
--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -2,16 +2,17 @@
 use crate::action::Action;
 use crate::event::Request;
 use crate::gateway::{Gateway, UPKEEP_MS};
-use crate::id::RequestId;
+use crate::mechanism::common_value::VoteLimits;
 use crate::state::customer::customer_tag;
 use crate::state::request::ActiveRequest;
-use crate::state::request::Gate;
+use crate::state::request::QuotaDecision;
 
 /// For so long after its start a gateway spends only its part of each burst: peers may not have told theirs.
 pub(crate) const STARTUP_MS: f64 = 1000.0;
 
-/// First tries of a class come with one time left: how near, how often seen to be sure of it, and at most.
-pub(crate) const FIRST_TRIES: (f64, i32, i32) = (0.02, 10, 30);
+/// First tries of a class come with one time left, found by vote; and the votes that make sure of it.
+pub(crate) const FIRST_TRIES: VoteLimits = VoteLimits { tolerance: 0.02, votes_for: 4, max_votes: 30 };
+pub(crate) const MIN_FIRST_TRY_VOTES: i32 = 10;
 
 /// Usual residences that must be left for a request to be sent: answers spread widely, and one that its
 /// client no longer waits for is work wasted, which costs most while the endpoints are pressed. Else the
@@ -36,7 +37,7 @@
         }
         let now = self.clock.now_ms;
         let plan = s.plans[request.plan].clone();
-        let wide = self.gossip_mode();
+        let wide = !self.coordination.is_broadcast();
         let tag = if wide { request.customer.0 } else { u64::from(customer_tag(request.customer)) };
         let aim = s.classes[request.class].latency_objective_ms;
         let aim = aim - self.already_waited_ms(request.class, request.time_left_ms);
@@ -48,14 +49,14 @@
             let active = ActiveRequest::new(request, tag, now, aim, false);
             let hopeless = self.cannot_meet_deadline(&active);
             self.requests.active.insert(id, active);
-            if hopeless || self.queue.len >= MAX_QUEUED {
+            if hopeless || self.queue.len() >= MAX_QUEUED {
                 return self.finish(id, self.overload_retry_after(), actions);
             }
             let worth = self.settings.classes[class].priority_weight.max(0.01);
-            self.enqueue(id, tag, &plan, units / worth);
+            self.queue.enqueue(tag, id, units / worth, self.flow_weight(&plan));
             return self.check_quota(id, actions);
         }
-        let reserved = self.queue.flows.get(&tag).map_or(0.0, |f| f.units);
+        let reserved = self.queue.queued_size(tag);
         let customer = self.customer_entry(tag, request.plan, first, spread);
         let withheld = if newcomer { plan.burst_units * (1.0 - 1.0 / spread as f64) } else { 0.0 };
         let room = customer.tokens - reserved - withheld;
@@ -73,15 +74,18 @@
         let (under_lower, under_upper) = self.under_band(id);
         // Beyond the quota only what earns more than it costs goes on, and only with nothing held.
         let earns = plan.over_quota_value > plan.over_quota_cost && ceiling_ok && plan.open_limit == 0;
-        let may_go =
-            if inside { under_upper && self.quota_gate(id) == Gate::Go } else { under_lower && earns };
+        let may_go = if inside {
+            under_upper && self.quota_decision(id) == QuotaDecision::Admit
+        } else {
+            under_lower && earns
+        };
         if may_go && !self.band.blocked {
             if let Some(endpoint) = self.select_endpoint(id) {
                 return self.send(id, endpoint, actions);
             }
         }
-        if inside && self.queue.len < MAX_QUEUED {
-            self.enqueue(id, tag, &plan, units);
+        if inside && self.queue.len() < MAX_QUEUED {
+            self.queue.enqueue(tag, id, units, self.flow_weight(&plan));
         } else {
             let wait = Some(1000.0 * short / plan.rate_per_second).filter(|w| w.is_finite());
             self.finish(id, wait, actions);
@@ -94,21 +98,10 @@
         let end = active.objective_at_ms.min(active.deadline_ms - UPKEEP_MS - 2.0 * self.settings.tick_ms);
         let wanted =
             if self.band.saturated { MIN_RESPONSE_TIMES_LEFT_SATURATED } else { MIN_RESPONSE_TIMES_LEFT }
-                * self.latency.mean_by_class_ms[active.request.class];
+                * self.latency.response_ms(active.request.class);
         end - self.clock.now_ms < wanted
     }
 
-    /// Gives the final answer: a refusal where that promise can be kept.
-    pub(crate) fn finish(&mut self, id: RequestId, retry_after_ms: Option<f64>, actions: &mut Vec<Action>) {
-        let Some(active) = self.requests.active.get(&id).filter(|o| !o.answered) else { return };
-        actions.push(if self.may_reject(active) {
-            Action::Reject { request: id, retry_after_ms }
-        } else {
-            Action::Fail { request: id }
-        });
-        self.close(id, actions);
-    }
-
     /// When to come back to a gateway that had no room in time: after the longest wait that clients heed. Try
     /// on try would come too late as well, and each is weighed and asked about anew.
     pub(crate) fn overload_retry_after(&self) -> Option<f64> {
--- /dev/null
+++ b/crates/gateway/src/downstream/server.rs
@@ -0,0 +1,119 @@
+//! The server for clients: serves each connection, and drains them all at the end.
+use super::connection::{Connection, ConnectionRole, ConnectionStage};
+use super::connection_table::ConnectionTable;
+use super::handler::RequestHandler;
+use crate::dispatcher::Dispatcher;
+use crate::logging::target;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use irishinge_admission::Settings;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::sleep_until;
+
+/// The longest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// A client that takes longer over a request's head is closed, and so is one that stands idle for so long.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What the server goes by.
+pub(crate) struct DownstreamSettings {
+    /// The classes and bounds of requests.
+    pub admission: Settings,
+    /// Rejections may carry `Retry-After`.
+    pub sends_retry_after: bool,
+    /// Connections whose requests are served.
+    pub max_connections: usize,
+}
+
+/// All clients' connections.
+pub(crate) struct DownstreamServer {
+    handler: RequestHandler,
+    connections: ConnectionTable,
+    max_connections: usize,
+}
+
+impl DownstreamServer {
+    /// A server without connections.
+    pub(crate) fn new(dispatcher: Rc<Dispatcher>, settings: DownstreamSettings) -> Rc<Self> {
+        let max_connections = settings.max_connections;
+        Rc::new(DownstreamServer {
+            handler: RequestHandler::new(dispatcher, settings),
+            connections: ConnectionTable::default(),
+            max_connections,
+        })
+    }
+
+    /// The open connections.
+    pub(super) fn connections(&self) -> &ConnectionTable {
+        &self.connections
+    }
+
+    /// The bound on connections whose requests are served.
+    pub(super) fn max_connections(&self) -> usize {
+        self.max_connections
+    }
+
+    /// Has connections close once they have answered what they have taken. Those that are new, or come later, close
+    /// with their first response.
+    pub(crate) fn drain(&self) {
+        self.handler.start_draining();
+        self.connections.request_close_of_used();
+    }
+
+    /// The same for all connections; no further one comes.
+    pub(crate) fn drain_all(&self) {
+        self.connections.request_close_of_all();
+    }
+
+    /// Waits until no connection is open.
+    pub(crate) async fn all_ended(&self) {
+        self.connections.all_ended().await;
+    }
+
+    /// Serves a connection in a task of its own.
+    pub(super) fn serve(self: &Rc<Self>, stream: TcpStream, role: ConnectionRole) {
+        if let Err(error) = stream.set_nodelay(true) {
+            tracing::warn!(target: target::DOWNSTREAM, %error, "cannot set TCP_NODELAY; responses may be delayed");
+        }
+        let connection = Rc::new(Connection::new(stream, role));
+        let id = self.connections.insert(connection.clone());
+        let server = self.clone();
+        spawn_local(async move {
+            server.drive(&connection).await;
+            server.connections.remove(id);
+        });
+    }
+
+    /// Reads requests and writes responses until the connection ends.
+    async fn drive(&self, connection: &Connection) {
+        let service = service_fn(|request| self.handler.respond(connection, request));
+        let driver = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .max_buf_size(MAX_HEAD_BYTES)
+            .auto_date_header(false)
+            .serve_connection(TokioIo::new(connection.shared_stream()), service);
+        let mut driver = pin!(driver);
+        let mut first_request_due = pin!(sleep_until(connection.first_request_deadline()));
+        loop {
+            tokio::select! {
+                // An error here is the client's: it left, or wrote what is not HTTP and was told so.
+                _ = driver.as_mut() => return,
+                () = connection.close_requested() => match connection.stage() {
+                    ConnectionStage::Discarded => return,
+                    _ => driver.as_mut().graceful_shutdown(),
+                },
+                () = first_request_due.as_mut(), if !first_request_due.is_elapsed() => {
+                    if connection.stage() == ConnectionStage::AwaitingFirstRequest {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
