Dispatch a request before waiting for its response, without moving its head into a second future

The split of the handler passed the request's head and body into an inner future, which copied them. The handler now dispatches the request itself and waits in `wait_for_response`, which takes the id and the receiver only.

--- a/crates/gateway/src/downstream/handler.rs
+++ b/crates/gateway/src/downstream/handler.rs
@@ -11,13 +11,13 @@
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION};
-use hyper::http::request::Parts;
 use hyper::Response;
-use irishinge_admission::{Request, RequestId, Settings};
+use irishinge_admission::{RequestId, Settings};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 /// The body of any request but a connection's first must be here within this.
@@ -93,21 +93,20 @@
         }
         connection.enter(ConnectionStage::Active);
         request.time_left_ms -= received_at.elapsed().as_secs_f64() * 1000.0;
-        let response = self.dispatch(request, head, body, connection).await?;
+        let id = request.id;
+        let response = self.dispatcher.on_request(request, upstream_request(head, body)?);
+        let response = response.ok_or(RequestError::DuplicateCallId)?;
+        let response = self.wait_for_response(id, response, connection).await;
         Ok(final_response(response, self.max_retry_after_ms))
     }
 
-    /// Has a request dispatched and waits for its response or for its client to leave.
-    async fn dispatch(
+    /// Waits for the response to a request that was dispatched, or for its client to leave.
+    async fn wait_for_response(
         &self,
-        request: Request,
-        head: Parts,
-        body: Bytes,
+        id: RequestId,
+        response: oneshot::Receiver<FinalResponse>,
         connection: &Connection,
-    ) -> Result<FinalResponse, RequestError> {
-        let id = request.id;
-        let response = self.dispatcher.on_request(request, upstream_request(head, body)?);
-        let response = response.ok_or(RequestError::DuplicateCallId)?;
+    ) -> FinalResponse {
         // hyper drops this future when the client closes the connection.
         let mut cancellation = CancelOnDrop { dispatcher: &self.dispatcher, request: Some(id) };
         let response = tokio::select! {
@@ -115,7 +114,7 @@
             () = connection.client_left() => connection.abandon().await,
         };
         cancellation.disarm();
-        Ok(response.unwrap_or(FinalResponse::Failed))
+        response.unwrap_or(FinalResponse::Failed)
     }
 }
 
