--- /dev/null
+++ b/crates/gateway/src/discovery/tests/endpoint_list.rs
@@ -0,0 +1,104 @@
+use crate::discovery::endpoint_list::{DiscoveredEndpoint, EndpointList};
+use irishinge_admission::{EndpointId, EndpointState};
+use irishinge_settings::Names;
+use serde_json::{json, Value};
+
+const NOW_MS: f64 = 1_000_000.0;
+
+fn names() -> Names {
+    let names = |names: &[&str]| names.iter().map(|name| name.to_string()).collect();
+    Names {
+        classes: Vec::new(),
+        plans: Vec::new(),
+        zones: names(&["a", "b"]),
+        machine_kinds: names(&["m", "n"]),
+    }
+}
+
+fn list(records: Value) -> EndpointList {
+    serde_json::from_value(json!({"rev": 7, "all": true, "targets": records})).expect("a list")
+}
+
+/// A record with some fields set to other values.
+fn record(changes: Value) -> Value {
+    let mut record = json!({"uid": "u1", "endpoint": "127.0.0.1:80", "az": "b", "model": "n", "pod_group": 3,
+        "state": "up", "capacity_hint": 1.0, "boot_ms": 5000.0});
+    for (name, value) in changes.as_object().expect("an object") {
+        record[name] = value.clone();
+    }
+    record
+}
+
+/// The endpoint of a list with this record only; none where the record is left out.
+fn endpoint(record: Value) -> Option<DiscoveredEndpoint> {
+    list(json!([record])).endpoints(&names(), NOW_MS).pop()
+}
+
+#[test]
+fn a_list_has_a_revision_and_is_whole_only_where_it_says_so() {
+    let whole = list(json!([]));
+    assert!(whole.revision == 7 && whole.is_whole && whole.is_empty());
+    let changes: EndpointList =
+        serde_json::from_value(json!({"rev": 8, "targets": [record(json!({}))]})).expect("a list");
+    assert!(changes.revision == 8 && !changes.is_whole && !changes.is_empty());
+}
+
+#[test]
+fn each_field_of_a_record_reaches_the_endpoint() {
+    let endpoint = endpoint(record(json!({}))).expect("an endpoint");
+    assert_eq!(endpoint.address.to_string(), "127.0.0.1:80");
+    let entry = endpoint.entry;
+    assert_eq!((entry.zone, entry.kind, entry.cell), (1, 1, 3));
+    assert_eq!((entry.state, entry.started_at_ms), (EndpointState::Ready, Some(5000.0)));
+}
+
+/// All gateways, of this version and of earlier ones, must agree on an endpoint's id: it is the FNV-1a hash of its uid.
+#[test]
+fn the_id_is_the_fnv_1a_hash_of_the_uid() {
+    for (uid, id) in
+        [("", 0xcbf2_9ce4_8422_2325), ("a", 0xaf63_dc4c_8601_ec8c), ("foobar", 0x8594_4171_f739_67e8)]
+    {
+        let endpoint = endpoint(record(json!({"uid": uid}))).expect("an endpoint");
+        assert_eq!(endpoint.entry.id, EndpointId(id), "{uid}");
+    }
+}
+
+#[test]
+fn each_state_has_its_word() {
+    let state = |word: &str| endpoint(record(json!({"state": word}))).map(|endpoint| endpoint.entry.state);
+    assert_eq!(state("up"), Some(EndpointState::Ready));
+    assert_eq!(state("draining"), Some(EndpointState::Draining));
+    assert_eq!(state("removed"), Some(EndpointState::Gone));
+    assert_eq!(state("riddle"), None);
+}
+
+#[test]
+fn records_that_cannot_be_read_are_left_out_and_the_others_kept() {
+    let records = json!([
+        record(json!({"endpoint": "nowhere"})),
+        "nonsense",
+        record(json!({"uid": "u2"})),
+        {"uid": "u3"},
+        {"uid": "u4", "endpoint": "127.0.0.1:81", "state": "up"},
+    ]);
+    let endpoints = list(records).endpoints(&names(), NOW_MS);
+    let ports: Vec<u16> = endpoints.iter().map(|endpoint| endpoint.address.port()).collect();
+    assert_eq!(ports, [80, 81]);
+}
+
+#[test]
+fn zones_and_kinds_that_the_settings_do_not_name_share_the_index_after_the_last_name() {
+    let entry = endpoint(record(json!({"az": "x", "model": ""}))).expect("an endpoint").entry;
+    assert_eq!((entry.zone, entry.kind), (2, 2));
+}
+
+#[test]
+fn a_start_is_unknown_unless_positive_and_never_in_the_future() {
+    let start = |boot_ms: f64| {
+        endpoint(record(json!({"boot_ms": boot_ms}))).expect("an endpoint").entry.started_at_ms
+    };
+    assert_eq!(start(0.0), None);
+    assert_eq!(start(-5.0), None);
+    assert_eq!(start(NOW_MS - 1.0), Some(NOW_MS - 1.0));
+    assert_eq!(start(NOW_MS + 1.0), Some(NOW_MS));
+}
--- a/crates/gateway/src/discovery/tests/mod.rs
+++ b/crates/gateway/src/discovery/tests/mod.rs
@@ -1,4 +1,5 @@
 //! The tests of discovery, by concern, and what they share.
+mod endpoint_list;
 mod fleet_recovery;
 mod lease_expiry;
 mod list_lease;
