--- /dev/null
+++ b/crates/gateway/src/startup.rs
@@ -0,0 +1,141 @@
+//! Startup: builds the parts of the gateway from the configuration, lowest layer first, and starts their tasks.
+use crate::clock::Clock;
+use crate::config::{Config, ConfigError};
+use crate::descriptor_budget::DescriptorBudget;
+use crate::discovery::{watch_endpoint_list, EndpointList, EndpointListObserver, RefreshPolicy};
+use crate::dispatcher::Dispatcher;
+use crate::downstream::{DownstreamServer, DownstreamSettings};
+use crate::logging::target;
+use crate::peers::{BindError, Peers};
+use crate::quota_counter::QuotaCounter;
+use crate::shutdown::{Shutdown, ShutdownTimes};
+use crate::upstream::{UpstreamPool, IDLE_CHECK_INTERVAL};
+use irishinge_admission::{Gateway, ListKind, SettingsError};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{interval, MissedTickBehavior};
+
+/// Why the process cannot start.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum StartupError {
+    /// A log subscriber was already installed.
+    #[error("cannot set up the log")]
+    Logging(#[from] tracing::subscriber::SetGlobalDefaultError),
+    /// The operating system denied the runtime a resource.
+    #[error("cannot start the runtime")]
+    Runtime(#[source] io::Error),
+    /// A handler for SIGHUP or SIGTERM could not be installed.
+    #[error("cannot handle signals")]
+    Signals(#[source] io::Error),
+    /// The configuration could not be loaded.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// The decision library rejected the settings.
+    #[error("cannot use the settings")]
+    Settings(#[from] SettingsError),
+    /// The address for peers' messages could not be bound.
+    #[error(transparent)]
+    Peers(#[from] BindError),
+    /// The address for clients could not be bound.
+    #[error("cannot listen for clients on {addr}")]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+}
+
+/// Handles to a running gateway, for reload and shutdown.
+pub(crate) struct RunningGateway {
+    /// Changes discovery's address.
+    pub discovery_addr: watch::Sender<SocketAddr>,
+    /// Changes the quota counter's address.
+    pub dispatcher: Rc<Dispatcher>,
+    /// Shuts the gateway down.
+    pub shutdown: Shutdown,
+}
+
+/// Starts the gateway. Its tasks run on the current `LocalSet` and accept connections as soon as the caller awaits.
+///
+/// # Errors
+///
+/// Fails if the decision library rejects the settings or an address cannot be bound.
+pub(crate) async fn start(config: Config) -> Result<RunningGateway, StartupError> {
+    let settings = config.settings;
+    let socket_settings = config.socket_settings;
+    let budget = DescriptorBudget::new(config.sockets);
+    let clock = Clock::start();
+    let gateway = Gateway::new(settings.clone(), config.seed, clock.now_ms())?;
+    let upstream = UpstreamPool::new(&socket_settings, budget.upstream);
+    let accepted_per_second = settings.peer_messages_per_second;
+    let peers =
+        Rc::new(Peers::bind(config.peer_listen, config.peers, settings.me, accepted_per_second).await?);
+    let quota_counter = QuotaCounter::new(config.counter, socket_settings.counter_timeout_ms);
+    let dispatcher = Dispatcher::new(gateway, clock, config.names, upstream, peers.clone(), quota_counter);
+    let known_revision = restore_known_list(&dispatcher, config.known);
+
+    let listener = listen(config.listen, &peers).await?;
+    let times = ShutdownTimes::new(&settings);
+    let refresh_policy = RefreshPolicy::new(&socket_settings, settings.gateways);
+    let (discovery_addr, watched_addr) = watch::channel(config.discovery);
+    let downstream_settings = DownstreamSettings {
+        admission: settings,
+        sends_retry_after: socket_settings.retry_after_enabled,
+        max_connections: budget.downstream,
+    };
+    let downstream = DownstreamServer::new(dispatcher.clone(), downstream_settings);
+
+    spawn_local(dispatcher.clone().run_timers());
+    spawn_local(watch_endpoint_list(
+        dispatcher.clone(),
+        watched_addr,
+        known_revision,
+        refresh_policy,
+        config.seed,
+    ));
+    spawn_local(receive_from_peers(peers, dispatcher.clone()));
+    spawn_local(close_stale_connections(dispatcher.clone()));
+    let accepting = spawn_local(downstream.clone().accept(listener.clone()));
+    let shutdown = Shutdown { downstream, dispatcher: dispatcher.clone(), listener, accepting, times };
+    Ok(RunningGateway { discovery_addr, dispatcher, shutdown })
+}
+
+/// Applies the endpoint list that was known before a restart, and returns the revision that discovery continues from.
+fn restore_known_list(dispatcher: &Rc<Dispatcher>, known: Option<EndpointList>) -> Option<u64> {
+    let known = known?;
+    // An empty list is not worth continuing from.
+    let revision = (!known.is_empty()).then_some(known.revision);
+    dispatcher.list_received(ListKind::Remembered, known);
+    revision
+}
+
+/// Binds the clients' address and logs the addresses that the gateway listens on.
+async fn listen(addr: SocketAddr, peers: &Peers) -> Result<Rc<TcpListener>, StartupError> {
+    let error = |source| StartupError::Listen { addr, source };
+    let listener = TcpListener::bind(addr).await.map_err(error)?;
+    let bound = listener.local_addr().map_err(error)?;
+    match peers.local_addr() {
+        Some(peer_addr) => tracing::info!(target: target::LIFECYCLE, "listening on {bound} {peer_addr}"),
+        None => tracing::info!(target: target::LIFECYCLE, "listening on {bound}"),
+    }
+    Ok(Rc::new(listener))
+}
+
+async fn receive_from_peers(peers: Rc<Peers>, dispatcher: Rc<Dispatcher>) {
+    peers.receive(dispatcher).await;
+}
+
+/// Closes stale idle connections at regular intervals. Never returns.
+async fn close_stale_connections(dispatcher: Rc<Dispatcher>) {
+    let mut ticks = interval(IDLE_CHECK_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        dispatcher.close_stale_connections();
+    }
+}
