Name two tests and the gossip report of the tests by the field's terms

Some names and comments of the split tests still spoke of asking and telling, and two tests built the head of a gossip message by hand. The head is now one builder with named parts, and the words are those of the code.

Old name -> new name in crates/admission/tests/it:

quota_owner::a_quota_owner_with_as_many_questions_as_it_takes_in_still_serves_its_own_requests -> quota_owner::a_quota_owner_at_its_message_limit_still_serves_its_own_requests quota_counter::asks_a_silent_counter_about_one_request_in_twenty -> quota_counter::samples_one_request_in_twenty_at_a_silent_counter

--- a/crates/admission/tests/it/admission.rs
+++ b/crates/admission/tests/it/admission.rs
@@ -67,7 +67,7 @@
     assert!(!fleet.rejected.contains(&soon));
 }
 
-/// The time to stay away that a rejected request was told.
+/// The Retry-After of a rejected request.
 fn retry_after(actions: &[Action], id: RequestId) -> Option<f64> {
     let rejection = |action: &&Action| matches!(action, Action::Reject { request, .. } if *request == id);
     match actions.iter().find(rejection) {
--- a/crates/admission/tests/it/common/builders.rs
+++ b/crates/admission/tests/it/common/builders.rs
@@ -117,7 +117,7 @@
     }
 }
 
-/// An attempt that a gateway asked its host program to start.
+/// An attempt that a gateway had its host program start.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct SentAttempt {
     pub(crate) request: RequestId,
@@ -152,8 +152,23 @@
     actions.iter().filter_map(body).collect()
 }
 
+/// What the head of a gossip message reports, at a mean rate of 12 responses a second.
+pub(crate) struct GossipReport {
+    /// The mean stock of a gateway, in 64ths of an attempt.
+    pub(crate) mean_stock_64ths: u32,
+    pub(crate) watermark: u32,
+}
+
+/// A gossip message that carries its head only.
+pub(crate) fn gossip_report(report: GossipReport) -> String {
+    let stock = message_digits(report.mean_stock_64ths, 2);
+    let watermark = message_digits(report.watermark * 32, 2);
+    let response_rate = message_digits(12 * 32, 2);
+    format!("w{stock}{watermark}{response_rate}")
+}
+
 /// A number in the digits of the messages' text: six bits each, the highest first.
-pub(crate) fn message_digits(value: u32, count: u32) -> String {
+fn message_digits(value: u32, count: u32) -> String {
     const DIGITS: &[u8; 64] = b"0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz-_";
     (0..count).rev().map(|place| DIGITS[(value >> (6 * place) & 63) as usize] as char).collect()
 }
--- a/crates/admission/tests/it/common/fleet.rs
+++ b/crates/admission/tests/it/common/fleet.rs
@@ -1,4 +1,4 @@
-//! Many gateways that exchange messages, and endpoints that answer after 100 ms unless told otherwise. It holds no
+//! Many gateways that exchange messages, and endpoints that answer after 100 ms unless a test says otherwise. It holds no
 //! policy: it carries messages, counter calls and answers as the interface says.
 use super::builders::*;
 use super::event_queue::EventQueue;
--- a/crates/admission/tests/it/dispatch.rs
+++ b/crates/admission/tests/it/dispatch.rs
@@ -29,12 +29,7 @@
     let entries = warm_endpoints(40);
     let mut actions = gateway.event(Event::EndpointList { kind: ListKind::Whole, entries });
     // The band is over-full: 6 attempts in flight at each endpoint, at a watermark of 4.
-    let body = format!(
-        "w{}{}{}",
-        message_digits(240 * 64 / 100, 2),
-        message_digits(4 * 32, 2),
-        message_digits(12 * 32, 2)
-    );
+    let body = gossip_report(GossipReport { mean_stock_64ths: 240 * 64 / 100, watermark: 4 });
     let (mut submitted, mut sent, mut rejected) = ([0; 2], [0; 2], [0; 2]);
     for round in 0..300usize {
         gateway.now_ms = 20.0 * round as f64;
--- a/crates/admission/tests/it/in_flight_band.rs
+++ b/crates/admission/tests/it/in_flight_band.rs
@@ -37,12 +37,7 @@
     let entries = warm_endpoints(40);
     let mut actions = gateway.event(Event::EndpointList { kind: ListKind::Whole, entries });
     // 3 attempts in flight at each endpoint, answered promptly, and a watermark of 2.
-    let body = format!(
-        "w{}{}{}",
-        message_digits(120 * 64 / 100, 2),
-        message_digits(2 * 32, 2),
-        message_digits(12 * 32, 2)
-    );
+    let body = gossip_report(GossipReport { mean_stock_64ths: 120 * 64 / 100, watermark: 2 });
     let mut sent = 0;
     for round in 0..100usize {
         if round == 50 {
--- a/crates/admission/tests/it/limits.rs
+++ b/crates/admission/tests/it/limits.rs
@@ -32,7 +32,7 @@
     assert_rejects_at_once_only_beyond_the_bound(SingleGateway::started_at(settings, SEED, 0.0));
 }
 
-/// A gateway that can ask nobody holds each customer's quota itself: here one request each, for a long time.
+/// A gateway without messages and counter holds each customer's quota itself: here one request each, for a long time.
 /// Gives whether the first customer's bucket is full again once so many customers have been idle for 3 s.
 fn forgets_the_first_of(customers: u64) -> bool {
     let settings = Settings { peer_messages_allowed: false, ..fleet_settings(2, plan(0.001, 1.0)) };
--- a/crates/admission/tests/it/quota_counter.rs
+++ b/crates/admission/tests/it/quota_counter.rs
@@ -153,9 +153,9 @@
 fn calls_after_a_raise_by_others_too(part_by_others: f64) -> Vec<f64> {
     let mut counting = CountingGateway::new(plan(2.0, 8.0));
     counting.gateway.now_ms = 45_000.0;
-    let asked = counter_calls(&counting.gateway.submit().actions);
-    assert_eq!(asked.iter().map(|call| call.amount).collect::<Vec<_>>(), [1.0]);
-    let raised = counter_calls(&counting.reply(asked[0], CounterOutcome::Total(1.0)));
+    let first = counter_calls(&counting.gateway.submit().actions);
+    assert_eq!(first.iter().map(|call| call.amount).collect::<Vec<_>>(), [1.0]);
+    let raised = counter_calls(&counting.reply(first[0], CounterOutcome::Total(1.0)));
     assert_eq!(raised.len(), 1, "the count is far behind the clock");
     let raise = raised[0].amount;
     assert!(raise > 8.0, "more than a burst: {raise}");
@@ -178,7 +178,7 @@
 
 /// Were it none, a gateway would not learn that the counter answers again.
 #[test]
-fn asks_a_silent_counter_about_one_request_in_twenty() {
+fn samples_one_request_in_twenty_at_a_silent_counter() {
     const REQUESTS: usize = 20_000;
     let mut counting = CountingGateway::new(plan(2.0, 8.0));
     let mut calls = 0;
--- a/crates/admission/tests/it/quota_owner.rs
+++ b/crates/admission/tests/it/quota_owner.rs
@@ -1,4 +1,4 @@
-//! Quotas of a gossip fleet: each customer's is held by an owner, whom the other gateways ask.
+//! Quotas of a gossip fleet: each customer's is held by an owner, to whom the other gateways send quota requests.
 use crate::common::*;
 use irishinge_admission::*;
 
@@ -89,7 +89,7 @@
 }
 
 #[test]
-fn a_quota_owner_with_as_many_questions_as_it_takes_in_still_serves_its_own_requests() {
+fn a_quota_owner_at_its_message_limit_still_serves_its_own_requests() {
     const BUSY: usize = 17;
     let mut fleet = gossip_fleet(120, plan(50.0, 100.0));
     let mut owned = Vec::new();
@@ -105,9 +105,9 @@
     fleet.advance(3000.0);
     let mut own = Vec::new();
     for step in 0..500 {
-        // 50 questions a second from all over, of the 60 messages that it takes in, and 5 requests of its own.
-        let asking = (BUSY + 1 + step % 119) % 120;
-        fleet.submit(asking, |r| r.customer = owned[step % owned.len()]);
+        // 50 quota requests a second from all over, of the 60 messages that it takes in, and 5 requests of its own.
+        let requesting = (BUSY + 1 + step % 119) % 120;
+        fleet.submit(requesting, |r| r.customer = owned[step % owned.len()]);
         if step % 10 == 0 {
             own.push(fleet.submit(BUSY, |r| r.customer = CustomerId(step as u64 + (8 << 40))));
         }
--- a/crates/gateway/tests/it/descriptors.rs
+++ b/crates/gateway/tests/it/descriptors.rs
@@ -55,9 +55,9 @@
             let _ = stream.write_all(body.as_bytes());
         }
         clients.push(stream);
-        let held =
+        let open =
             std::fs::read_dir(format!("/proc/{}/fd", gateway.process_id())).expect("descriptors").count();
-        assert!(held <= 64, "{held} descriptors");
+        assert!(open <= 64, "{open} descriptors");
     }
 }
 
--- a/crates/gateway/tests/it/shutdown.rs
+++ b/crates/gateway/tests/it/shutdown.rs
@@ -10,7 +10,7 @@
     active.write(&ClientRequest::new("once").text());
     endpoint.next_request();
     gateway.terminate();
-    assert!(idle.closes_within(TEST_TIMEOUT), "an idle connection is told to close");
+    assert!(idle.closes_within(TEST_TIMEOUT), "an idle connection is closed");
     endpoint.set_reply(respond("200 OK", "", ""));
     let late = gateway.client().request(&ClientRequest::new("read"));
     assert_eq!((late.status(), late.header("connection")), (200, Some("close")));
