--- a/crates/admission/src/mechanism/mod.rs
+++ b/crates/admission/src/mechanism/mod.rs
@@ -5,5 +5,6 @@
 pub(crate) mod percentile;
 pub(crate) mod smoothing;
 pub(crate) mod splitmix64;
+pub(crate) mod token_bucket;
 pub(crate) mod virtual_finish_queue;
 pub(crate) mod weighted_choice;
