--- a/crates/admission/src/coordination/broadcast.rs
+++ b/crates/admission/src/coordination/broadcast.rs
@@ -58,7 +58,8 @@
 
     /// Sends each peer what changed since the last round, as far as its budget of messages goes.
     pub(crate) fn broadcast_counts(&mut self, actions: &mut Vec<Action>) {
-        let stock = self.band_load().1;
+        let stock = self.band_load().in_flight;
+        self.peers.reported_ms = self.clock.now_ms;
         let round = self.collect_reports();
         for (peer, messages) in round.messages {
             self.accrue_message_credit(peer);
@@ -119,7 +120,7 @@
         message.incarnation = self.incarnation;
         message.sequence = peer.sent_sequence;
         message.stock = stock;
-        message.watermark = WatermarkOnWire::at_most(self.band.watermark);
+        message.watermark = WatermarkOnWire::at_most(self.band.watermark());
         actions.push(Action::SendPeerMessage { to: Some(to), body: message.encode() });
     }
 
--- a/crates/admission/src/coordination/gossip.rs
+++ b/crates/admission/src/coordination/gossip.rs
@@ -51,7 +51,7 @@
     /// Brings this gateway's means towards those of a peer.
     fn apply_means(&mut self, means: &MeansOnWire) {
         let watermark = means.watermark().clamp(self.watermark_floor(), MAX_WATERMARK);
-        smooth(&mut self.band.watermark, watermark, MEAN_GAIN);
+        self.band.follow_watermark(watermark, MEAN_GAIN);
         smooth(&mut self.gossip.mean_stock, means.stock(), MEAN_GAIN);
         smooth(&mut self.gossip.received_stock, means.stock(), RECEIVED_MEAN_GAIN);
         smooth(&mut self.gossip.mean_answer_rate, means.responses_per_second(), MEAN_GAIN);
@@ -65,7 +65,7 @@
             return self.on_quota_messages(to, message, actions);
         }
         message.means =
-            MeansOnWire::new(self.gossip.mean_stock, self.band.watermark, self.gossip.mean_answer_rate);
+            MeansOnWire::new(self.gossip.mean_stock, self.band.watermark(), self.gossip.mean_answer_rate);
         let skip = self.gossip.observations.len().saturating_sub(MAX_OBSERVATIONS);
         message.observations = self.gossip.observations.iter().skip(skip).copied().collect();
         actions.push(Action::SendPeerMessage { to: Some(to), body: message.encode() });
@@ -84,13 +84,13 @@
 
     /// Brings the means towards this gateway's own figures.
     pub(crate) fn update_means(&mut self) {
-        let (ready_capacity, own_stock) = self.band_load();
-        self.band.ready_capacity = ready_capacity;
+        let load = self.band_load();
+        self.band.set_ready_capacity(load.ready_capacity);
         let now_ms = self.clock.now_ms;
         let seconds = (now_ms - self.gossip.measured_ms).max(0.0) / 1000.0;
         self.gossip.measured_ms = now_ms;
         let gain = 1.0 - (-MEAN_GAIN_PER_SECOND * seconds).exp();
-        smooth(&mut self.gossip.mean_stock, f64::from(own_stock), gain);
+        smooth(&mut self.gossip.mean_stock, f64::from(load.in_flight), gain);
         let own_rate = self.gossip.answer_rate.now(now_ms, QUOTA_RATE_SPAN_S);
         smooth(&mut self.gossip.mean_answer_rate, own_rate, gain);
         if !self.coordination.exchanges_gossip() {
--- a/crates/admission/src/customer_lifecycle.rs
+++ b/crates/admission/src/customer_lifecycle.rs
@@ -11,7 +11,7 @@
         let now_ms = self.clock.now_ms;
         if !self.customers.knows_plan(tag) {
             let ceiling_fraction = self.ceiling_fraction(tag, &gateways);
-            let uptime_s = (now_ms - self.clock.started_ms) / 1000.0;
+            let uptime_s = self.clock.since_start_ms() / 1000.0;
             let customer = self.customers.get_or_insert(tag, now_ms);
             customer.set_plan(plan, &self.settings.plans[plan], ceiling_fraction, uptime_s, now_ms);
         }
--- a/crates/admission/src/policy/quota_counter.rs
+++ b/crates/admission/src/policy/quota_counter.rs
@@ -69,9 +69,7 @@
 
 /// A request over the quota; what earns more than it costs may still go on, where there is room.
 pub(crate) fn over_quota(plan: &PlanSettings) -> QuotaState {
-    let within_ceiling = plan.over_quota_value > plan.over_quota_cost
-        && plan.open_limit == 0
-        && plan.ceiling_rate_per_second <= 0.0;
+    let within_ceiling = plan.pays_over_quota() && plan.ceiling_rate_per_second <= 0.0;
     QuotaState::OverQuota { within_ceiling }
 }
 
--- a/crates/admission/src/policy/quota_owner.rs
+++ b/crates/admission/src/policy/quota_owner.rs
@@ -4,7 +4,6 @@
 use crate::id::RequestId;
 use crate::messages::quota::{QuotaVerdict, SamplingFraction};
 use crate::policy::dispatch::ATTEMPT_TIMEOUT_OBJECTIVES;
-use crate::policy::in_flight_band::UNGATED_FILL;
 use crate::policy::quota_counter::AMPLE_FRACTION;
 use crate::settings::PlanSettings;
 use crate::state::customer::Customer;
@@ -85,7 +84,7 @@
     /// customer. Not so where the owner lately said that there is too little for what is requested, and never
     /// under a ceiling.
     pub(crate) fn decide_without_owner(&mut self, id: RequestId, likely_within: bool) {
-        let room = self.band_fill(self.band.ready_capacity) < UNGATED_FILL;
+        let room = self.band_is_ungated();
         let Some(active) = self.requests.active.get_mut(&id) else { return };
         let no_ceiling = self.settings.plans[active.request.plan].ceiling_rate_per_second <= 0.0;
         active.within_quota = likely_within && room && no_ceiling;
@@ -102,8 +101,7 @@
 
     /// How long an owner may take to respond.
     pub(crate) fn response_wait_ms(&self) -> f64 {
-        let objectives = self.settings.classes.iter().map(|c| c.latency_objective_ms);
-        (RESPONSE_WAIT_FRACTION * objectives.fold(f64::INFINITY, f64::min)).max(MIN_RESPONSE_WAIT_MS)
+        (RESPONSE_WAIT_FRACTION * self.settings.shortest_objective_ms()).max(MIN_RESPONSE_WAIT_MS)
     }
 
     /// Whether a quota request that got no response after so many tries is sent again.
@@ -139,8 +137,7 @@
         return QuotaVerdict::OverQuota;
     }
     if plan.rate_per_second > 0.0 && customer.quota_tokens() < units {
-        let worth_it = plan.over_quota_value > plan.over_quota_cost && plan.open_limit == 0;
-        return if worth_it { QuotaVerdict::OverQuotaAllowed } else { QuotaVerdict::OverQuota };
+        return if plan.pays_over_quota() { QuotaVerdict::OverQuotaAllowed } else { QuotaVerdict::OverQuota };
     }
     if plan.open_limit == 0 || has_free_slot(customer, plan) {
         return QuotaVerdict::Granted;
--- a/crates/admission/src/state/mod.rs
+++ b/crates/admission/src/state/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod counter_account;
 pub(crate) mod customer;
 pub(crate) mod endpoint;
+pub(crate) mod event_clock;
 pub(crate) mod gateway_set;
 pub(crate) mod observation;
 pub(crate) mod peer;
