Give each way of coordination the state that only it has

The peers' record held what small fleets and large fleets know of each other side by side, and quota requests, counter calls and message budgets lay open in the gateway whatever the fleet's mode. Coordination's variants now own them: Broadcast its peers and rounds, Gossip its peers, quota requests and message budget, Counter its calls. The fleet's means, which all but broadcasting fleets go by, are FleetMeans; own observations are RecentObservations.

--- a/crates/admission/src/coordination/broadcast.rs
+++ b/crates/admission/src/coordination/broadcast.rs
@@ -1,17 +1,40 @@
 //! Small fleets: every gateway sends every other its counts.
 use crate::action::Action;
+use crate::coordination::Coordination;
 use crate::gateway::Gateway;
 use crate::messages::counts::{
     CeilingTransfer, ConsumedUnits, CountEntry, CountsMessage, QuotaFill, WatermarkOnWire, MAX_CUSTOMER_LEN,
-    SEQUENCE_MASK,
 };
 use crate::policy::coordination::{
     ceiling_transfer_units, counts_messages_per_second, report_interval_ms, MAX_MESSAGE_BYTES,
     MAX_REPORT_INTERVAL_MS,
 };
+use crate::settings::Settings;
 use crate::state::customer::{Customer, PeerCount};
+use crate::state::peer::{peer_indices, BroadcastPeer};
 use std::collections::BTreeMap;
 
+/// What a gateway of a small fleet knows of the others.
+#[derive(Debug)]
+pub(crate) struct Broadcast {
+    peers: BTreeMap<usize, BroadcastPeer>,
+    /// When the last round of reports began.
+    reported_ms: f64,
+}
+
+impl Broadcast {
+    /// A gateway that has received nothing and sent nothing yet.
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let peers = peer_indices(settings).map(|peer| (peer, BroadcastPeer::unknown())).collect();
+        Broadcast { peers, reported_ms: 0.0 }
+    }
+
+    /// Peers whose last report is younger than the time-out.
+    pub(crate) fn live_peers(&self, now_ms: f64, timeout_ms: f64) -> impl Iterator<Item = &BroadcastPeer> {
+        self.peers.values().filter(move |peer| peer.is_live(now_ms, timeout_ms))
+    }
+}
+
 /// Messages to each peer in one round of reports, without their heads.
 struct ReportRound {
     messages: BTreeMap<usize, Vec<CountsMessage>>,
@@ -50,28 +73,23 @@
 }
 
 impl Gateway {
-    /// Whether a round of reports is due.
-    pub(crate) fn report_due(&self) -> bool {
-        let interval_ms = report_interval_ms(&self.settings);
-        !self.peers.by_index.is_empty() && self.clock.now_ms - self.peers.reported_ms >= interval_ms
-    }
-
-    /// Sends each peer what changed since the last round, as far as its budget of messages goes.
-    pub(crate) fn broadcast_counts(&mut self, actions: &mut Vec<Action>) {
-        let stock = self.band_load().in_flight;
-        self.peers.reported_ms = self.clock.now_ms;
-        let round = self.collect_reports();
-        for (peer, messages) in round.messages {
-            self.accrue_message_credit(peer);
-            for message in messages {
-                self.send_counts(peer, message, stock, actions);
-            }
+    /// Where a round of reports is due, sends each peer what changed since the last one, as far as its budget
+    /// of messages goes.
+    pub(crate) fn broadcast_counts_if_due(&mut self, actions: &mut Vec<Action>) {
+        let Coordination::Broadcast(broadcast) = &mut self.coordination else { return };
+        let elapsed_ms = self.clock.now_ms - broadcast.reported_ms;
+        if broadcast.peers.is_empty() || elapsed_ms < report_interval_ms(&self.settings) {
+            return;
         }
+        broadcast.reported_ms = self.clock.now_ms;
+        let round = ReportRound::new(broadcast.peers.keys().copied());
+        let stock = self.band_load().in_flight;
+        let round = self.collect_reports(round);
+        self.send_reports(round, stock, actions);
     }
 
     /// Packs what is to be said of customers into messages.
-    fn collect_reports(&mut self) -> ReportRound {
-        let mut round = ReportRound::new(self.peers.by_index.keys().copied());
+    fn collect_reports(&mut self, mut round: ReportRound) -> ReportRound {
         for tag in self.customers.unreported() {
             let Some(customer) = self.customers.get_mut(tag) else {
                 self.customers.mark_reported(tag);
@@ -94,41 +112,32 @@
         round
     }
 
-    /// Adds the messages that a peer may be sent for the time since the last round.
-    fn accrue_message_credit(&mut self, peer: usize) {
-        let per_second = counts_messages_per_second(&self.settings);
-        let Some(peer) = self.peers.by_index.get_mut(&peer) else { return };
-        let accrued = per_second * (self.clock.now_ms - peer.credit_ms) / 1000.0;
-        peer.credit = (peer.credit + accrued).min(per_second.max(1.0));
-        peer.credit_ms = self.clock.now_ms;
-    }
-
-    /// Completes and sends a message, where the budget allows and it says anything new.
-    fn send_counts(&mut self, to: usize, mut message: CountsMessage, stock: u32, actions: &mut Vec<Action>) {
+    /// Completes and sends the messages of a round, where each peer's budget allows them and they say
+    /// anything new.
+    fn send_reports(&mut self, round: ReportRound, stock: u32, actions: &mut Vec<Action>) {
         let now_ms = self.clock.now_ms;
-        let Some(peer) = self.peers.by_index.get_mut(&to) else { return };
-        let nothing_new = message.is_empty()
-            && peer.reported_stock == stock
-            && now_ms - peer.reported_ms < MAX_REPORT_INTERVAL_MS;
-        if peer.credit < 1.0 || nothing_new {
-            return;
+        let Coordination::Broadcast(broadcast) = &mut self.coordination else { return };
+        for (to, messages) in round.messages {
+            let Some(peer) = broadcast.peers.get_mut(&to) else { continue };
+            peer.accrue_credit(counts_messages_per_second(&self.settings), now_ms);
+            for mut message in messages {
+                message.incarnation = self.incarnation;
+                message.stock = stock;
+                message.watermark = WatermarkOnWire::at_most(self.band.watermark());
+                if peer.wants(&message, now_ms, MAX_REPORT_INTERVAL_MS) {
+                    peer.number_message(&mut message, now_ms);
+                    actions.push(Action::SendPeerMessage { to: Some(to), body: message.encode() });
+                }
+            }
         }
-        peer.credit -= 1.0;
-        peer.sent_sequence = (peer.sent_sequence + 1) & SEQUENCE_MASK;
-        peer.reported_ms = now_ms;
-        peer.reported_stock = stock;
-        message.incarnation = self.incarnation;
-        message.sequence = peer.sent_sequence;
-        message.stock = stock;
-        message.watermark = WatermarkOnWire::at_most(self.band.watermark());
-        actions.push(Action::SendPeerMessage { to: Some(to), body: message.encode() });
     }
 
     /// Applies a peer's counts.
     pub(crate) fn on_counts_message(&mut self, from: usize, body: &str) {
         let Some(message) = CountsMessage::decode(body) else { return };
-        let Some(peer) = self.peers.by_index.get_mut(&from) else { return };
-        if !peer.record_counts_message(&message, self.clock.now_ms) {
+        let Coordination::Broadcast(broadcast) = &mut self.coordination else { return };
+        let Some(peer) = broadcast.peers.get_mut(&from) else { return };
+        if !peer.record_message(&message, self.clock.now_ms) {
             return;
         }
         for entry in &message.counts {
--- a/crates/admission/src/coordination/counter_calls.rs
+++ b/crates/admission/src/coordination/counter_calls.rs
@@ -1,5 +1,6 @@
 //! Calls to the shared counter, one at a time for each customer, and what its replies lead to.
 use crate::action::Action;
+use crate::coordination::Coordination;
 use crate::event::CounterOutcome;
 use crate::gateway::Gateway;
 use crate::id::RequestId;
@@ -43,6 +44,14 @@
         self.call_counter(tag, actions);
     }
 
+    /// Fraction of the requests that the counter is called for.
+    pub(crate) fn counter_sampling_fraction(&self) -> f64 {
+        match &self.coordination {
+            Coordination::Counter(calls) => calls.sampling_fraction(),
+            _ => 1.0,
+        }
+    }
+
     /// Queues a call after the customer's others.
     fn queue_counter_call(&mut self, tag: u64, call: CounterCall) {
         if let Some(customer) = self.customers.get_mut(tag) {
@@ -54,18 +63,19 @@
     pub(crate) fn call_counter(&mut self, tag: u64, actions: &mut Vec<Action>) {
         let name = CounterEpoch::at(tag, self.clock.now_ms, COUNT_EPOCH_MS).name;
         let Some(customer) = self.customers.get_mut(tag) else { return };
+        let Coordination::Counter(calls) = &mut self.coordination else { return };
         let requests = &self.requests.active;
         let waits_for_reply = |id| requests.get(&id).is_some_and(ActiveRequest::awaits_counter);
         let Some(amount) = customer.counter.next_call(waits_for_reply) else { return };
-        self.counter_calls.in_flight.insert(name, tag);
+        calls.start(name, tag);
         actions.push(Action::AddToCounter { name, amount, ttl_ms: COUNT_EPOCH_MS });
     }
 
     /// Takes the counter's reply to a customer's call in, and makes the next one.
     pub(crate) fn on_counter_reply(&mut self, name: u64, outcome: CounterOutcome, actions: &mut Vec<Action>) {
-        let Some(tag) = self.counter_calls.in_flight.remove(&name) else { return };
-        let fraction = self.counter_calls.sampling_fraction;
-        self.counter_calls.sampling_fraction = sampling_fraction_after(outcome, fraction);
+        let Coordination::Counter(calls) = &mut self.coordination else { return };
+        let Some(tag) = calls.complete(name) else { return };
+        calls.set_sampling_fraction(sampling_fraction_after(outcome, calls.sampling_fraction()));
         let epoch = CounterEpoch::at(tag, self.clock.now_ms, COUNT_EPOCH_MS);
         let Some(customer) = self.customers.get_mut(tag) else { return };
         let Some(ended) = customer.counter.complete() else { return };
--- a/crates/admission/src/coordination/gossip.rs
+++ b/crates/admission/src/coordination/gossip.rs
@@ -2,48 +2,93 @@
 use crate::action::Action;
 use crate::gateway::Gateway;
 use crate::mechanism::decaying_rate::DecayingRate;
-use crate::mechanism::smoothing::smooth;
 use crate::messages::gossip::{GossipMessage, MeansOnWire};
-use crate::messages::observation::Observation;
-use crate::policy::coordination::{
-    MEAN_GAIN, MEAN_GAIN_PER_SECOND, PEER_MESSAGE_FRACTION, RECEIVED_MEAN_GAIN,
-};
+use crate::policy::coordination::{MEAN_GAIN, MEAN_GAIN_PER_SECOND, RECEIVED_MEAN_GAIN};
 use crate::policy::in_flight_band::MAX_WATERMARK;
-use crate::policy::outlier_detection::MAX_OBSERVATIONS;
-use crate::policy::quota_owner::QUOTA_RATE_SPAN_S;
-use std::collections::VecDeque;
+use crate::policy::quota_owner::{
+    max_quota_messages, quota_messages_per_second, INITIAL_QUOTA_MESSAGES, QUOTA_RATE_SPAN_S,
+};
+use crate::settings::Settings;
+use crate::state::fleet_means::GatewayMeans;
+use crate::state::peer::{peer_indices, GossipPeer};
+use crate::state::quota_requests::QuotaRequests;
+use std::collections::BTreeMap;
 
-/// The fleet's means, as gossip has them, and what goes along with the next message.
-#[derive(Debug, Default)]
+/// What a gateway of a large fleet knows of the others, and what it is to send them.
+#[derive(Debug)]
 pub(crate) struct Gossip {
-    /// Mean attempts in flight of a gateway, as passed on to peers.
-    pub(crate) mean_stock: f64,
-    /// The same as received, smoothed.
-    pub(crate) received_stock: f64,
-    /// This gateway's own good responses a second.
-    pub(crate) answer_rate: DecayingRate,
-    /// Mean good responses of a gateway a second, as passed on to peers.
-    pub(crate) mean_answer_rate: f64,
-    /// The same as received, smoothed.
-    pub(crate) received_answer_rate: f64,
-    /// When the means were last brought towards the own figures.
-    pub(crate) measured_ms: f64,
-    /// Own observations of endpoints, newest last.
-    pub(crate) observations: VecDeque<Observation>,
+    peers: BTreeMap<usize, GossipPeer>,
+    /// Quota requests that wait for a response.
+    pub(crate) requests: QuotaRequests,
+    /// Quota requests that may be sent now, so that no gateway gets more messages than it takes in.
+    message_tokens: f64,
+    /// Messages a second that others' quota requests and releases bring.
+    received_rate: DecayingRate,
+}
+
+impl Gossip {
+    /// A gateway that has received nothing and sent nothing yet.
+    pub(crate) fn new(settings: &Settings) -> Self {
+        Gossip {
+            peers: peer_indices(settings).map(|peer| (peer, GossipPeer::default())).collect(),
+            requests: QuotaRequests::default(),
+            message_tokens: INITIAL_QUOTA_MESSAGES,
+            received_rate: DecayingRate::default(),
+        }
+    }
+
+    /// Whether a gateway is sent no quota requests now.
+    pub(crate) fn is_suspected(&self, gateway: usize, now_ms: f64) -> bool {
+        self.peers.get(&gateway).is_some_and(|peer| peer.is_suspected(now_ms))
+    }
+
+    /// Another gateway; `None` for this one.
+    pub(crate) fn peer_mut(&mut self, gateway: usize) -> Option<&mut GossipPeer> {
+        self.peers.get_mut(&gateway)
+    }
+
+    /// Quota requests that may be sent now.
+    pub(crate) fn message_tokens(&self) -> f64 {
+        self.message_tokens
+    }
+
+    /// Takes the token of a quota request.
+    pub(crate) fn spend_message_token(&mut self) {
+        self.message_tokens -= 1.0;
+    }
+
+    /// Enters a message of a peer. One that responds to own quota requests is not of the load that others'
+    /// requests bring.
+    fn record_message(&mut self, from: usize, message: &GossipMessage, now_ms: f64) {
+        if let Some(peer) = self.peers.get_mut(&from) {
+            peer.record_message();
+        }
+        if message.responses.is_empty() {
+            self.received_rate.add(1.0, now_ms, QUOTA_RATE_SPAN_S);
+        }
+    }
+
+    /// Adds the quota requests that may be sent for so many seconds.
+    fn refill_message_tokens(&mut self, settings: &Settings, seconds: f64, now_ms: f64) {
+        let received = self.received_rate.now(now_ms, QUOTA_RATE_SPAN_S);
+        let accrued = quota_messages_per_second(settings, received) * seconds;
+        self.message_tokens = (self.message_tokens + accrued).min(max_quota_messages(settings));
+    }
 }
 
 impl Gateway {
     /// Takes a peer's message in: its means, its observations, and its quota messages.
     pub(crate) fn on_gossip_message(&mut self, from: usize, body: &str, actions: &mut Vec<Action>) {
         let Some(message) = GossipMessage::decode(body) else { return };
-        let Some(peer) = self.peers.by_index.get_mut(&from) else { return };
-        peer.record_gossip_message(self.clock.now_ms);
+        if !peer_indices(&self.settings).any(|peer| peer == from) {
+            return;
+        }
         self.apply_means(&message.means);
         for observation in &message.observations {
             self.apply_observation(*observation);
         }
-        if message.responses.is_empty() {
-            self.peers.received_rate.add(1.0, self.clock.now_ms, QUOTA_RATE_SPAN_S);
+        if let Some(gossip) = self.coordination.gossip_mut() {
+            gossip.record_message(from, &message, self.clock.now_ms);
         }
         self.on_quota_messages(from, message, actions);
     }
@@ -52,10 +97,8 @@
     fn apply_means(&mut self, means: &MeansOnWire) {
         let watermark = means.watermark().clamp(self.watermark_floor(), MAX_WATERMARK);
         self.band.follow_watermark(watermark, MEAN_GAIN);
-        smooth(&mut self.gossip.mean_stock, means.stock(), MEAN_GAIN);
-        smooth(&mut self.gossip.received_stock, means.stock(), RECEIVED_MEAN_GAIN);
-        smooth(&mut self.gossip.mean_answer_rate, means.responses_per_second(), MEAN_GAIN);
-        smooth(&mut self.gossip.received_answer_rate, means.responses_per_second(), RECEIVED_MEAN_GAIN);
+        let means = GatewayMeans { stock: means.stock(), responses_per_second: means.responses_per_second() };
+        self.fleet_means.apply(means, MEAN_GAIN, RECEIVED_MEAN_GAIN);
     }
 
     /// Sends a message with the means and observations that go along; to this gateway itself, takes its quota
@@ -64,39 +107,29 @@
         if to == self.settings.me {
             return self.on_quota_messages(to, message, actions);
         }
-        message.means =
-            MeansOnWire::new(self.gossip.mean_stock, self.band.watermark(), self.gossip.mean_answer_rate);
-        let skip = self.gossip.observations.len().saturating_sub(MAX_OBSERVATIONS);
-        message.observations = self.gossip.observations.iter().skip(skip).copied().collect();
+        let means = self.fleet_means.passed_on();
+        message.means = MeansOnWire::new(means.stock, self.band.watermark(), means.responses_per_second);
+        message.observations = self.recent_observations.to_vec();
         actions.push(Action::SendPeerMessage { to: Some(to), body: message.encode() });
     }
 
-    /// Adds the messages that may be sent for the seconds since the last call.
+    /// Adds the quota requests that may be sent for so many seconds.
     pub(crate) fn refill_message_tokens(&mut self, seconds: f64) {
-        let accrued = self.quota_messages_per_second() * seconds;
-        self.peers.message_tokens = (self.peers.message_tokens + accrued).min(self.max_message_tokens());
-    }
-
-    /// Messages that may be saved up: as many as a gateway's peers may send it in a second.
-    pub(crate) fn max_message_tokens(&self) -> f64 {
-        PEER_MESSAGE_FRACTION * self.settings.peer_messages_per_second
+        if let Some(gossip) = self.coordination.gossip_mut() {
+            gossip.refill_message_tokens(&self.settings, seconds, self.clock.now_ms);
+        }
     }
 
-    /// Brings the means towards this gateway's own figures.
+    /// Brings the fleet's means towards this gateway's own figures.
     pub(crate) fn update_means(&mut self) {
         let load = self.band_load();
         self.band.set_ready_capacity(load.ready_capacity);
+        let own_stock = f64::from(load.in_flight);
         let now_ms = self.clock.now_ms;
-        let seconds = (now_ms - self.gossip.measured_ms).max(0.0) / 1000.0;
-        self.gossip.measured_ms = now_ms;
-        let gain = 1.0 - (-MEAN_GAIN_PER_SECOND * seconds).exp();
-        smooth(&mut self.gossip.mean_stock, f64::from(load.in_flight), gain);
-        let own_rate = self.gossip.answer_rate.now(now_ms, QUOTA_RATE_SPAN_S);
-        smooth(&mut self.gossip.mean_answer_rate, own_rate, gain);
-        if !self.coordination.exchanges_gossip() {
+        self.fleet_means.measure(own_stock, now_ms, MEAN_GAIN_PER_SECOND, QUOTA_RATE_SPAN_S);
+        if self.coordination.gossip().is_none() {
             // Nothing is received: this gateway's figures stand for the others'.
-            self.gossip.received_stock = self.gossip.mean_stock;
-            self.gossip.received_answer_rate = self.gossip.mean_answer_rate;
+            self.fleet_means.receive_own();
         }
         self.latency.typical_age_ms = self.mean_attempt_age_ms();
     }
@@ -107,8 +140,9 @@
         let usual_ms = self.mean_response_ms();
         let objectives = self.settings.classes.iter().map(|c| c.latency_objective_ms);
         let longest_ms = objectives.fold(usual_ms, f64::max);
-        let age_ms = if self.gossip.received_answer_rate > 0.0 {
-            1000.0 * self.gossip.received_stock / self.gossip.received_answer_rate
+        let means = self.fleet_means.received();
+        let age_ms = if means.responses_per_second > 0.0 {
+            1000.0 * means.stock / means.responses_per_second
         } else {
             usual_ms
         };
--- a/crates/admission/src/coordination/quota_requests.rs
+++ b/crates/admission/src/coordination/quota_requests.rs
@@ -5,7 +5,10 @@
 use crate::id::RequestId;
 use crate::messages::gossip::GossipMessage;
 use crate::messages::quota::{QuotaRequest, QuotaResponse, QuotaVerdict, SamplingFraction, WaitBudget};
-use crate::policy::quota_owner::{SAMPLING_TTL_MS, SUSPECT_MISSED_RESPONSES, SUSPECT_MS};
+use crate::policy::quota_owner::{
+    may_retry_quota_request, reachable_owner, response_wait_ms, SAMPLING_TTL_MS, SUSPECT_MISSED_RESPONSES,
+    SUSPECT_MS,
+};
 use crate::state::gateway_set::GatewaySet;
 use crate::state::quota_requests::QuotaRoute;
 use crate::state::request::QuotaState;
@@ -26,9 +29,9 @@
     /// be asked. Then each gateway grants what it would alone.
     pub(crate) fn check_quota(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         match self.coordination {
-            Coordination::Gossip => self.request_quota(id, 0, actions),
-            Coordination::Counter => self.request_from_counter(id, actions),
-            Coordination::Broadcast | Coordination::Isolated => {
+            Coordination::Gossip(_) => self.request_quota(id, 0, actions),
+            Coordination::Counter(_) => self.request_from_counter(id, actions),
+            Coordination::Broadcast(_) | Coordination::Isolated => {
                 let Some(active) = self.requests.active.get_mut(&id) else { return };
                 active.within_quota = true;
                 let (tag, plan) = (active.tag, active.request.plan);
@@ -45,20 +48,23 @@
         let Some(active) = self.requests.active.get(&id) else { return };
         let now_ms = self.clock.now_ms;
         let wait_budget = WaitBudget::from_ms(self.grant_useful_until_ms(active) - now_ms);
-        let tag = active.tag;
+        let (tag, previous) = (active.tag, active.quota);
         let request = active.request.clone();
         let gateways = GatewaySet::new(request.first, request.spread, self.settings.gateways);
         let customer = self.customer_entry(tag, request.plan, gateways);
         let sampling_fraction =
             SamplingFraction::nearest_above_zero(customer.sampling_fraction_now(now_ms, SAMPLING_TTL_MS));
-        let owner = self.reachable_owner(tag, &gateways);
+        let Some(gossip) = self.coordination.gossip_mut() else { return };
+        let suspected = |gateway| gossip.is_suspected(gateway, now_ms);
+        let owner = reachable_owner(tag, &gateways, suspected).unwrap_or(self.settings.me);
+        let number = gossip.requests.number_for(previous, owner);
         let quota_request = QuotaRequest {
             customer: tag,
             plan: request.plan as u32,
             units: request.units.ceil().max(0.0) as u32,
             first_gateway: gateways.first() as u32,
             gateways: gateways.len() as u32,
-            number: self.quota_request_number(id, owner),
+            number,
             wait_budget,
             sampling_fraction,
         };
@@ -68,17 +74,6 @@
         }
     }
 
-    /// The number of a quota request to an owner. The same owner gets the same number again: had its response
-    /// been lost, it would else grant twice.
-    fn quota_request_number(&mut self, id: RequestId, to: usize) -> u32 {
-        match self.requests.active.get(&id).map(|active| active.quota) {
-            Some(QuotaState::AwaitingOwner { owner, number, .. }) if owner == to => return number,
-            Some(QuotaState::AwaitingOwner { number, .. }) => self.quota_requests.remove(number),
-            _ => {}
-        }
-        self.quota_requests.next_number()
-    }
-
     /// Sends a quota request to the owner, which may be this gateway.
     fn send_quota_request(
         &mut self,
@@ -88,13 +83,14 @@
         tries: u32,
         actions: &mut Vec<Action>,
     ) {
+        let Some(gossip) = self.coordination.gossip_mut() else { return };
+        let Some(active) = self.requests.active.get_mut(&id) else { return };
         if owner != self.settings.me {
-            self.peers.message_tokens -= 1.0;
+            gossip.spend_message_token();
         }
-        let Some(active) = self.requests.active.get_mut(&id) else { return };
         let number = request.number;
         active.quota = QuotaState::AwaitingOwner { owner, number, at_ms: self.clock.now_ms, tries };
-        self.quota_requests.insert(number, id);
+        gossip.requests.insert(number, id);
         self.send_gossip(owner, GossipMessage::request(request), actions);
     }
 
@@ -102,10 +98,12 @@
     pub(crate) fn retry_quota_requests(&mut self, actions: &mut Vec<Action>) {
         let now_ms = self.clock.now_ms;
         for missed in self.missed_responses() {
-            if let Some(peer) = self.peers.by_index.get_mut(&missed.owner) {
+            let Some(gossip) = self.coordination.gossip_mut() else { return };
+            if let Some(peer) = gossip.peer_mut(missed.owner) {
                 peer.record_missed_response(SUSPECT_MISSED_RESPONSES, now_ms + SUSPECT_MS);
             }
-            if self.may_retry_quota_request(missed.tries) {
+            let tokens = gossip.message_tokens();
+            if may_retry_quota_request(&self.settings, missed.tries, tokens) {
                 self.request_quota(missed.id, missed.tries + 1, actions);
             } else {
                 self.decide_without_owner(missed.id, true);
@@ -115,8 +113,9 @@
 
     /// Quota requests that have waited too long for a response.
     fn missed_responses(&self) -> Vec<MissedResponse> {
-        let wait_ms = self.response_wait_ms();
-        let missed = self.quota_requests.waiting().filter_map(|id| {
+        let Some(gossip) = self.coordination.gossip() else { return Vec::new() };
+        let wait_ms = response_wait_ms(&self.settings);
+        let missed = gossip.requests.waiting().filter_map(|id| {
             let active = self.requests.active.get(&id)?;
             let QuotaState::AwaitingOwner { owner, at_ms, tries, .. } = active.quota else { return None };
             (self.clock.now_ms - at_ms > wait_ms).then_some(MissedResponse { id, owner, tries })
@@ -127,10 +126,9 @@
     /// Takes in what the owner decided on a request that waits for it.
     pub(crate) fn on_quota_response(&mut self, from: usize, response: QuotaResponse) {
         let number = response.number;
-        let Some(id) = self.quota_requests.get(number) else { return };
-        let Some(active) = self.requests.active.get_mut(&id) else {
-            return self.quota_requests.remove(number);
-        };
+        let Some(gossip) = self.coordination.gossip_mut() else { return };
+        let Some(id) = gossip.requests.get(number) else { return };
+        let Some(active) = self.requests.active.get_mut(&id) else { return gossip.requests.remove(number) };
         if !active.quota.awaits_response(from, number) {
             return;
         }
@@ -145,7 +143,7 @@
         active.within_quota = matches!(active.quota, QuotaState::GrantedByOwner { .. });
         active.ample = response.verdict == QuotaVerdict::GrantedAmple;
         if response.verdict != QuotaVerdict::Queued {
-            self.quota_requests.remove(number);
+            gossip.requests.remove(number);
         }
         if let Some(customer) = self.customers.get_mut(active.tag) {
             customer.set_sampling_fraction(response.sampling_fraction.fraction(), self.clock.now_ms);
--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -1,6 +1,5 @@
 //! The gateway: takes an event and calls the parts in order.
 use crate::action::Action;
-use crate::coordination::gossip::Gossip;
 use crate::coordination::Coordination;
 use crate::event::Event;
 use crate::mechanism::splitmix64::{mix, SplitMix64};
@@ -12,11 +11,10 @@
 use crate::state::customer::CustomerTable;
 use crate::state::endpoint::{EndpointTable, SlowStart};
 use crate::state::event_clock::EventClock;
+use crate::state::fleet_means::FleetMeans;
 use crate::state::observation::{LatencyModel, OutlierDetector};
-use crate::state::peer::{Peer, PeerTable};
-use crate::state::quota_requests::{CounterCalls, QuotaRequests};
+use crate::state::recent_observations::RecentObservations;
 use crate::state::request::{RequestTable, RetryBudget};
-use std::collections::BTreeMap;
 
 /// One gateway's decisions: takes events in and answers with actions. Each part owns the state of one
 /// concern.
@@ -38,10 +36,8 @@
     pub(crate) outliers: OutlierDetector,
     pub(crate) slow_start: SlowStart,
     pub(crate) retries: RetryBudget,
-    pub(crate) peers: PeerTable,
-    pub(crate) gossip: Gossip,
-    pub(crate) quota_requests: QuotaRequests,
-    pub(crate) counter_calls: CounterCalls,
+    pub(crate) fleet_means: FleetMeans,
+    pub(crate) recent_observations: RecentObservations,
 }
 
 /// Time between two rounds of upkeep: short beside any latency objective, so that nothing is noticed late.
@@ -58,8 +54,6 @@
     /// A gateway with no memory but its settings.
     pub fn new(settings: Settings, seed: u64, now_ms: f64) -> Result<Self, SettingsError> {
         settings.check()?;
-        let peers: BTreeMap<usize, Peer> =
-            (0..settings.gateways).filter(|p| *p != settings.me).map(|p| (p, Peer::unknown())).collect();
         let mean_by_class_ms: Vec<f64> =
             settings.classes.iter().map(|c| c.latency_objective_ms * 0.15).collect();
         let mut gateway = Gateway {
@@ -73,7 +67,6 @@
                 ..LatencyModel::default()
             },
             retries: RetryBudget::new(MAX_RETRY_TOKENS / 2.0),
-            peers: PeerTable { by_index: peers, message_tokens: 10.0, ..PeerTable::default() },
             coordination: Coordination::from_settings(&settings),
             settings,
             ..Gateway::default()
@@ -136,9 +129,7 @@
             self.large_fleet_upkeep(actions);
         }
         self.step_watermark();
-        if broadcast && self.report_due() {
-            self.broadcast_counts(actions);
-        }
+        self.broadcast_counts_if_due(actions);
         self.evict_idle_customers_if_due();
     }
 
@@ -155,7 +146,7 @@
 
     /// Whether a large fleet's gateway is to look at all endpoints again.
     fn review_is_due(&self) -> bool {
-        self.clock.now_ms - self.gossip.measured_ms >= LARGE_FLEET_REVIEW_MS
+        self.fleet_means.since_measured_ms(self.clock.now_ms) >= LARGE_FLEET_REVIEW_MS
     }
 
     /// Forgets idle customers from time to time.
--- a/crates/admission/src/lifecycle.rs
+++ b/crates/admission/src/lifecycle.rs
@@ -231,7 +231,9 @@
                 (owner, number, active.settled_units)
             }
             QuotaState::QueuedAtOwner { owner, number } | QuotaState::AwaitingOwner { owner, number, .. } => {
-                self.quota_requests.remove(number);
+                if let Some(gossip) = self.coordination.gossip_mut() {
+                    gossip.requests.remove(number);
+                }
                 (owner, number, -active.request.units)
             }
             _ => return,
--- a/crates/admission/src/policy/in_flight_band.rs
+++ b/crates/admission/src/policy/in_flight_band.rs
@@ -96,15 +96,14 @@
 
     /// The band by the counts that gateways report to each other.
     fn reported_band(&self) -> Band {
-        let peers = self.peers.by_index.values();
-        let live = peers.filter(|peer| self.clock.now_ms - peer.received_ms < PEER_TIMEOUT_MS);
+        let live = self.coordination.live_peers(self.clock.now_ms, PEER_TIMEOUT_MS);
         Band::from_reports(self.band_load(), self.band.watermark(), live)
     }
 
     /// The stock of a large fleet, as gossip has it, over the band's middle.
     fn band_fill(&self) -> f64 {
         let middle = self.band.watermark() * self.band.ready_capacity();
-        self.gossip.received_stock * self.settings.gateways as f64 / middle.max(1.0)
+        self.fleet_means.received().stock * self.settings.gateways as f64 / middle.max(1.0)
     }
 
     /// Whether a large fleet's stock is so low that requests are sent freely.
--- a/crates/admission/src/policy/quota_counter.rs
+++ b/crates/admission/src/policy/quota_counter.rs
@@ -41,7 +41,7 @@
         repeat: bool,
     ) -> Option<CountedRequest> {
         // A repeat, where clients mark it, is most likely one of a customer over its quota.
-        let fraction = if repeat { 1.0 } else { self.counter_calls.sampling_fraction };
+        let fraction = if repeat { 1.0 } else { self.counter_sampling_fraction() };
         let sampled = self.random.next_fraction() < fraction;
         let weight = (1.0 / fraction).min(MAX_SAMPLE_WEIGHT);
         sampled.then_some(CountedRequest { id, units, added_units: units * weight })
@@ -50,7 +50,7 @@
     /// Units to give back for those that were taken in vain. Each such call is one question fewer: where the
     /// counter can't answer all, the same fraction of them is made, and each stands for the others.
     pub(crate) fn refund_units(&mut self, units: f64) -> f64 {
-        let fraction = self.counter_calls.sampling_fraction.max(1.0 / MAX_SAMPLE_WEIGHT);
+        let fraction = self.counter_sampling_fraction().max(1.0 / MAX_SAMPLE_WEIGHT);
         if self.random.next_fraction() < fraction {
             units / fraction
         } else {
--- a/crates/admission/src/policy/quota_owner.rs
+++ b/crates/admission/src/policy/quota_owner.rs
@@ -3,9 +3,10 @@
 use crate::gateway::Gateway;
 use crate::id::RequestId;
 use crate::messages::quota::{QuotaVerdict, SamplingFraction};
+use crate::policy::coordination::PEER_MESSAGE_FRACTION;
 use crate::policy::dispatch::ATTEMPT_TIMEOUT_OBJECTIVES;
 use crate::policy::quota_counter::AMPLE_FRACTION;
-use crate::settings::PlanSettings;
+use crate::settings::{PlanSettings, Settings};
 use crate::state::customer::Customer;
 use crate::state::gateway_set::{GatewaySet, RankedGateway};
 use crate::state::quota_requests::QuotaRoute;
@@ -28,6 +29,9 @@
 const QUOTA_MESSAGE_FRACTION: f64 = 0.9;
 const MIN_QUOTA_MESSAGE_FRACTION: f64 = 0.2;
 
+/// Quota requests that may be sent at once after the start.
+pub(crate) const INITIAL_QUOTA_MESSAGES: f64 = 10.0;
+
 /// Fraction of a ceiling that the quota's owner holds. The next in the ranking, which takes over when the
 /// owner is silent, holds the rest.
 const OWNER_CEILING_FRACTION: f64 = 0.6;
@@ -55,24 +59,16 @@
         active.objective_at_ms.min(active.deadline_ms) - reserved_ms
     }
 
-    /// The first gateway in a customer's ranking that is not suspected; this one where all are.
-    pub(crate) fn reachable_owner(&self, tag: u64, gateways: &GatewaySet) -> usize {
-        let suspected = |gateway: usize| {
-            self.peers.by_index.get(&gateway).is_some_and(|p| self.clock.now_ms < p.suspected_until_ms)
-        };
-        let ranking = gateways.rendezvous_ranking(tag).filter(|g| !suspected(g.gateway));
-        ranking.min().map_or(self.settings.me, |g| g.gateway)
-    }
-
     /// Whether the owner is asked. Where it wants only some requests, the others are most likely over the
     /// quota.
     pub(crate) fn quota_route(&mut self, owner: usize, tries: u32, sampling: SamplingFraction) -> QuotaRoute {
         let sampled = self.random.next_fraction() <= sampling.fraction();
+        let message_tokens = self.coordination.gossip().map_or(0.0, |gossip| gossip.message_tokens());
         if owner == self.settings.me {
             QuotaRoute::AskOwner
         } else if tries == 0 && !sampled {
             QuotaRoute::DecideAlone { likely_within: false }
-        } else if self.peers.message_tokens < 1.0 {
+        } else if message_tokens < 1.0 {
             QuotaRoute::DecideAlone { likely_within: sampling == SamplingFraction::ALL }
         } else {
             QuotaRoute::AskOwner
@@ -92,24 +88,6 @@
         active.quota = if active.within_quota { QuotaState::LocalBucket } else { over_quota };
     }
 
-    /// Messages a second that own quota requests may use: what others' requests and the responses leave free.
-    pub(crate) fn quota_messages_per_second(&self) -> f64 {
-        let received = self.peers.received_rate.now(self.clock.now_ms, QUOTA_RATE_SPAN_S);
-        let capacity = self.settings.peer_messages_per_second;
-        (QUOTA_MESSAGE_FRACTION * capacity - received).max(MIN_QUOTA_MESSAGE_FRACTION * capacity)
-    }
-
-    /// How long an owner may take to respond.
-    pub(crate) fn response_wait_ms(&self) -> f64 {
-        (RESPONSE_WAIT_FRACTION * self.settings.shortest_objective_ms()).max(MIN_RESPONSE_WAIT_MS)
-    }
-
-    /// Whether a quota request that got no response after so many tries is sent again.
-    pub(crate) fn may_retry_quota_request(&self, tries: u32) -> bool {
-        let spare = self.peers.message_tokens > RETRY_TOKENS_FRACTION * self.max_message_tokens();
-        tries < MAX_QUOTA_RETRIES && spare
-    }
-
     /// How long a grant counts beyond the time that its request may wait: as long as an attempt may take.
     pub(crate) fn grant_lifetime_ms(&self) -> f64 {
         let objectives = self.settings.classes.iter().map(|c| c.latency_objective_ms);
@@ -119,7 +97,7 @@
     /// This gateway's fraction of a customer's ceiling. With an owner, only it and the next in the ranking
     /// have one, since they decide; else all gateways have the same.
     pub(crate) fn ceiling_fraction(&self, tag: u64, gateways: &GatewaySet) -> f64 {
-        if !self.coordination.exchanges_gossip() || gateways.len() == 1 {
+        if self.coordination.gossip().is_none() || gateways.len() == 1 {
             return 1.0 / gateways.len() as f64;
         }
         let own = RankedGateway::new(tag, self.settings.me);
@@ -131,6 +109,38 @@
     }
 }
 
+/// The first gateway in a customer's ranking that is not suspected; `None` where all are.
+pub(crate) fn reachable_owner(
+    tag: u64,
+    gateways: &GatewaySet,
+    suspected: impl Fn(usize) -> bool,
+) -> Option<usize> {
+    let ranking = gateways.rendezvous_ranking(tag).filter(|g| !suspected(g.gateway));
+    ranking.min().map(|g| g.gateway)
+}
+
+/// Messages a second that own quota requests may use: what others' messages and the responses leave free.
+pub(crate) fn quota_messages_per_second(settings: &Settings, received_per_second: f64) -> f64 {
+    let capacity = settings.peer_messages_per_second;
+    let free = QUOTA_MESSAGE_FRACTION * capacity - received_per_second;
+    free.max(MIN_QUOTA_MESSAGE_FRACTION * capacity)
+}
+
+/// Quota requests that may be saved up: as many messages as a gateway's peers may send it in a second.
+pub(crate) fn max_quota_messages(settings: &Settings) -> f64 {
+    PEER_MESSAGE_FRACTION * settings.peer_messages_per_second
+}
+
+/// How long an owner may take to respond.
+pub(crate) fn response_wait_ms(settings: &Settings) -> f64 {
+    (RESPONSE_WAIT_FRACTION * settings.shortest_objective_ms()).max(MIN_RESPONSE_WAIT_MS)
+}
+
+/// Whether a quota request that got no response after so many tries is sent again.
+pub(crate) fn may_retry_quota_request(settings: &Settings, tries: u32, message_tokens: f64) -> bool {
+    tries < MAX_QUOTA_RETRIES && message_tokens > RETRY_TOKENS_FRACTION * max_quota_messages(settings)
+}
+
 /// What the owner decides on a new quota request of so many units, by ceiling, quota and slots.
 pub(crate) fn verdict(customer: &Customer, plan: &PlanSettings, units: f64) -> QuotaVerdict {
     if plan.ceiling_rate_per_second > 0.0 && customer.ceiling_tokens() < units {
--- a/crates/admission/src/state/band.rs
+++ b/crates/admission/src/state/band.rs
@@ -1,7 +1,7 @@
 //! The in-flight band's state: watermark, dispatch credit, and whether requests are held back.
 use crate::event::EndpointState;
 use crate::state::endpoint::Endpoint;
-use crate::state::peer::Peer;
+use crate::state::peer::BroadcastPeer;
 
 /// The in-flight band of one gateway.
 #[derive(Debug, Default)]
@@ -75,12 +75,12 @@
     pub(crate) fn from_reports<'a>(
         load: BandLoad,
         watermark: f64,
-        peers: impl Iterator<Item = &'a Peer>,
+        peers: impl Iterator<Item = &'a BroadcastPeer>,
     ) -> Self {
         let (mut peer_stock, mut watermarks, mut gateways) = (0, watermark, 1.0);
         for peer in peers {
-            peer_stock += peer.stock;
-            watermarks += peer.watermark;
+            peer_stock += peer.stock();
+            watermarks += peer.watermark();
             gateways += 1.0;
         }
         Band {
--- a/crates/admission/src/state/counter_account.rs
+++ b/crates/admission/src/state/counter_account.rs
@@ -1,8 +1,8 @@
-//! A customer's dealings with the shared counter: calls to come, the call in flight, and what was learned.
+//! Dealings with the shared counter: each customer's calls, and what is known of the counter itself.
 use crate::id::RequestId;
 use crate::mechanism::splitmix64::mix;
 use crate::settings::PlanSettings;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 /// A call to the counter.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -153,3 +153,39 @@
         CounterEpoch { name, age_s: (now_ms + phase_ms - number * epoch_ms) / 1000.0 }
     }
 }
+
+/// What a gateway knows of the shared counter.
+#[derive(Debug)]
+pub(crate) struct CounterCalls {
+    /// Fraction of the requests that the counter is called for, 0 to 1.
+    sampling_fraction: f64,
+    /// Customers with a call in flight, by the name of their count.
+    in_flight: BTreeMap<u64, u64>,
+}
+
+impl CounterCalls {
+    /// No calls in flight, and all requests to be called for.
+    pub(crate) fn new() -> Self {
+        CounterCalls { sampling_fraction: 1.0, in_flight: BTreeMap::new() }
+    }
+
+    /// Fraction of the requests that the counter is called for, 0 to 1.
+    pub(crate) fn sampling_fraction(&self) -> f64 {
+        self.sampling_fraction
+    }
+
+    /// Sets the fraction of the requests that the counter is called for.
+    pub(crate) fn set_sampling_fraction(&mut self, fraction: f64) {
+        self.sampling_fraction = fraction;
+    }
+
+    /// Enters a call for a customer.
+    pub(crate) fn start(&mut self, name: u64, tag: u64) {
+        self.in_flight.insert(name, tag);
+    }
+
+    /// Ends a call, and gives the customer that it was for.
+    pub(crate) fn complete(&mut self, name: u64) -> Option<u64> {
+        self.in_flight.remove(&name)
+    }
+}
--- /dev/null
+++ b/crates/admission/src/state/fleet_means.rs
@@ -0,0 +1,75 @@
+//! Means over the gateways of a large fleet, as this gateway knows them.
+use crate::mechanism::decaying_rate::DecayingRate;
+use crate::mechanism::smoothing::smooth;
+
+/// Means over the gateways of a fleet that does not broadcast counts. Each is kept twice: as passed on to
+/// peers, which this gateway's own figures go into, and as received, which smooths out those own figures.
+#[derive(Debug, Default)]
+pub(crate) struct FleetMeans {
+    passed_on: GatewayMeans,
+    received: GatewayMeans,
+    /// This gateway's own good responses a second.
+    own_rate: DecayingRate,
+    /// When the means were last brought towards the own figures.
+    measured_ms: f64,
+}
+
+/// Figures of the mean gateway.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct GatewayMeans {
+    /// Attempts in flight.
+    pub(crate) stock: f64,
+    /// Good responses a second.
+    pub(crate) responses_per_second: f64,
+}
+
+impl GatewayMeans {
+    /// Moves each figure by the part `gain` of the distance.
+    fn follow(&mut self, sample: GatewayMeans, gain: f64) {
+        smooth(&mut self.stock, sample.stock, gain);
+        smooth(&mut self.responses_per_second, sample.responses_per_second, gain);
+    }
+}
+
+impl FleetMeans {
+    /// The means that are passed on to peers.
+    pub(crate) fn passed_on(&self) -> GatewayMeans {
+        self.passed_on
+    }
+
+    /// The means as received, which decisions go by.
+    pub(crate) fn received(&self) -> GatewayMeans {
+        self.received
+    }
+
+    /// Counts a good response at this gateway.
+    pub(crate) fn record_response(&mut self, now_ms: f64, span_s: f64) {
+        self.own_rate.add(1.0, now_ms, span_s);
+    }
+
+    /// Applies a peer's means, with a gain for those passed on and one for those received.
+    pub(crate) fn apply(&mut self, means: GatewayMeans, passed_on_gain: f64, received_gain: f64) {
+        self.passed_on.follow(means, passed_on_gain);
+        self.received.follow(means, received_gain);
+    }
+
+    /// Time since the means were last brought towards the own figures.
+    pub(crate) fn since_measured_ms(&self, now_ms: f64) -> f64 {
+        now_ms - self.measured_ms
+    }
+
+    /// Brings the means towards this gateway's own figures, at so much a second. The rate of responses is
+    /// smoothed over a span.
+    pub(crate) fn measure(&mut self, own_stock: f64, now_ms: f64, gain_per_second: f64, span_s: f64) {
+        let seconds = self.since_measured_ms(now_ms).max(0.0) / 1000.0;
+        self.measured_ms = now_ms;
+        let gain = 1.0 - (-gain_per_second * seconds).exp();
+        let own = GatewayMeans { stock: own_stock, responses_per_second: self.own_rate.now(now_ms, span_s) };
+        self.passed_on.follow(own, gain);
+    }
+
+    /// Lets this gateway's figures stand for the others', where nothing is received.
+    pub(crate) fn receive_own(&mut self) {
+        self.received = self.passed_on;
+    }
+}
--- a/crates/admission/src/state/observation.rs
+++ b/crates/admission/src/state/observation.rs
@@ -44,12 +44,7 @@
     pub(crate) fn record_observation(&mut self, endpoint: EndpointId, kind: ObservationKind) {
         let seen = Observation { endpoint: short_tag(endpoint.0), kind };
         self.apply_observation(seen);
-        if self.gossip.observations.back() != Some(&seen) {
-            self.gossip.observations.push_back(seen);
-        }
-        while self.gossip.observations.len() > MAX_OBSERVATIONS {
-            self.gossip.observations.pop_front();
-        }
+        self.recent_observations.push(seen, MAX_OBSERVATIONS);
     }
 
     /// Learns from an observation, own or told.
@@ -104,7 +99,7 @@
         let aim = self.settings.classes[class].latency_objective_ms;
         match end.outcome {
             Outcome::Ok => {
-                self.gossip.answer_rate.add(1.0, self.clock.now_ms, QUOTA_RATE_SPAN_S);
+                self.fleet_means.record_response(self.clock.now_ms, QUOTA_RATE_SPAN_S);
                 if let Some(endpoint) = self.endpoints.by_id.get_mut(&end.endpoint) {
                     endpoint.scoped_ejections.remove(&EjectionScope::Class(class));
                     // A endpoint that turns a plan away above a rate still takes some of it.
--- a/crates/admission/src/state/peer.rs
+++ b/crates/admission/src/state/peer.rs
@@ -1,47 +1,72 @@
-//! The other gateways.
-use crate::mechanism::decaying_rate::DecayingRate;
+//! The other gateways, as a gateway of a small fleet and as one of a large fleet knows them.
 use crate::messages::counts::{CountsMessage, SEQUENCE_MASK};
-use std::collections::BTreeMap;
+use crate::settings::Settings;
 
-/// Another gateway as this one knows it.
-#[derive(Debug, Default)]
-pub(crate) struct Peer {
-    /// The peer's start that the last counts message came from.
-    pub(crate) incarnation: Option<u32>,
-    /// Sequence number of that message.
-    pub(crate) sequence: u32,
-    /// Attempts that the peer reported to have in flight.
-    pub(crate) stock: u32,
-    /// The watermark that the peer reported.
-    pub(crate) watermark: f64,
-    /// When the last message came.
-    pub(crate) received_ms: f64,
-    /// Messages that it may be sent now, and when these were last added to.
-    pub(crate) credit: f64,
-    pub(crate) credit_ms: f64,
-    /// When it was last sent counts, and the stock that was reported to it then.
-    pub(crate) reported_ms: f64,
-    pub(crate) reported_stock: u32,
-    /// Sequence number of the last counts message sent to it.
-    pub(crate) sent_sequence: u32,
-    /// Quota requests to it in a row that brought no response in time.
-    pub(crate) missed_responses: u32,
-    /// Until when it is sent no quota requests.
-    pub(crate) suspected_until_ms: f64,
+/// Numbers of the other gateways of the fleet.
+pub(crate) fn peer_indices(settings: &Settings) -> impl Iterator<Item = usize> {
+    let me = settings.me;
+    (0..settings.gateways).filter(move |gateway| *gateway != me)
 }
 
 /// Half the range of sequence numbers: a number that is ahead by less is newer.
 const NEWER_RANGE: u32 = SEQUENCE_MASK / 2;
 
-impl Peer {
-    /// A peer that nothing was received from.
+/// Another gateway of a small fleet, where each sends the others its counts.
+#[derive(Debug)]
+pub(crate) struct BroadcastPeer {
+    /// The peer's start that the last message came from, and that message's sequence number.
+    incarnation: Option<u32>,
+    sequence: u32,
+    /// Attempts that the peer reported to have in flight.
+    stock: u32,
+    /// The watermark that the peer reported.
+    watermark: f64,
+    /// When the last message came.
+    received_ms: f64,
+    /// Messages that the peer may be sent now, and when these were last added to.
+    credit: f64,
+    credit_ms: f64,
+    /// When the peer was last sent a message, its sequence number, and the stock that it reported.
+    sent_ms: f64,
+    sent_sequence: u32,
+    sent_stock: u32,
+}
+
+impl BroadcastPeer {
+    /// A peer that nothing was received from and nothing sent to.
     pub(crate) fn unknown() -> Self {
-        Peer { received_ms: f64::NEG_INFINITY, ..Peer::default() }
+        BroadcastPeer {
+            incarnation: None,
+            sequence: 0,
+            stock: 0,
+            watermark: 0.0,
+            received_ms: f64::NEG_INFINITY,
+            credit: 0.0,
+            credit_ms: 0.0,
+            sent_ms: 0.0,
+            sent_sequence: 0,
+            sent_stock: 0,
+        }
+    }
+
+    /// Attempts that the peer reported to have in flight.
+    pub(crate) fn stock(&self) -> u32 {
+        self.stock
     }
 
-    /// Enters the head of a counts message. `false` for a message that is repeated or was overtaken by a
-    /// later one: counts are cumulative, and a ceiling transfer must count once.
-    pub(crate) fn record_counts_message(&mut self, message: &CountsMessage, now_ms: f64) -> bool {
+    /// The watermark that the peer reported.
+    pub(crate) fn watermark(&self) -> f64 {
+        self.watermark
+    }
+
+    /// Whether the peer's last report is younger than the time-out.
+    pub(crate) fn is_live(&self, now_ms: f64, timeout_ms: f64) -> bool {
+        now_ms - self.received_ms < timeout_ms
+    }
+
+    /// Enters the head of a message. `false` for a message that is repeated or was overtaken by a later one:
+    /// counts are cumulative, and a ceiling transfer must count once.
+    pub(crate) fn record_message(&mut self, message: &CountsMessage, now_ms: f64) -> bool {
         let restarted = self.incarnation != Some(message.incarnation);
         let ahead = message.sequence.wrapping_sub(self.sequence) & SEQUENCE_MASK;
         if !restarted && (ahead == 0 || ahead > NEWER_RANGE) {
@@ -50,11 +75,56 @@
         self.incarnation = Some(message.incarnation);
         self.sequence = message.sequence;
         self.stock = message.stock;
-        self.received_ms = now_ms;
         self.watermark = message.watermark.watermark();
+        self.received_ms = now_ms;
         true
     }
 
+    /// Adds the messages that the peer may be sent for the time since the last call; one may always be saved.
+    pub(crate) fn accrue_credit(&mut self, messages_per_second: f64, now_ms: f64) {
+        let accrued = messages_per_second * (now_ms - self.credit_ms) / 1000.0;
+        self.credit = (self.credit + accrued).min(messages_per_second.max(1.0));
+        self.credit_ms = now_ms;
+    }
+
+    /// Whether a message may be sent: the peer can take one, and the message says anything new or the last
+    /// one is so old.
+    pub(crate) fn wants(&self, message: &CountsMessage, now_ms: f64, max_interval_ms: f64) -> bool {
+        let nothing_new =
+            message.is_empty() && self.sent_stock == message.stock && now_ms - self.sent_ms < max_interval_ms;
+        self.credit >= 1.0 && !nothing_new
+    }
+
+    /// Enters a message that is sent, and gives it the next sequence number.
+    pub(crate) fn number_message(&mut self, message: &mut CountsMessage, now_ms: f64) {
+        self.credit -= 1.0;
+        self.sent_sequence = (self.sent_sequence + 1) & SEQUENCE_MASK;
+        self.sent_stock = message.stock;
+        self.sent_ms = now_ms;
+        message.sequence = self.sent_sequence;
+    }
+}
+
+/// Another gateway of a large fleet, where each may own customers' quotas.
+#[derive(Debug, Default)]
+pub(crate) struct GossipPeer {
+    /// Quota requests to it in a row that brought no response in time.
+    missed_responses: u32,
+    /// Until when it is sent no quota requests.
+    suspected_until_ms: f64,
+}
+
+impl GossipPeer {
+    /// Whether the peer is sent no quota requests now.
+    pub(crate) fn is_suspected(&self, now_ms: f64) -> bool {
+        now_ms < self.suspected_until_ms
+    }
+
+    /// Enters a message: the peer is alive.
+    pub(crate) fn record_message(&mut self) {
+        *self = GossipPeer::default();
+    }
+
     /// Enters a quota request that the peer did not respond to in time. From so many in a row on it is
     /// suspected.
     pub(crate) fn record_missed_response(&mut self, suspect_after: u32, suspect_until_ms: f64) {
@@ -63,23 +133,4 @@
             self.suspected_until_ms = suspect_until_ms;
         }
     }
-
-    /// Enters a gossip message: the peer is alive.
-    pub(crate) fn record_gossip_message(&mut self, now_ms: f64) {
-        self.received_ms = now_ms;
-        self.missed_responses = 0;
-        self.suspected_until_ms = 0.0;
-    }
-}
-
-/// The other gateways, and the budget of messages to them.
-#[derive(Debug, Default)]
-pub(crate) struct PeerTable {
-    pub(crate) by_index: BTreeMap<usize, Peer>,
-    /// When counts were last broadcast.
-    pub(crate) reported_ms: f64,
-    /// Messages that may be sent now, so that no gateway gets more than it takes in.
-    pub(crate) message_tokens: f64,
-    /// Messages a second that others' quota requests and releases bring.
-    pub(crate) received_rate: DecayingRate,
 }
--- a/crates/admission/src/state/quota_requests.rs
+++ b/crates/admission/src/state/quota_requests.rs
@@ -1,5 +1,6 @@
 //! Quota requests that this gateway sent to owners and that wait for a response.
 use crate::id::RequestId;
+use crate::state::request::QuotaState;
 use std::collections::BTreeMap;
 
 /// Numbers of quota requests have 12 bits in messages.
@@ -22,8 +23,14 @@
 }
 
 impl QuotaRequests {
-    /// The number that the next new quota request gets.
-    pub(crate) fn next_number(&self) -> u32 {
+    /// The number of a quota request to an owner, given where the request stands. The same owner gets the
+    /// same number again: had its response been lost, it would else grant twice.
+    pub(crate) fn number_for(&mut self, state: QuotaState, to: usize) -> u32 {
+        match state {
+            QuotaState::AwaitingOwner { owner, number, .. } if owner == to => return number,
+            QuotaState::AwaitingOwner { number, .. } => self.remove(number),
+            _ => {}
+        }
         self.next_number
     }
 
@@ -50,18 +57,3 @@
         self.pending.values().copied()
     }
 }
-
-/// Calls to the shared counter that are in flight.
-#[derive(Debug)]
-pub(crate) struct CounterCalls {
-    /// Fraction of the requests that the counter is called for, 0 to 1.
-    pub(crate) sampling_fraction: f64,
-    /// Customers with a call in flight, by the name of their count.
-    pub(crate) in_flight: BTreeMap<u64, u64>,
-}
-
-impl Default for CounterCalls {
-    fn default() -> Self {
-        CounterCalls { sampling_fraction: 1.0, in_flight: BTreeMap::new() }
-    }
-}
--- /dev/null
+++ b/crates/admission/src/state/recent_observations.rs
@@ -0,0 +1,26 @@
+//! Own observations of endpoints that go along with the next messages.
+use crate::messages::observation::Observation;
+use std::collections::VecDeque;
+
+/// The latest own observations, oldest first.
+#[derive(Debug, Default)]
+pub(crate) struct RecentObservations {
+    latest: VecDeque<Observation>,
+}
+
+impl RecentObservations {
+    /// Keeps an observation, unless it is the same as the last, and drops the oldest beyond the limit.
+    pub(crate) fn push(&mut self, observation: Observation, limit: usize) {
+        if self.latest.back() != Some(&observation) {
+            self.latest.push_back(observation);
+        }
+        while self.latest.len() > limit {
+            self.latest.pop_front();
+        }
+    }
+
+    /// The observations kept.
+    pub(crate) fn to_vec(&self) -> Vec<Observation> {
+        self.latest.iter().copied().collect()
+    }
+}
