--- a/crates/admission/src/coordination/observations.rs
+++ b/crates/admission/src/coordination/observations.rs
@@ -16,7 +16,7 @@
     /// Records what an own attempt's end shows of its endpoint.
     pub(crate) fn observe_attempt(&mut self, end: &AttemptEnd, class: usize, plan: usize) {
         if end.outcome == Outcome::Ok {
-            self.gossip.answer_rate.add(1.0, self.clock.now_ms, QUOTA_RATE_SPAN_S);
+            self.fleet_means.record_response(self.clock.now_ms, QUOTA_RATE_SPAN_S);
             if let Some(endpoint) = self.endpoints.get_mut(end.endpoint) {
                 endpoint.relax_scoped_ejections(class, plan);
             }
@@ -39,13 +39,7 @@
     pub(crate) fn record_observation(&mut self, endpoint: EndpointId, kind: ObservationKind) {
         let observation = Observation { endpoint: short_tag(endpoint.0), kind };
         self.apply_observation(observation);
-        let kept = &mut self.gossip.observations;
-        if kept.back() != Some(&observation) {
-            kept.push_back(observation);
-        }
-        while kept.len() > MAX_OBSERVATIONS {
-            kept.pop_front();
-        }
+        self.recent_observations.push(observation, MAX_OBSERVATIONS);
     }
 
     /// Learns from an observation, own or received.
--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -1,6 +1,5 @@
 //! The gateway: takes an event and calls the parts in order.
 use crate::action::Action;
-use crate::coordination::gossip::Gossip;
 use crate::coordination::Coordination;
 use crate::event::Event;
 use crate::mechanism::splitmix64::{mix, SplitMix64};
@@ -13,13 +12,12 @@
 use crate::state::customer::CustomerTable;
 use crate::state::endpoint_table::EndpointTable;
 use crate::state::event_clock::EventClock;
+use crate::state::fleet_means::FleetMeans;
 use crate::state::latency_model::LatencyModel;
 use crate::state::outlier_detector::OutlierDetector;
-use crate::state::peer::{Peer, PeerTable};
-use crate::state::quota_requests::{CounterCalls, QuotaRequests};
+use crate::state::recent_observations::RecentObservations;
 use crate::state::request::{RequestTable, RetryBudget};
 use crate::state::slow_start::SlowStart;
-use std::collections::BTreeMap;
 
 /// One gateway's decisions: takes events in and answers with actions. Each part owns the state of one
 /// concern.
@@ -41,10 +39,8 @@
     pub(crate) outliers: OutlierDetector,
     pub(crate) slow_start: SlowStart,
     pub(crate) retries: RetryBudget,
-    pub(crate) peers: PeerTable,
-    pub(crate) gossip: Gossip,
-    pub(crate) quota_requests: QuotaRequests,
-    pub(crate) counter_calls: CounterCalls,
+    pub(crate) fleet_means: FleetMeans,
+    pub(crate) recent_observations: RecentObservations,
 }
 
 /// Time between two rounds of upkeep: short beside any latency objective, so that nothing is noticed late.
@@ -61,8 +57,6 @@
     /// A gateway with no memory but its settings.
     pub fn new(settings: Settings, seed: u64, now_ms: f64) -> Result<Self, SettingsError> {
         settings.check()?;
-        let peers: BTreeMap<usize, Peer> =
-            (0..settings.gateways).filter(|p| *p != settings.me).map(|p| (p, Peer::unknown())).collect();
         let objectives_ms = settings.classes.iter().map(|class| class.latency_objective_ms);
         let mut gateway = Gateway {
             clock: EventClock::new(now_ms),
@@ -70,7 +64,6 @@
             random: SplitMix64::new(seed),
             latency: LatencyModel::new(objectives_ms, INITIAL_OBJECTIVE_FRACTION, LATENCY_GAINS),
             retries: RetryBudget::new(MAX_RETRY_TOKENS / 2.0),
-            peers: PeerTable { by_index: peers, message_tokens: 10.0, ..PeerTable::default() },
             coordination: Coordination::from_settings(&settings),
             settings,
             ..Gateway::default()
@@ -136,9 +129,7 @@
             self.large_fleet_upkeep(actions);
         }
         self.step_watermark();
-        if broadcast {
-            self.report_counts_if_due(actions);
-        }
+        self.broadcast_counts_if_due(actions);
         self.evict_idle_customers_if_due();
     }
 
@@ -155,15 +146,7 @@
 
     /// Whether a large fleet's gateway is to look at all endpoints again.
     fn review_is_due(&self) -> bool {
-        self.clock.now_ms - self.gossip.measured_ms >= LARGE_FLEET_REVIEW_MS
-    }
-
-    /// Sends this gateway's counts to its peers, where that is due.
-    fn report_counts_if_due(&mut self, actions: &mut Vec<Action>) {
-        if self.report_due() {
-            self.peers.reported_ms = self.clock.now_ms;
-            self.broadcast_counts(actions);
-        }
+        self.fleet_means.since_measured_ms(self.clock.now_ms) >= LARGE_FLEET_REVIEW_MS
     }
 
     /// Forgets idle customers from time to time.
--- a/crates/admission/src/lifecycle.rs
+++ b/crates/admission/src/lifecycle.rs
@@ -243,7 +243,9 @@
                 }
             }
             QuotaState::QueuedAtOwner { owner, number } | QuotaState::AwaitingOwner { owner, number, .. } => {
-                self.quota_requests.remove(number);
+                if let Some(gossip) = self.coordination.gossip_mut() {
+                    gossip.requests.remove(number);
+                }
                 self.send_release(owner, active.tag, number, unused, actions);
             }
             QuotaState::LocalBucket
--- a/crates/admission/src/policy/dispatch.rs
+++ b/crates/admission/src/policy/dispatch.rs
@@ -89,8 +89,8 @@
     fn open_limit_reached(&self, limit: u32, customer: &Customer, tag: u64) -> bool {
         let peers = customer.peer_activity(self.clock.now_ms, PEER_TIMEOUT_MS);
         let spread = customer.gateways().len() as u32;
-        let place = self.settings.me + self.settings.gateways - customer.gateways().first();
-        let place = place as u32 + tag as u32;
+        let distance = self.settings.me + self.settings.gateways - customer.gateways().first();
+        let place = distance as u32 + tag as u32;
         let has_slot = place % spread < (4 * limit).div_ceil(3);
         let part = (limit / spread).max(u32::from(has_slot));
         let margin = if customer.in_flight() < part { 0 } else { peers.busy };
--- a/crates/admission/src/state/request.rs
+++ b/crates/admission/src/state/request.rs
@@ -143,7 +143,7 @@
     pub(crate) quota: QuotaState,
     /// Units by which the answer's true figure passed the guess.
     pub(crate) settled_units: f64,
-    /// Its keeper has so much that the true units need not be told.
+    /// So much of the quota is left that the true units need not be reported.
     pub(crate) ample: bool,
 }
 
@@ -232,8 +232,8 @@
     }
 }
 
-/// Tokens for further attempts: first attempts bring some, each further one costs some. So retries stay a part
-/// of all attempts, also while many fail.
+/// Tokens for further attempts: first attempts bring some, each further one costs some. So retries stay a
+/// part of all attempts, also while many fail.
 #[derive(Debug, Default)]
 pub(crate) struct RetryBudget {
     tokens: f64,
