Merge the split of an endpoint's record into the band's work

Band, retry and lifecycle call the parts of the endpoint's record. Four comments of the policy are shorter.

--- a/crates/admission/src/lifecycle.rs
+++ b/crates/admission/src/lifecycle.rs
@@ -10,7 +10,6 @@
 use crate::policy::dispatch::ATTEMPT_TIMEOUT_OBJECTIVES;
 use crate::policy::in_flight_band::MAX_CREDIT_OVERDRAFT;
 use crate::policy::retry::{MAX_RETRY_TOKENS, RETRY_TOKENS_PER_REQUEST};
-use crate::policy::slow_start::SEND_RATE_SPAN_S;
 use crate::state::customer::customer_tag;
 use crate::state::endpoint::InFlightAttempt;
 use crate::state::request::{ActiveRequest, Attempt, QuotaState};
@@ -118,10 +117,10 @@
         let Some(active) = self.requests.active.get_mut(&id) else { return };
         let Some(endpoint) = self.endpoints.get_mut(endpoint_id) else { return };
         if let Some(budget) = warm_up_budget {
-            endpoint.take_warm_up_token(now, budget);
+            endpoint.warm_up_tokens.take(now, budget);
         }
         let attempt = active.attempts.len() as u32;
-        endpoint.record_sent(InFlightAttempt { sent_ms: now, request: id, attempt }, SEND_RATE_SPAN_S);
+        endpoint.record_sent(InFlightAttempt { sent_ms: now, request: id, attempt });
         active.attempts.push(Attempt {
             endpoint: endpoint_id,
             zone: endpoint.zone(),
--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -102,8 +102,7 @@
         }
     }
 
-    /// Whether a response can no longer come within the latency objective or the client's wait. Late work is
-    /// wasted.
+    /// Whether a response can no longer come within both the latency objective and the client's wait.
     pub(crate) fn cannot_meet_deadline(&self, active: &ActiveRequest) -> bool {
         let end_ms = active.objective_at_ms.min(active.deadline_ms - UPKEEP_MS - 2.0 * self.settings.tick_ms);
         let response_times = if self.band.is_saturated() {
@@ -114,8 +113,7 @@
         end_ms - self.clock.now_ms < response_times * self.latency.response_ms(active.request.class)
     }
 
-    /// Whether a request must get its final answer now: its deadline is near, or it was never sent and can't
-    /// meet it.
+    /// Whether a request must be finished now: its deadline is near, or it is unsent and cannot meet it.
     pub(crate) fn is_overdue(&self, active: &ActiveRequest) -> bool {
         let is_late = active.deadline_ms - self.clock.now_ms < UPKEEP_MS + 2.0 * self.settings.tick_ms;
         !active.answered && (is_late || active.attempts.is_empty() && self.cannot_meet_deadline(active))
--- a/crates/admission/src/policy/dispatch.rs
+++ b/crates/admission/src/policy/dispatch.rs
@@ -8,9 +8,8 @@
 use crate::state::customer::Customer;
 use crate::state::request::{QuotaDecision, QuotaState};
 
-/// Time-out of an attempt, in latency objectives. A response after the objective earns little. But while the
-/// endpoint may still work on it the attempt belongs to the stock: a shorter time-out let in more than the
-/// endpoints could do.
+/// Time-out of an attempt, in latency objectives. Later responses have little value, but while the endpoint may
+/// still work the attempt belongs to the stock: a shorter time-out let in more than the endpoints could do.
 pub(crate) const ATTEMPT_TIMEOUT_OBJECTIVES: f64 = 2.0;
 
 /// Least weight of a class or a plan in the queue: one of weight 0 is still served.
--- a/crates/admission/src/policy/in_flight_band.rs
+++ b/crates/admission/src/policy/in_flight_band.rs
@@ -78,10 +78,11 @@
     /// let slow endpoints be flooded.
     fn is_lost(&self, endpoint: &Endpoint) -> bool {
         let now_ms = self.clock.now_ms;
-        let backing_off = endpoint.consecutive_failures() > 0 && endpoint.is_ejected(now_ms);
+        let health = &endpoint.health;
+        let backing_off = health.consecutive_failures() > 0 && health.is_ejected(now_ms);
         // Work at clearly slow endpoints would swell the stock as if the others were full.
         let slow = !self.coordination.is_broadcast() && self.kind_deviation(endpoint).excess > CLEARLY_SLOW;
-        let ejected = backing_off || endpoint.is_any_class_ejected(now_ms);
+        let ejected = backing_off || endpoint.observed.is_any_class_ejected(now_ms);
         let stalled = self.is_unresponsive(endpoint) || self.stall_ratio(endpoint) > HUNG_STALL_RATIO;
         endpoint.is_gone() || ejected || slow || stalled
     }
@@ -137,8 +138,7 @@
         1.0 - CREDIT_OVERDRAFT * (1.0 - lowest / own.max(1e-9)).max(0.0)
     }
 
-    /// Adds the dispatch credit of the seconds gone by, at this gateway's even part of the band per mean
-    /// response time.
+    /// Adds the dispatch credit of some seconds: this gateway's even part of the band per mean response time.
     pub(crate) fn refill_dispatch_credit(&mut self, seconds: f64) {
         let even_part = self.band.watermark() * self.band.ready_capacity() / self.settings.gateways as f64;
         let mean_response_s = self.mean_response_ms() / 1000.0;
--- a/crates/admission/src/policy/retry.rs
+++ b/crates/admission/src/policy/retry.rs
@@ -4,7 +4,8 @@
 use crate::id::RequestId;
 use crate::messages::observation::ObservationKind;
 use crate::settings::Idempotency;
-use crate::state::endpoint::{EjectionScope, Endpoint};
+use crate::state::endpoint::Endpoint;
+use crate::state::observed_health::EjectionScope;
 use crate::state::request::{ActiveRequest, AttemptRef, PendingAttempt};
 
 /// Retry tokens that each first attempt brings, and the most that may be saved up.
@@ -104,7 +105,7 @@
     /// Whether an attempt is taken for stalled in a large fleet.
     fn is_stalled(&self, pending: &PendingAttempt) -> bool {
         let Some(endpoint) = self.endpoints.get(pending.endpoint) else { return false };
-        let reported = endpoint.is_scope_ejected(EjectionScope::Class(pending.class), self.clock.now_ms);
+        let reported = endpoint.observed.is_ejected(EjectionScope::Class(pending.class), self.clock.now_ms);
         let limit_ms = self.long_response_ms(pending.class) * if reported { 1.0 } else { STALLED_FACTOR };
         self.is_outlier(endpoint)
             || self.is_unresponsive(endpoint)
