Read the event's time and the requests through methods, so that their records are private

EventClock::now_ms and RequestTable's map were open fields that every file read. The clock's time is now_ms() and the table has get, get_mut, insert, remove and iter, keyed by RequestId; callers change in spelling alone (clock.now_ms becomes clock.now_ms(), requests.active.get(&id) becomes requests.get(id)).

--- a/crates/admission/src/coordination/broadcast.rs
+++ b/crates/admission/src/coordination/broadcast.rs
@@ -77,11 +77,11 @@
     /// of messages goes.
     pub(crate) fn broadcast_counts_if_due(&mut self, actions: &mut Vec<Action>) {
         let Coordination::Broadcast(broadcast) = &mut self.coordination else { return };
-        let elapsed_ms = self.clock.now_ms - broadcast.reported_ms;
+        let elapsed_ms = self.clock.now_ms() - broadcast.reported_ms;
         if broadcast.peers.is_empty() || elapsed_ms < report_interval_ms(&self.settings) {
             return;
         }
-        broadcast.reported_ms = self.clock.now_ms;
+        broadcast.reported_ms = self.clock.now_ms();
         let round = ReportRound::new(broadcast.peers.keys().copied());
         let stock = self.band_load().in_flight;
         let round = self.collect_reports(round);
@@ -96,7 +96,7 @@
                 continue;
             };
             let Some(plan) = customer.plan().map(|p| &self.settings.plans[p]) else { continue };
-            customer.refill(plan, self.clock.now_ms);
+            customer.refill(plan, self.clock.now_ms());
             let fill = if plan.burst_units > 0.0 { customer.quota_tokens() / plan.burst_units } else { 1.0 };
             let entry = CountEntry {
                 tag: tag as u32,
@@ -115,7 +115,7 @@
     /// Completes and sends the messages of a round, where each peer's budget allows them and they say
     /// anything new.
     fn send_reports(&mut self, round: ReportRound, stock: u32, actions: &mut Vec<Action>) {
-        let now_ms = self.clock.now_ms;
+        let now_ms = self.clock.now_ms();
         let Coordination::Broadcast(broadcast) = &mut self.coordination else { return };
         for (to, messages) in round.messages {
             let Some(peer) = broadcast.peers.get_mut(&to) else { continue };
@@ -137,7 +137,7 @@
         let Some(message) = CountsMessage::decode(body) else { return };
         let Coordination::Broadcast(broadcast) = &mut self.coordination else { return };
         let Some(peer) = broadcast.peers.get_mut(&from) else { return };
-        if !peer.record_message(&message, self.clock.now_ms) {
+        if !peer.record_message(&message, self.clock.now_ms()) {
             return;
         }
         for entry in &message.counts {
@@ -153,7 +153,7 @@
 
     /// Applies a peer's count of one customer.
     fn apply_count(&mut self, from: usize, incarnation: u32, entry: &CountEntry) {
-        let now_ms = self.clock.now_ms;
+        let now_ms = self.clock.now_ms();
         let customer = self.customers.get_or_insert(u64::from(entry.tag), now_ms);
         let plan = customer.plan().map(|p| &self.settings.plans[p]);
         let count = PeerCount {
@@ -170,7 +170,7 @@
     fn on_ceiling_request(&mut self, from: usize, tag: u64) {
         let Some(customer) = self.customers.get_mut(tag) else { return };
         let Some(plan) = customer.plan().map(|p| &self.settings.plans[p]) else { return };
-        customer.refill(plan, self.clock.now_ms);
+        customer.refill(plan, self.clock.now_ms());
         let units = ceiling_transfer_units(customer.ceiling_tokens(), self.settings.max_units);
         if units > 0.0 {
             self.customers.schedule_ceiling_transfer(tag, from, units);
@@ -181,7 +181,7 @@
     fn on_ceiling_transfer(&mut self, transfer: &CeilingTransfer) {
         let Some(customer) = self.customers.get_mut(u64::from(transfer.tag)) else { return };
         let Some(plan) = customer.plan().map(|p| &self.settings.plans[p]) else { return };
-        customer.refill(plan, self.clock.now_ms);
+        customer.refill(plan, self.clock.now_ms());
         customer.receive_ceiling(plan, transfer.units());
     }
 }
--- a/crates/admission/src/coordination/counter_calls.rs
+++ b/crates/admission/src/coordination/counter_calls.rs
@@ -17,10 +17,10 @@
     /// Asks the counter about a queued request's quota, or decides by what was last seen: the customer cannot
     /// have more tokens than the rate has added since.
     pub(crate) fn request_from_counter(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(active) = self.requests.active.get(&id) else { return };
+        let Some(active) = self.requests.get(id) else { return };
         let tag = active.tag;
         let request = active.request.clone();
-        let now_ms = self.clock.now_ms;
+        let now_ms = self.clock.now_ms();
         let gateways = GatewaySet::new(request.first, request.spread, self.settings.gateways);
         let plan = self.settings.plans[request.plan].clone();
         let customer = self.customer_entry(tag, request.plan, gateways);
@@ -30,7 +30,7 @@
         let most = customer.counter.tokens_at_most(&plan, now_ms);
         let over = most.is_some_and(|tokens| tokens < request.units);
         let sampled = if over { None } else { self.sample_for_counter(id, request.units, request.repeat) };
-        let Some(active) = self.requests.active.get_mut(&id) else { return };
+        let Some(active) = self.requests.get_mut(id) else { return };
         active.within_quota = !over;
         active.ample = true;
         active.quota = match sampled {
@@ -61,11 +61,11 @@
 
     /// Makes a customer's next call, where none is in flight.
     pub(crate) fn call_counter(&mut self, tag: u64, actions: &mut Vec<Action>) {
-        let name = CounterEpoch::at(tag, self.clock.now_ms, COUNT_EPOCH_MS).name;
+        let name = CounterEpoch::at(tag, self.clock.now_ms(), COUNT_EPOCH_MS).name;
         let Some(customer) = self.customers.get_mut(tag) else { return };
         let Coordination::Counter(calls) = &mut self.coordination else { return };
-        let requests = &self.requests.active;
-        let waits_for_reply = |id| requests.get(&id).is_some_and(ActiveRequest::awaits_counter);
+        let requests = &self.requests;
+        let waits_for_reply = |id| requests.get(id).is_some_and(ActiveRequest::awaits_counter);
         let Some(amount) = customer.counter.next_call(waits_for_reply) else { return };
         calls.start(name, tag);
         actions.push(Action::AddToCounter { name, amount, ttl_ms: COUNT_EPOCH_MS });
@@ -76,7 +76,7 @@
         let Coordination::Counter(calls) = &mut self.coordination else { return };
         let Some(tag) = calls.complete(name) else { return };
         calls.set_sampling_fraction(sampling_fraction_after(outcome, calls.sampling_fraction()));
-        let epoch = CounterEpoch::at(tag, self.clock.now_ms, COUNT_EPOCH_MS);
+        let epoch = CounterEpoch::at(tag, self.clock.now_ms(), COUNT_EPOCH_MS);
         let Some(customer) = self.customers.get_mut(tag) else { return };
         let Some(ended) = customer.counter.complete() else { return };
         let Some(plan) = customer.plan().map(|p| self.settings.plans[p].clone()) else { return };
@@ -101,7 +101,7 @@
             }
             (CounterCall::Settle, Some(total)) => {
                 let tokens = epoch.tokens(&plan, total).min(plan.burst_units);
-                customer.counter.record_tokens(tokens, self.clock.now_ms);
+                customer.counter.record_tokens(tokens, self.clock.now_ms());
             }
             (CounterCall::CatchUp(_) | CounterCall::Settle, None) => {}
         }
@@ -130,7 +130,7 @@
     /// Decides on a request that the counter said nothing about.
     fn on_no_total(&mut self, tag: u64, plan: &PlanSettings, request: CountedRequest, rejected: bool) {
         let Some(customer) = self.customers.get_mut(tag) else { return };
-        let tokens = assumed_tokens(plan, customer.counter.tokens_at_most(plan, self.clock.now_ms));
+        let tokens = assumed_tokens(plan, customer.counter.tokens_at_most(plan, self.clock.now_ms()));
         if rejected {
             customer.counter.correct(request.added_units);
         }
@@ -141,7 +141,7 @@
     /// go on inside the quota takes nothing.
     fn decide_counted(&mut self, tag: u64, plan: &PlanSettings, request: CountedRequest, tokens: f64) {
         let refund_units = self.refund_units(request.units);
-        let active = self.requests.active.get_mut(&request.id).filter(|active| active.awaits_counter());
+        let active = self.requests.get_mut(request.id).filter(|active| active.awaits_counter());
         let taken = match active {
             Some(active) => {
                 decide_by_count(active, plan, request.units, tokens);
@@ -151,7 +151,7 @@
         };
         let Some(customer) = self.customers.get_mut(tag) else { return };
         let consumed = if taken { request.added_units } else { request.added_units - request.units };
-        customer.counter.record_tokens(tokens - consumed, self.clock.now_ms);
+        customer.counter.record_tokens(tokens - consumed, self.clock.now_ms());
         if !taken {
             customer.counter.correct(-refund_units);
         }
--- a/crates/admission/src/coordination/gossip.rs
+++ b/crates/admission/src/coordination/gossip.rs
@@ -88,7 +88,7 @@
             self.apply_observation(*observation);
         }
         if let Some(gossip) = self.coordination.gossip_mut() {
-            gossip.record_message(from, &message, self.clock.now_ms);
+            gossip.record_message(from, &message, self.clock.now_ms());
         }
         self.on_quota_messages(from, message, actions);
     }
@@ -116,7 +116,7 @@
     /// Adds the quota requests that may be sent for so many seconds.
     pub(crate) fn refill_message_tokens(&mut self, seconds: f64) {
         if let Some(gossip) = self.coordination.gossip_mut() {
-            gossip.refill_message_tokens(&self.settings, seconds, self.clock.now_ms);
+            gossip.refill_message_tokens(&self.settings, seconds, self.clock.now_ms());
         }
     }
 
@@ -125,7 +125,7 @@
         let load = self.band_load();
         self.band.set_ready_capacity(load.ready_capacity);
         let own_stock = f64::from(load.in_flight);
-        let now_ms = self.clock.now_ms;
+        let now_ms = self.clock.now_ms();
         self.fleet_means.measure(own_stock, now_ms, MEAN_GAIN_PER_SECOND, QUOTA_RATE_SPAN_S);
         if self.coordination.gossip().is_none() {
             // Nothing is received: this gateway's figures stand for the others'.
--- a/crates/admission/src/coordination/observations.rs
+++ b/crates/admission/src/coordination/observations.rs
@@ -16,7 +16,7 @@
     /// Records what an own attempt's end shows of its endpoint.
     pub(crate) fn observe_attempt(&mut self, end: &AttemptEnd, class: usize, plan: usize) {
         if end.outcome == Outcome::Ok {
-            self.fleet_means.record_response(self.clock.now_ms, QUOTA_RATE_SPAN_S);
+            self.fleet_means.record_response(self.clock.now_ms(), QUOTA_RATE_SPAN_S);
             if let Some(endpoint) = self.endpoints.get_mut(end.endpoint) {
                 endpoint.observed.relax_ejections(class, plan);
             }
@@ -55,7 +55,7 @@
 
     /// An endpoint turned a request of a plan away: others of the plan are kept away from it for a while.
     fn apply_rejection(&mut self, tag: u32, plan: usize) {
-        let (now_ms, jitter) = (self.clock.now_ms, self.observation_jitter(tag));
+        let (now_ms, jitter) = (self.clock.now_ms(), self.observation_jitter(tag));
         if let Some(endpoint) = self.endpoints.get_by_tag_mut(tag) {
             endpoint.observed.eject(EjectionScope::Plan(plan), now_ms, SCOPED_EJECTION, jitter);
         }
@@ -64,7 +64,7 @@
     /// An endpoint failed a request of a class: once it fails many, others of the class are kept away from it
     /// for a while.
     fn apply_failure(&mut self, tag: u32, class: usize) {
-        let (now_ms, jitter) = (self.clock.now_ms, self.observation_jitter(tag));
+        let (now_ms, jitter) = (self.clock.now_ms(), self.observation_jitter(tag));
         let Some(endpoint) = self.endpoints.get_by_tag_mut(tag) else { return };
         let failed_fraction = endpoint.observed.record_failure(class, CLASS_FAILURE_GAIN);
         if failed_fraction > MAX_CLASS_FAILURE_FRACTION {
@@ -74,7 +74,7 @@
 
     /// An endpoint answered a request of a class.
     fn apply_answer(&mut self, tag: u32, class: usize, response_time: ResponseTimeCode) {
-        let now_ms = self.clock.now_ms;
+        let now_ms = self.clock.now_ms();
         let Some(endpoint) = self.endpoints.get_by_tag_mut(tag) else { return };
         endpoint.observed.record_response(class, now_ms, CLASS_FAILURE_GAIN);
         self.outliers.record_observed_response(now_ms, OBSERVATION_SPAN_S);
--- a/crates/admission/src/coordination/quota_grants.rs
+++ b/crates/admission/src/coordination/quota_grants.rs
@@ -54,7 +54,7 @@
     fn decide(&mut self, from: usize, request: &QuotaRequest) -> Option<QuotaResponse> {
         let plan = self.settings.plans.get(request.plan as usize)?.clone();
         let gateways = self.gateways_of(from, request)?;
-        let now_ms = self.clock.now_ms;
+        let now_ms = self.clock.now_ms();
         let received = self.received_request(from, request);
         let customer = self.customer_entry(request.customer, request.plan as usize, gateways);
         customer.grants.expire(now_ms);
@@ -77,7 +77,7 @@
 
     fn received_request(&self, from: usize, request: &QuotaRequest) -> ReceivedRequest {
         let units = f64::from(request.units).min(self.settings.max_units.max(1.0));
-        let waits_until_ms = self.clock.now_ms + request.wait_budget.ms();
+        let waits_until_ms = self.clock.now_ms() + request.wait_budget.ms();
         ReceivedRequest {
             gateway: from,
             number: request.number,
@@ -97,7 +97,7 @@
         if !customer.grants.release(from, release.number) {
             return;
         }
-        customer.refill(plan, self.clock.now_ms);
+        customer.refill(plan, self.clock.now_ms());
         if plan.rate_per_second > 0.0 {
             let additional_units = release.additional_units.units().clamp(-max_units, max_units);
             customer.settle_grant(plan, additional_units);
@@ -109,7 +109,7 @@
 
     /// Grants a free slot to the request that has waited longest.
     fn grant_next_waiting(&mut self, tag: u64, actions: &mut Vec<Action>) {
-        let now_ms = self.clock.now_ms;
+        let now_ms = self.clock.now_ms();
         let lifetime_ms = self.grant_lifetime_ms();
         let Some(customer) = self.customers.get_mut(tag) else { return };
         let Some(waiting) = customer.grants.next_waiting(now_ms) else { return };
--- a/crates/admission/src/coordination/quota_requests.rs
+++ b/crates/admission/src/coordination/quota_requests.rs
@@ -32,7 +32,7 @@
             Coordination::Gossip(_) => self.request_quota(id, 0, actions),
             Coordination::Counter(_) => self.request_from_counter(id, actions),
             Coordination::Broadcast(_) | Coordination::Isolated => {
-                let Some(active) = self.requests.active.get_mut(&id) else { return };
+                let Some(active) = self.requests.get_mut(id) else { return };
                 active.within_quota = true;
                 let (tag, plan) = (active.tag, active.request.plan);
                 let gateways =
@@ -45,8 +45,8 @@
     /// Asks the owner of a queued request's quota, after so many tries that it left without a response. Where
     /// the owner is not to be asked, this gateway decides alone.
     fn request_quota(&mut self, id: RequestId, tries: u32, actions: &mut Vec<Action>) {
-        let Some(active) = self.requests.active.get(&id) else { return };
-        let now_ms = self.clock.now_ms;
+        let Some(active) = self.requests.get(id) else { return };
+        let now_ms = self.clock.now_ms();
         let wait_budget = WaitBudget::from_ms(self.grant_useful_until_ms(active) - now_ms);
         let (tag, previous) = (active.tag, active.quota);
         let request = active.request.clone();
@@ -84,19 +84,19 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(gossip) = self.coordination.gossip_mut() else { return };
-        let Some(active) = self.requests.active.get_mut(&id) else { return };
+        let Some(active) = self.requests.get_mut(id) else { return };
         if owner != self.settings.me {
             gossip.spend_message_token();
         }
         let number = request.number;
-        active.quota = QuotaState::AwaitingOwner { owner, number, at_ms: self.clock.now_ms, tries };
+        active.quota = QuotaState::AwaitingOwner { owner, number, at_ms: self.clock.now_ms(), tries };
         gossip.requests.insert(number, id);
         self.send_gossip(owner, GossipMessage::request(request), actions);
     }
 
     /// Sends quota requests again that were not responded to in time, or decides without the owner.
     pub(crate) fn retry_quota_requests(&mut self, actions: &mut Vec<Action>) {
-        let now_ms = self.clock.now_ms;
+        let now_ms = self.clock.now_ms();
         for missed in self.missed_responses() {
             let Some(gossip) = self.coordination.gossip_mut() else { return };
             if let Some(peer) = gossip.peer_mut(missed.owner) {
@@ -116,9 +116,9 @@
         let Some(gossip) = self.coordination.gossip() else { return Vec::new() };
         let wait_ms = response_wait_ms(&self.settings);
         let missed = gossip.requests.waiting().filter_map(|id| {
-            let active = self.requests.active.get(&id)?;
+            let active = self.requests.get(id)?;
             let QuotaState::AwaitingOwner { owner, at_ms, tries, .. } = active.quota else { return None };
-            (self.clock.now_ms - at_ms > wait_ms).then_some(MissedResponse { id, owner, tries })
+            (self.clock.now_ms() - at_ms > wait_ms).then_some(MissedResponse { id, owner, tries })
         });
         missed.collect()
     }
@@ -128,7 +128,7 @@
         let number = response.number;
         let Some(gossip) = self.coordination.gossip_mut() else { return };
         let Some(id) = gossip.requests.get(number) else { return };
-        let Some(active) = self.requests.active.get_mut(&id) else { return gossip.requests.remove(number) };
+        let Some(active) = self.requests.get_mut(id) else { return gossip.requests.remove(number) };
         if !active.quota.awaits_response(from, number) {
             return;
         }
@@ -146,7 +146,7 @@
             gossip.requests.remove(number);
         }
         if let Some(customer) = self.customers.get_mut(active.tag) {
-            customer.set_sampling_fraction(response.sampling_fraction.fraction(), self.clock.now_ms);
+            customer.set_sampling_fraction(response.sampling_fraction.fraction(), self.clock.now_ms());
         }
     }
 }
--- a/crates/admission/src/customer_lifecycle.rs
+++ b/crates/admission/src/customer_lifecycle.rs
@@ -8,7 +8,7 @@
     /// The record of a customer whose request came in through these gateways, brought up to now and made
     /// where there is none.
     pub(crate) fn customer_entry(&mut self, tag: u64, plan: usize, gateways: GatewaySet) -> &mut Customer {
-        let now_ms = self.clock.now_ms;
+        let now_ms = self.clock.now_ms();
         if !self.customers.knows_plan(tag) {
             let ceiling_fraction = self.ceiling_fraction(tag, &gateways);
             let uptime_s = self.clock.since_start_ms() / 1000.0;
@@ -29,6 +29,6 @@
         let customers = self.customers.len();
         let plans = &self.settings.plans;
         let limit_ms = |plan: Option<usize>| idle_limit_ms(plan.map(|p| &plans[p]), customers);
-        self.customers.evict_idle(self.clock.now_ms, limit_ms);
+        self.customers.evict_idle(self.clock.now_ms(), limit_ms);
     }
 }
--- a/crates/admission/src/endpoint_records.rs
+++ b/crates/admission/src/endpoint_records.rs
@@ -20,7 +20,7 @@
         if !is_small_fleet {
             self.observe_attempt(end, class, plan);
         }
-        let now_ms = self.clock.now_ms;
+        let now_ms = self.clock.now_ms();
         let jitter = jitter_factor(EJECTION_JITTER, self.random.next_fraction());
         if is_small_fleet {
             self.learn_response_time(end, class);
@@ -43,7 +43,7 @@
 
     /// Small fleets: learns response times from an own attempt.
     fn learn_response_time(&mut self, end: &AttemptEnd, class: usize) {
-        let now_ms = self.clock.now_ms;
+        let now_ms = self.clock.now_ms();
         let objective_fraction = end.took_ms / self.settings.classes[class].latency_objective_ms;
         let relative = end.took_ms / self.latency.expected_ms(class);
         let Some(endpoint) = self.endpoints.get_mut(end.endpoint) else { return };
@@ -69,7 +69,7 @@
     /// Large fleets: learns the mean response time of a class from an own attempt. The rest is learned from
     /// what the fleet observed.
     fn learn_mean_response_time(&mut self, end: &AttemptEnd, class: usize) {
-        let now_ms = self.clock.now_ms;
+        let now_ms = self.clock.now_ms();
         let Some(endpoint) = self.endpoints.get(end.endpoint) else { return };
         let has_warmed_up = endpoint.has_warmed_up(now_ms, self.settings.warm_up_ms);
         if end.outcome == Outcome::Ok && has_warmed_up {
@@ -82,14 +82,14 @@
     /// counts once, so that work piled up on a hung zone does not outweigh the rest.
     pub(crate) fn update_typical_age(&mut self) {
         let idle_age_ms = IDLE_AGE_FRACTION * self.mean_response_ms();
-        let age = |e: &Endpoint| e.mean_in_flight_age_ms(self.clock.now_ms).unwrap_or(idle_age_ms);
+        let age = |e: &Endpoint| e.mean_in_flight_age_ms(self.clock.now_ms()).unwrap_or(idle_age_ms);
         let ages = self.endpoints.iter().map(age).collect();
         self.latency.set_typical_age_ms(percentile(ages, TYPICAL_AGE_PERCENTILE).unwrap_or(0.0));
     }
 
     /// Brings warm-up tokens up to now at the budgets that held until now, and then the rates they follow.
     pub(crate) fn refill_warm_up_tokens(&mut self) {
-        let now_ms = self.clock.now_ms;
+        let now_ms = self.clock.now_ms();
         let budget_of = |endpoint: &Endpoint| Some((endpoint.id(), self.warm_up_budget(endpoint)?));
         let budgets: Vec<(EndpointId, WarmUpBudget)> = self.endpoints.iter().filter_map(budget_of).collect();
         if budgets.is_empty() {
--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -88,7 +88,7 @@
         }
         self.handle(event, actions);
         self.dispatch(actions);
-        if !self.requests.active.is_empty() && self.clock.next_tick_is_beyond(UPKEEP_MS) {
+        if !self.requests.is_empty() && self.clock.next_tick_is_beyond(UPKEEP_MS) {
             self.schedule_tick(UPKEEP_MS, actions);
         }
     }
@@ -98,7 +98,7 @@
         let broadcast = self.coordination.is_broadcast();
         match event {
             Event::EndpointList { kind, entries } => {
-                self.endpoints.apply_list(kind, entries, self.clock.now_ms, &mut self.random)
+                self.endpoints.apply_list(kind, entries, self.clock.now_ms(), &mut self.random)
             }
             Event::Request(request) => self.on_request(request, actions),
             Event::Timer { .. } if broadcast || self.clock.tick_is_due() => self.upkeep(actions),
@@ -121,7 +121,7 @@
     /// A round of upkeep: what time alone brings about.
     fn upkeep(&mut self, actions: &mut Vec<Action>) {
         let broadcast = self.coordination.is_broadcast();
-        let idle = !broadcast && self.requests.active.is_empty();
+        let idle = !broadcast && self.requests.is_empty();
         self.schedule_tick(if idle { LARGE_FLEET_REVIEW_MS } else { UPKEEP_MS }, actions);
         if broadcast {
             self.update_typical_age();
@@ -146,7 +146,7 @@
         if self.review_is_due() {
             self.update_means();
         }
-        let seconds = self.band.begin_refill(self.clock.now_ms);
+        let seconds = self.band.begin_refill(self.clock.now_ms());
         self.refill_dispatch_credit(seconds);
         self.refill_message_tokens(seconds);
         self.retry_quota_requests(actions);
@@ -154,13 +154,13 @@
 
     /// Whether a large fleet's gateway is to look at all endpoints again.
     fn review_is_due(&self) -> bool {
-        self.fleet_means.since_measured_ms(self.clock.now_ms) >= LARGE_FLEET_REVIEW_MS
+        self.fleet_means.since_measured_ms(self.clock.now_ms()) >= LARGE_FLEET_REVIEW_MS
     }
 
     /// Forgets idle customers from time to time.
     fn evict_idle_customers_if_due(&mut self) {
-        if self.clock.now_ms - self.customers.evicted_ms >= EVICTION_INTERVAL_MS {
-            self.customers.evicted_ms = self.clock.now_ms;
+        if self.clock.now_ms() - self.customers.evicted_ms >= EVICTION_INTERVAL_MS {
+            self.customers.evicted_ms = self.clock.now_ms();
             self.evict_idle_customers();
         }
     }
--- a/crates/admission/src/lifecycle.rs
+++ b/crates/admission/src/lifecycle.rs
@@ -37,7 +37,7 @@
     fn is_valid(&self, request: &Request) -> bool {
         request.class < self.settings.classes.len()
             && request.plan < self.settings.plans.len()
-            && !self.requests.active.contains_key(&request.id)
+            && !self.requests.contains(request.id)
     }
 
     /// Enters a request into the records.
@@ -49,8 +49,8 @@
         };
         let objective_ms = self.settings.classes[request.class].latency_objective_ms;
         let objective_ms = objective_ms - self.already_waited_ms(request.class, request.time_left_ms);
-        let active = ActiveRequest::new(request, tag, self.clock.now_ms, objective_ms);
-        self.requests.active.insert(active.request.id, active);
+        let active = ActiveRequest::new(request, tag, self.clock.now_ms(), objective_ms);
+        self.requests.insert(active);
     }
 
     /// Sends queued requests for as long as the policy names one and an endpoint is found for it.
@@ -78,27 +78,22 @@
 
     /// Finishes requests that run out of time.
     pub(crate) fn finish_overdue_requests(&mut self, actions: &mut Vec<Action>) {
-        let overdue: Vec<RequestId> = self
-            .requests
-            .active
-            .iter()
-            .filter(|(_, active)| self.is_overdue(active))
-            .map(|(id, _)| *id)
-            .collect();
+        let overdue = self.requests.iter().filter(|active| self.is_overdue(active));
+        let overdue: Vec<RequestId> = overdue.map(|active| active.request.id).collect();
         for id in overdue {
-            let unsent = self.requests.active.get(&id).is_some_and(|active| active.attempts.is_empty());
+            let unsent = self.requests.get(id).is_some_and(|active| active.attempts.is_empty());
             self.finish(id, if unsent { self.overload_retry_after() } else { None }, actions);
         }
     }
 
     /// Starts a request's next attempt, at this endpoint, and enters it in all records.
     pub(crate) fn send(&mut self, id: RequestId, endpoint_id: EndpointId, actions: &mut Vec<Action>) {
-        let Some(active) = self.requests.active.get(&id) else { return };
+        let Some(active) = self.requests.get(id) else { return };
         if self.endpoints.get(endpoint_id).is_none() {
             return;
         }
         let objective_ms = self.settings.classes[active.request.class].latency_objective_ms;
-        let time_left_ms = active.deadline_ms - self.clock.now_ms;
+        let time_left_ms = active.deadline_ms - self.clock.now_ms();
         let timeout_ms = (ATTEMPT_TIMEOUT_OBJECTIVES * objective_ms).min(time_left_ms).max(MIN_TIMEOUT_MS);
         let is_first = active.attempts.is_empty();
         self.band.spend_dispatch_credit(MAX_CREDIT_OVERDRAFT);
@@ -112,9 +107,9 @@
 
     /// Enters a new attempt in the records of its request and its endpoint.
     fn enter_attempt(&mut self, id: RequestId, endpoint_id: EndpointId) {
-        let now = self.clock.now_ms;
+        let now = self.clock.now_ms();
         let warm_up_budget = self.endpoints.get(endpoint_id).and_then(|e| self.warm_up_budget(e));
-        let Some(active) = self.requests.active.get_mut(&id) else { return };
+        let Some(active) = self.requests.get_mut(id) else { return };
         let Some(endpoint) = self.endpoints.get_mut(endpoint_id) else { return };
         if let Some(budget) = warm_up_budget {
             endpoint.warm_up_tokens.take(now, budget);
@@ -134,7 +129,7 @@
     /// Counts a new attempt to its customer, where the quota is not held by another gateway: its slot, and
     /// with the first attempt the request's units.
     fn count_attempt(&mut self, id: RequestId, is_first: bool) {
-        let Some(active) = self.requests.active.get(&id).filter(|a| a.quota.holds_slot_here()) else {
+        let Some(active) = self.requests.get(id).filter(|a| a.quota.holds_slot_here()) else {
             return;
         };
         let Some(customer) = self.customers.get_mut(active.tag) else { return };
@@ -154,14 +149,14 @@
 
     /// Takes in how an attempt ended: closes the request, tries again, or gives the final answer.
     pub(crate) fn on_attempt_end(&mut self, end: &AttemptEnd, actions: &mut Vec<Action>) {
-        let Some(active) = self.requests.active.get_mut(&end.request) else { return };
+        let Some(active) = self.requests.get_mut(end.request) else { return };
         if !active.end_attempt(end.attempt, end.outcome) {
             return;
         }
         let (class, plan) = (active.request.class, active.request.plan);
         self.settle_attempt(end);
         self.record_attempt_end(end, class, plan);
-        let Some(active) = self.requests.active.get(&end.request) else { return };
+        let Some(active) = self.requests.get(end.request) else { return };
         if end.closed || end.outcome == Outcome::Ok || active.answered {
             self.close(end.request, actions);
         } else if !active.has_pending()
@@ -174,7 +169,7 @@
     /// Settles an ended attempt with its customer: frees its slot, and takes the units by which the true
     /// figure passed the estimate.
     fn settle_attempt(&mut self, end: &AttemptEnd) {
-        let Some(active) = self.requests.active.get_mut(&end.request) else { return };
+        let Some(active) = self.requests.get_mut(end.request) else { return };
         let plan = &self.settings.plans[active.request.plan];
         let has_quota = active.within_quota && plan.rate_per_second > 0.0;
         // No request can count more than `max_units`: such a figure is corrupt.
@@ -199,7 +194,7 @@
 
     /// Gives the final answer: a rejection, or a failure where the request may have run.
     pub(crate) fn finish(&mut self, id: RequestId, retry_after_ms: Option<f64>, actions: &mut Vec<Action>) {
-        let Some(active) = self.requests.active.get(&id).filter(|o| !o.answered) else { return };
+        let Some(active) = self.requests.get(id).filter(|o| !o.answered) else { return };
         actions.push(if self.may_reject(active) {
             Action::Reject { request: id, retry_after_ms }
         } else {
@@ -211,7 +206,7 @@
     /// The request is answered, or its client has gone: cancels the attempts in flight, once, and forgets the
     /// request when all its attempts have ended.
     pub(crate) fn close(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(active) = self.requests.active.get_mut(&id) else { return };
+        let Some(active) = self.requests.get_mut(id) else { return };
         let pending: Vec<u32> = active.pending_attempts().map(|(number, _)| number).collect();
         let was_closed = active.close();
         let tag = active.tag;
@@ -220,7 +215,7 @@
         }
         self.queue.remove(tag, id);
         if pending.is_empty() {
-            if let Some(active) = self.requests.active.remove(&id) {
+            if let Some(active) = self.requests.remove(id) {
                 self.report_request_end(&active, actions);
             }
         }
--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -27,7 +27,7 @@
 impl Gateway {
     /// In a large fleet every request is queued, and its quota asked about, unless it comes too late.
     pub(crate) fn admit_in_large_fleet(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(active) = self.requests.active.get(&id) else { return };
+        let Some(active) = self.requests.get(id) else { return };
         if self.cannot_meet_deadline(active) || self.queue.len() >= MAX_QUEUED {
             return self.finish(id, self.overload_retry_after(), actions);
         }
@@ -42,7 +42,7 @@
     /// its quota, and rejected beyond it.
     pub(crate) fn admit_in_small_fleet(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(quota) = self.check_own_bucket(id) else { return };
-        let Some(active) = self.requests.active.get(&id) else { return };
+        let Some(active) = self.requests.get(id) else { return };
         let (tag, units, plan) = (active.tag, active.request.units, active.request.plan);
         if self.cannot_meet_deadline(active) {
             // A client's last try may come with no time left to serve it.
@@ -68,7 +68,7 @@
 
     /// What the customer's token bucket here has for a new request beside those already queued.
     fn check_own_bucket(&mut self, id: RequestId) -> Option<OwnBucketCheck> {
-        let active = self.requests.active.get(&id)?;
+        let active = self.requests.get(id)?;
         let (tag, request) = (active.tag, active.request.clone());
         let plan = self.settings.plans[request.plan].clone();
         let gateways = GatewaySet::new(request.first, request.spread, self.settings.gateways);
@@ -85,7 +85,7 @@
             may_exceed: plan.pays_over_quota() && within_ceiling,
             retry_after_ms: Some(wait_ms).filter(|ms| ms.is_finite()),
         };
-        self.requests.active.get_mut(&id)?.within_quota = check.is_met;
+        self.requests.get_mut(id)?.within_quota = check.is_met;
         Some(check)
     }
 
@@ -110,12 +110,12 @@
         } else {
             MIN_RESPONSE_TIMES_LEFT
         };
-        end_ms - self.clock.now_ms < response_times * self.latency.response_ms(active.request.class)
+        end_ms - self.clock.now_ms() < response_times * self.latency.response_ms(active.request.class)
     }
 
     /// Whether a request must be finished now: its deadline is near, or it is unsent and cannot meet it.
     pub(crate) fn is_overdue(&self, active: &ActiveRequest) -> bool {
-        let is_late = active.deadline_ms - self.clock.now_ms < UPKEEP_MS + 2.0 * self.settings.tick_ms;
+        let is_late = active.deadline_ms - self.clock.now_ms() < UPKEEP_MS + 2.0 * self.settings.tick_ms;
         !active.answered && (is_late || active.attempts.is_empty() && self.cannot_meet_deadline(active))
     }
 
--- a/crates/admission/src/policy/dispatch.rs
+++ b/crates/admission/src/policy/dispatch.rs
@@ -8,8 +8,8 @@
 use crate::state::customer::Customer;
 use crate::state::request::{QuotaDecision, QuotaState};
 
-/// Time-out of an attempt, in latency objectives. Later responses have little value, but while the endpoint may
-/// still work the attempt belongs to the stock: a shorter time-out let in more than the endpoints could do.
+/// Time-out of an attempt, in latency objectives. Later responses have little value, but while the endpoint
+/// may still work the attempt belongs to the stock: a shorter time-out let in more than endpoints could do.
 pub(crate) const ATTEMPT_TIMEOUT_OBJECTIVES: f64 = 2.0;
 
 /// Least weight of a class or a plan in the queue: one of weight 0 is still served.
@@ -42,7 +42,7 @@
     /// Whether a request over its quota may still be sent: where its plan pays for that and there is room.
     pub(crate) fn may_send_over_quota(&self, id: RequestId) -> bool {
         let within_ceiling = QuotaState::OverQuota { within_ceiling: true };
-        self.requests.active.get(&id).is_some_and(|active| active.quota == within_ceiling)
+        self.requests.get(id).is_some_and(|active| active.quota == within_ceiling)
             && self.band_position(id).under_lower
     }
 
@@ -59,14 +59,14 @@
 
     /// Whether quota, open limit and this gateway's part of the ceiling let a request be sent now.
     pub(crate) fn quota_decision(&mut self, id: RequestId) -> QuotaDecision {
-        let Some(active) = self.requests.active.get(&id) else { return QuotaDecision::OverQuota };
+        let Some(active) = self.requests.get(id) else { return QuotaDecision::OverQuota };
         if let Some(decision) = active.quota.decision() {
             return decision;
         }
         let own_bucket = active.quota == QuotaState::LocalBucket;
         let (tag, units) = (active.tag, active.request.units);
         let plan = &self.settings.plans[active.request.plan];
-        self.customers.refill(tag, plan, self.clock.now_ms);
+        self.customers.refill(tag, plan, self.clock.now_ms());
         let Some(customer) = self.customers.get(tag) else { return QuotaDecision::OverQuota };
         if own_bucket && plan.rate_per_second > 0.0 && customer.quota_tokens() < units {
             return QuotaDecision::OverQuota;
@@ -86,7 +86,7 @@
     /// one more than it reported. Where gateways outnumber slots only some have a part: a third more of them
     /// than there are slots, since few are busy at once.
     fn open_limit_reached(&self, limit: u32, customer: &Customer, tag: u64) -> bool {
-        let peers = customer.peer_activity(self.clock.now_ms, PEER_TIMEOUT_MS);
+        let peers = customer.peer_activity(self.clock.now_ms(), PEER_TIMEOUT_MS);
         let spread = customer.gateways().len() as u32;
         let distance = self.settings.me + self.settings.gateways - customer.gateways().first();
         let place = distance as u32 + tag as u32;
--- a/crates/admission/src/policy/endpoint_selection.rs
+++ b/crates/admission/src/policy/endpoint_selection.rs
@@ -31,7 +31,7 @@
         if self.endpoints.is_list_expired() {
             return None;
         }
-        let active = self.requests.active.get(&id)?;
+        let active = self.requests.get(id)?;
         let eligible = self.endpoints.ready().filter(|e| self.may_attempt(active, e));
         if is_small_fleet {
             let candidates = eligible.filter_map(|e| self.weigh_by_load(active, e)).collect();
@@ -45,7 +45,7 @@
 
     /// Small fleets: own attempts in flight over learned speed; `None` where no warm-up token is left.
     fn weigh_by_load<'a>(&self, active: &ActiveRequest, endpoint: &'a Endpoint) -> Option<Candidate<'a>> {
-        let now_ms = self.clock.now_ms;
+        let now_ms = self.clock.now_ms();
         let mut cost = (endpoint.in_flight().len() as f64 + 1.0) / self.warm_fraction(endpoint);
         cost *= if active.was_sent_to(endpoint.id()) { REPEAT_COST } else { 1.0 };
         cost *= if endpoint.zone() == self.settings.zone { 1.0 } else { REMOTE_ZONE_COST };
@@ -84,7 +84,7 @@
         let must_not_probe = !is_idempotent && endpoint.observed.missed_responses() > 0;
         let is_unresponsive = must_not_probe || self.is_unresponsive(endpoint);
         let is_outlier = self.is_outlier(endpoint)
-            || endpoint.observed.is_ejected_for(request.class, request.plan, self.clock.now_ms)
+            || endpoint.observed.is_ejected_for(request.class, request.plan, self.clock.now_ms())
             || must_not_probe;
         // Little in flight at an endpoint that is warming up is no reason to send it more than its part.
         let is_warming_up = self.is_warming_up(endpoint);
--- a/crates/admission/src/policy/in_flight_band.rs
+++ b/crates/admission/src/policy/in_flight_band.rs
@@ -77,7 +77,7 @@
     /// Whether an endpoint's work is taken for lost. A short silence is no proof: leaving that work out would
     /// let slow endpoints be flooded.
     fn is_lost(&self, endpoint: &Endpoint) -> bool {
-        let now_ms = self.clock.now_ms;
+        let now_ms = self.clock.now_ms();
         let health = &endpoint.health;
         let backing_off = health.consecutive_failures() > 0 && health.is_ejected(now_ms);
         // Work at clearly slow endpoints would swell the stock as if the others were full.
@@ -89,7 +89,7 @@
 
     /// The band by the counts that gateways report to each other.
     fn reported_band(&self) -> Band {
-        let live = self.coordination.live_peers(self.clock.now_ms, PEER_TIMEOUT_MS);
+        let live = self.coordination.live_peers(self.clock.now_ms(), PEER_TIMEOUT_MS);
         Band::from_reports(self.band_load(), self.band.watermark(), live)
     }
 
@@ -133,7 +133,7 @@
     /// higher weights may overdraw, so that low ones wait first while credit is short.
     fn credit_required(&self, id: RequestId) -> f64 {
         let lowest = self.settings.lowest_priority_weight();
-        let active = self.requests.active.get(&id);
+        let active = self.requests.get(id);
         let own = active.map_or(lowest, |a| self.settings.classes[a.request.class].priority_weight);
         1.0 - CREDIT_OVERDRAFT * (1.0 - lowest / own.max(1e-9)).max(0.0)
     }
@@ -163,10 +163,10 @@
     /// the band holds requests back.
     pub(crate) fn step_watermark(&mut self) {
         let objective_ms = self.settings.shortest_objective_ms();
-        if self.band.since_step_ms(self.clock.now_ms) < objective_ms * WATERMARK_STEP_OBJECTIVES {
+        if self.band.since_step_ms(self.clock.now_ms()) < objective_ms * WATERMARK_STEP_OBJECTIVES {
             return;
         }
-        let was_blocked = self.band.begin_step(self.clock.now_ms);
+        let was_blocked = self.band.begin_step(self.clock.now_ms());
         let broadcast = self.coordination.is_broadcast();
         let (age_weight, ease) =
             if broadcast { (AGE_WEIGHT, 1.0) } else { (LARGE_FLEET_AGE_WEIGHT, LARGE_FLEET_LATENCY_EASE) };
--- a/crates/admission/src/policy/outlier_detection.rs
+++ b/crates/admission/src/policy/outlier_detection.rs
@@ -85,7 +85,7 @@
 
     /// Whether the fleet, as far as this gateway knows, gets no responses from an endpoint any more.
     pub(crate) fn is_unresponsive(&self, endpoint: &Endpoint) -> bool {
-        let now_ms = self.clock.now_ms;
+        let now_ms = self.clock.now_ms();
         let observed = self.outliers.observed_responses_per_second(now_ms, OBSERVATION_SPAN_S);
         let per_endpoint = observed / self.endpoints.len().max(1) as f64;
         let limit_ms = (1000.0 * UNRESPONSIVE_OBSERVATIONS / per_endpoint.max(1e-3)).min(MAX_UNRESPONSIVE_MS);
@@ -98,7 +98,7 @@
     /// chance explains (a hung machine, a cut link, a pause).
     pub(crate) fn is_outlier(&self, endpoint: &Endpoint) -> bool {
         endpoint.is_gone()
-            || endpoint.health.is_ejected(self.clock.now_ms)
+            || endpoint.health.is_ejected(self.clock.now_ms())
             || self.stall_ratio(endpoint) > 1.0
     }
 
@@ -106,7 +106,7 @@
     /// against the age of this gateway's attempts everywhere: where all endpoints slow down, none is stalled.
     pub(crate) fn stall_ratio(&self, endpoint: &Endpoint) -> f64 {
         let Some(oldest_sent_ms) = endpoint.oldest_sent_ms() else { return 0.0 };
-        let stalled_ms = self.clock.now_ms - oldest_sent_ms.max(endpoint.health.answered_ms());
+        let stalled_ms = self.clock.now_ms() - oldest_sent_ms.max(endpoint.health.answered_ms());
         let relative = endpoint.response_time.last().max(1.0);
         let usual_ms = self.usual_ms(self.mean_response_ms()) * relative / self.warm_fraction(endpoint);
         let in_flight = endpoint.in_flight().len() as f64;
@@ -123,7 +123,7 @@
     pub(crate) fn is_failure(&self, end: &AttemptEnd, class: usize) -> bool {
         let Some(endpoint) = self.endpoints.get(end.endpoint) else { return false };
         let health = &endpoint.health;
-        let unanswered_ms = health.unanswered_ms(self.clock.now_ms);
+        let unanswered_ms = health.unanswered_ms(self.clock.now_ms());
         let response_ms = self.latency.expected_ms(class);
         let is_long = end.took_ms > FAILED_RESPONSE_TIMES * self.usual_ms(response_ms);
         match end.outcome {
@@ -142,7 +142,7 @@
     /// How far an endpoint's response time, as the fleet observes it, is beyond what is usual of its kind.
     pub(crate) fn kind_deviation(&self, endpoint: &Endpoint) -> KindDeviation {
         let baseline = self.latency.kind_baseline(endpoint.kind()).max(0.1);
-        let observed = endpoint.response_time.observed(self.clock.now_ms, baseline);
+        let observed = endpoint.response_time.observed(self.clock.now_ms(), baseline);
         KindDeviation { baseline, excess: (observed / baseline / CLEARLY_SLOW).max(1.0) }
     }
 }
--- a/crates/admission/src/policy/quota_owner.rs
+++ b/crates/admission/src/policy/quota_owner.rs
@@ -81,7 +81,7 @@
     /// under a ceiling.
     pub(crate) fn decide_without_owner(&mut self, id: RequestId, likely_within: bool) {
         let room = self.band_is_ungated();
-        let Some(active) = self.requests.active.get_mut(&id) else { return };
+        let Some(active) = self.requests.get_mut(id) else { return };
         let no_ceiling = self.settings.plans[active.request.plan].ceiling_rate_per_second <= 0.0;
         active.within_quota = likely_within && room && no_ceiling;
         let over_quota = QuotaState::OverQuota { within_ceiling: false };
--- a/crates/admission/src/policy/retry.rs
+++ b/crates/admission/src/policy/retry.rs
@@ -40,7 +40,7 @@
             Idempotency::NonIdempotent => false,
             Idempotency::IdempotencyKey { group, window_ms } => {
                 let limit_ms = KEY_WINDOW_FRACTION * window_ms - 2.0 * self.settings.tick_ms;
-                self.clock.now_ms - first.sent_ms < limit_ms
+                self.clock.now_ms() - first.sent_ms < limit_ms
                     && active.risky_attempts().all(|attempt| attempt.shares_keys_with(endpoint, group))
             }
         }
@@ -48,7 +48,7 @@
 
     /// Makes a further attempt where class, time and the retry budget allow one.
     pub(crate) fn retry(&mut self, id: RequestId, actions: &mut Vec<Action>) -> bool {
-        let Some(active) = self.requests.active.get(&id) else { return false };
+        let Some(active) = self.requests.get(id) else { return false };
         let exhausted = active.attempts.len() >= self.settings.max_attempts as usize;
         if active.answered || exhausted || self.cannot_meet_deadline(active) {
             return false;
@@ -70,7 +70,7 @@
             return;
         }
         for AttemptRef { request, attempt } in self.stalled_attempts() {
-            let Some(active) = self.requests.active.get(&request) else { continue };
+            let Some(active) = self.requests.get(request) else { continue };
             let exhausted = active.attempts.len() >= self.settings.max_attempts as usize;
             if active.answered || exhausted || active.pending_attempts().count() > 1 {
                 continue;
@@ -105,17 +105,17 @@
     /// Whether an attempt is taken for stalled in a large fleet.
     fn is_stalled(&self, pending: &PendingAttempt) -> bool {
         let Some(endpoint) = self.endpoints.get(pending.endpoint) else { return false };
-        let reported = endpoint.observed.is_ejected(EjectionScope::Class(pending.class), self.clock.now_ms);
+        let reported = endpoint.observed.is_ejected(EjectionScope::Class(pending.class), self.clock.now_ms());
         let limit_ms = self.long_response_ms(pending.class) * if reported { 1.0 } else { STALLED_FACTOR };
         self.is_outlier(endpoint)
             || self.is_unresponsive(endpoint)
-            || self.clock.now_ms - pending.sent_ms > limit_ms
+            || self.clock.now_ms() - pending.sent_ms > limit_ms
     }
 
     /// Whether an attempt has begun to take long since the last round of upkeep.
     fn turned_long(&self, pending: &PendingAttempt) -> bool {
         let limit_ms = self.long_response_ms(pending.class);
-        let age_ms = self.clock.now_ms - pending.sent_ms;
+        let age_ms = self.clock.now_ms() - pending.sent_ms;
         self.endpoints.get(pending.endpoint).is_some() && age_ms > limit_ms && age_ms < limit_ms + UPKEEP_MS
     }
 
--- a/crates/admission/src/policy/slow_start.rs
+++ b/crates/admission/src/policy/slow_start.rs
@@ -27,7 +27,7 @@
 impl Gateway {
     /// Part of its capacity that an endpoint has at least, by its age.
     pub(crate) fn warm_fraction(&self, endpoint: &Endpoint) -> f64 {
-        let (settings, now_ms) = (&self.settings, self.clock.now_ms);
+        let (settings, now_ms) = (&self.settings, self.clock.now_ms());
         let warm_up_ms = Some(settings.warm_up_ms).filter(|ms| *ms > 0.0);
         let (Some(age_ms), Some(warm_up_ms)) = (endpoint.age_ms(now_ms), warm_up_ms) else { return 1.0 };
         let progress = (age_ms / warm_up_ms).clamp(0.0, 1.0);
--- a/crates/admission/src/state/event_clock.rs
+++ b/crates/admission/src/state/event_clock.rs
@@ -3,15 +3,14 @@
 /// The time of the event being handled, and when the next round of upkeep is due.
 #[derive(Debug, Default)]
 pub(crate) struct EventClock {
-    /// The time of the event being handled.
-    pub(crate) now_ms: f64,
+    now_ms: f64,
     started_ms: f64,
     next_tick_ms: f64,
     /// The first round of upkeep has been scheduled.
     ticking: bool,
 }
 
-/// A timer may fire this much early, since hosts round its time, and still counts for its round of upkeep.
+/// A timer that fires at most this much early still counts for its round of upkeep.
 const TIMER_TOLERANCE_MS: f64 = 0.5;
 
 impl EventClock {
@@ -20,6 +19,11 @@
         EventClock { now_ms, started_ms: now_ms, ..EventClock::default() }
     }
 
+    /// The time of the event being handled.
+    pub(crate) fn now_ms(&self) -> f64 {
+        self.now_ms
+    }
+
     /// Time since the gateway's start.
     pub(crate) fn since_start_ms(&self) -> f64 {
         self.now_ms - self.started_ms
--- a/crates/admission/src/state/request.rs
+++ b/crates/admission/src/state/request.rs
@@ -215,15 +215,50 @@
 /// Requests taken in that are not answered yet or have attempts in flight.
 #[derive(Debug, Default)]
 pub(crate) struct RequestTable {
-    pub(crate) active: BTreeMap<RequestId, ActiveRequest>,
+    by_id: BTreeMap<RequestId, ActiveRequest>,
 }
 
 impl RequestTable {
+    /// Whether there is no request.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+
+    /// Whether there is a request of this id.
+    pub(crate) fn contains(&self, id: RequestId) -> bool {
+        self.by_id.contains_key(&id)
+    }
+
+    /// A request's record.
+    pub(crate) fn get(&self, id: RequestId) -> Option<&ActiveRequest> {
+        self.by_id.get(&id)
+    }
+
+    /// A request's record, to be changed.
+    pub(crate) fn get_mut(&mut self, id: RequestId) -> Option<&mut ActiveRequest> {
+        self.by_id.get_mut(&id)
+    }
+
+    /// Enters a request.
+    pub(crate) fn insert(&mut self, active: ActiveRequest) {
+        self.by_id.insert(active.request.id, active);
+    }
+
+    /// Takes a request out.
+    pub(crate) fn remove(&mut self, id: RequestId) -> Option<ActiveRequest> {
+        self.by_id.remove(&id)
+    }
+
+    /// All requests, in the order of their ids.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &ActiveRequest> {
+        self.by_id.values()
+    }
+
     /// All attempts in flight, by request.
     pub(crate) fn pending_attempts(&self) -> impl Iterator<Item = PendingAttempt> + '_ {
-        self.active.iter().flat_map(|(id, active)| {
+        self.iter().flat_map(|active| {
             active.pending_attempts().map(|(number, attempt)| PendingAttempt {
-                reference: AttemptRef { request: *id, attempt: number },
+                reference: AttemptRef { request: active.request.id, attempt: number },
                 class: active.request.class,
                 endpoint: attempt.endpoint,
                 sent_ms: attempt.sent_ms,
