--- a/crates/admission/src/policy/endpoint_selection.rs
+++ b/crates/admission/src/policy/endpoint_selection.rs
@@ -1,4 +1,4 @@
-//! Which endpoint an attempt is sent to.
+//! Which endpoint an attempt is sent to. Small fleets are those that broadcast counts, large ones all others.
 use crate::gateway::Gateway;
 use crate::id::{EndpointId, RequestId};
 use crate::mechanism::weighted_choice::{inverse_cost_weights, weighted_choice};
--- a/crates/admission/src/policy/outlier_detection.rs
+++ b/crates/admission/src/policy/outlier_detection.rs
@@ -6,8 +6,8 @@
 use crate::state::latency_model::LatencyGains;
 use crate::state::relative_response_time::KindDeviation;
 
-/// Usual response times without an answer that count as a stall: with several attempts in flight, with one,
-/// and for an attempt given up to count as a failure. A usual one is at least this many typical ages.
+/// Mean response times without an answer that count as a stall: with several attempts in flight, with one,
+/// and for an attempt given up to count as a failure. The mean counts as at least this many typical ages.
 const STALL_RESPONSE_TIMES: f64 = 2.5;
 const SINGLE_STALL_RESPONSE_TIMES: f64 = 5.0;
 const FAILED_RESPONSE_TIMES: f64 = 3.0;
@@ -108,14 +108,14 @@
         let Some(oldest_sent_ms) = endpoint.oldest_sent_ms() else { return 0.0 };
         let stalled_ms = self.clock.now_ms() - oldest_sent_ms.max(endpoint.health.answered_ms());
         let relative = endpoint.response_time.last().max(1.0);
-        let usual_ms =
-            self.usual_ms(self.latency.mean_response_ms()) * relative / self.warm_fraction(endpoint);
+        let reference_ms =
+            self.reference_ms(self.latency.mean_response_ms()) * relative / self.warm_fraction(endpoint);
         let in_flight = endpoint.in_flight().len() as f64;
-        stalled_ms / usual_ms * (in_flight / SINGLE_STALL_RESPONSE_TIMES).min(1.0 / STALL_RESPONSE_TIMES)
+        stalled_ms / reference_ms * (in_flight / SINGLE_STALL_RESPONSE_TIMES).min(1.0 / STALL_RESPONSE_TIMES)
     }
 
-    /// A response time that is usual just now: more than the mean where attempts in flight grow old.
-    fn usual_ms(&self, mean_ms: f64) -> f64 {
+    /// What ages are measured against just now: more than the mean where attempts in flight grow old.
+    fn reference_ms(&self, mean_ms: f64) -> f64 {
         mean_ms.max(TYPICAL_AGE_FACTOR * self.latency.typical_age_ms())
     }
 
@@ -126,7 +126,7 @@
         let health = &endpoint.health;
         let unanswered_ms = health.unanswered_ms(self.clock.now_ms());
         let response_ms = self.latency.expected_ms(class);
-        let is_long = end.took_ms > FAILED_RESPONSE_TIMES * self.usual_ms(response_ms);
+        let is_long = end.took_ms > FAILED_RESPONSE_TIMES * self.reference_ms(response_ms);
         match end.outcome {
             Outcome::Ok | Outcome::Overloaded | Outcome::TooLate => false,
             Outcome::Error => {
