--- a/crates/admission/src/coordination/gossip.rs
+++ b/crates/admission/src/coordination/gossip.rs
@@ -131,7 +131,8 @@
             // Nothing is received: this gateway's figures stand for the others'.
             self.fleet_means.receive_own();
         }
-        self.latency.typical_age_ms = self.mean_attempt_age_ms();
+        let age_ms = self.mean_attempt_age_ms();
+        self.latency.set_typical_age_ms(age_ms);
     }
 
     /// How long attempts are in flight, by Little's law: what is in flight over what is answered shows a jam
--- a/crates/admission/src/lifecycle.rs
+++ b/crates/admission/src/lifecycle.rs
@@ -8,10 +8,11 @@
 use crate::messages::quota::{QuarterUnits, QuotaRelease};
 use crate::policy::coordination::REPORT_ROUNDS;
 use crate::policy::dispatch::ATTEMPT_TIMEOUT_OBJECTIVES;
-use crate::policy::endpoint_selection::SEND_RATE_SPAN_S;
 use crate::policy::in_flight_band::MAX_CREDIT_OVERDRAFT;
 use crate::policy::retry::{MAX_RETRY_TOKENS, RETRY_TOKENS_PER_REQUEST};
+use crate::policy::slow_start::SEND_RATE_SPAN_S;
 use crate::state::customer::customer_tag;
+use crate::state::endpoint::InFlightAttempt;
 use crate::state::request::{ActiveRequest, Attempt, QuotaState};
 
 /// Shortest time-out of an attempt: the host needs one above 0.
@@ -94,7 +95,7 @@
     /// Starts a request's next attempt, at this endpoint, and enters it in all records.
     pub(crate) fn send(&mut self, id: RequestId, endpoint_id: EndpointId, actions: &mut Vec<Action>) {
         let Some(active) = self.requests.active.get(&id) else { return };
-        if !self.endpoints.by_id.contains_key(&endpoint_id) {
+        if self.endpoints.get(endpoint_id).is_none() {
             return;
         }
         let objective_ms = self.settings.classes[active.request.class].latency_objective_ms;
@@ -113,20 +114,18 @@
     /// Enters a new attempt in the records of its request and its endpoint.
     fn enter_attempt(&mut self, id: RequestId, endpoint_id: EndpointId) {
         let now = self.clock.now_ms;
-        let warm_up_budget = self.endpoints.by_id.get(&endpoint_id).and_then(|e| self.warm_up_budget(e));
+        let warm_up_budget = self.endpoints.get(endpoint_id).and_then(|e| self.warm_up_budget(e));
         let Some(active) = self.requests.active.get_mut(&id) else { return };
-        let Some(endpoint) = self.endpoints.by_id.get_mut(&endpoint_id) else { return };
+        let Some(endpoint) = self.endpoints.get_mut(endpoint_id) else { return };
         if let Some(budget) = warm_up_budget {
-            endpoint.warm_up_tokens = endpoint.warm_up_tokens_now(now, budget) - 1.0;
-            endpoint.warm_up_tokens_ms = now;
+            endpoint.take_warm_up_token(now, budget);
         }
-        endpoint.send_rate = endpoint.send_rate_now(now) + 1.0 / SEND_RATE_SPAN_S;
-        endpoint.send_rate_ms = now;
-        endpoint.in_flight.push((now, id, active.attempts.len() as u32));
+        let attempt = active.attempts.len() as u32;
+        endpoint.record_sent(InFlightAttempt { sent_ms: now, request: id, attempt }, SEND_RATE_SPAN_S);
         active.attempts.push(Attempt {
             endpoint: endpoint_id,
-            zone: endpoint.zone,
-            cell: endpoint.cell,
+            zone: endpoint.zone(),
+            cell: endpoint.cell(),
             sent_ms: now,
             pending: true,
             may_have_run: false,
--- a/crates/admission/src/policy/in_flight_band.rs
+++ b/crates/admission/src/policy/in_flight_band.rs
@@ -1,12 +1,10 @@
 //! The in-flight band: its watermark, its bounds, and whether the stock lets a request be sent.
-use crate::event::EndpointState;
 use crate::gateway::Gateway;
 use crate::id::RequestId;
 use crate::policy::coordination::PEER_TIMEOUT_MS;
-use crate::policy::endpoint_selection::CLEARLY_SLOW;
-use crate::policy::outlier_detection::HUNG_SILENCE;
+use crate::policy::outlier_detection::{CLEARLY_SLOW, HUNG_STALL_RATIO};
 use crate::state::band::{Band, BandLoad, BandPosition};
-use crate::state::endpoint::{EjectionScope, Endpoint};
+use crate::state::endpoint::Endpoint;
 
 /// Attempts in flight per ready endpoint where the band starts, the paper's `watermarkPerBackend`. The
 /// watermark never falls below it, however slow the responses.
@@ -71,27 +69,21 @@
     /// The endpoints that the band counts, and this gateway's attempts in flight at them. Work on endpoints
     /// that failed is left out, else it would swell the stock and hold every request back.
     pub(crate) fn band_load(&self) -> BandLoad {
-        let counted = |endpoint: &&Endpoint| self.outliers.correlated_failure || !self.is_lost(endpoint);
-        let endpoints = self.endpoints.by_id.values().filter(counted);
+        let counted = |endpoint: &&Endpoint| self.outliers.is_correlated_failure() || !self.is_lost(endpoint);
+        let endpoints = self.endpoints.iter().filter(counted);
         BandLoad::sum(endpoints.map(|endpoint| (endpoint, self.send_fraction(endpoint))))
     }
 
     /// Whether an endpoint's work is taken for lost. A short silence is no proof: leaving that work out would
     /// let slow endpoints be flooded.
     fn is_lost(&self, endpoint: &Endpoint) -> bool {
-        let now = self.clock.now_ms;
-        let backing_off = endpoint.consecutive_failures > 0 && now < endpoint.ejected_until_ms;
-        let ejected = |(scope, mark): (&EjectionScope, &(f64, u32))| {
-            matches!(scope, EjectionScope::Class(_)) && now < mark.0
-        };
+        let now_ms = self.clock.now_ms;
+        let backing_off = endpoint.consecutive_failures() > 0 && endpoint.is_ejected(now_ms);
         // Work at clearly slow endpoints would swell the stock as if the others were full.
-        let slow = !self.coordination.is_broadcast() && self.kind_deviation(endpoint).1 > CLEARLY_SLOW;
-        endpoint.state == EndpointState::Gone
-            || backing_off
-            || slow
-            || endpoint.scoped_ejections.iter().any(ejected)
-            || self.is_unresponsive(endpoint)
-            || self.silence(endpoint) > HUNG_SILENCE
+        let slow = !self.coordination.is_broadcast() && self.kind_deviation(endpoint).excess > CLEARLY_SLOW;
+        let ejected = backing_off || endpoint.is_any_class_ejected(now_ms);
+        let stalled = self.is_unresponsive(endpoint) || self.stall_ratio(endpoint) > HUNG_STALL_RATIO;
+        endpoint.is_gone() || ejected || slow || stalled
     }
 
     /// The band by the counts that gateways report to each other.
@@ -178,8 +170,8 @@
         let broadcast = self.coordination.is_broadcast();
         let (age_weight, ease) =
             if broadcast { (AGE_WEIGHT, 1.0) } else { (LARGE_FLEET_AGE_WEIGHT, LARGE_FLEET_LATENCY_EASE) };
-        let age_fraction = age_weight * self.latency.typical_age_ms / objective_ms;
-        let response = self.latency.objective_fraction.max(age_fraction);
+        let age_fraction = age_weight * self.latency.typical_age_ms() / objective_ms;
+        let response = self.latency.objective_fraction().max(age_fraction);
         let needed = was_blocked || !broadcast && self.band_fill() > UNGATED_FILL;
         if response > ease * SLUGGISH_FRACTION {
             self.band.scale_watermark(WATERMARK_FALL, self.watermark_floor(), MAX_WATERMARK);
--- a/crates/admission/src/policy/quota_owner.rs
+++ b/crates/admission/src/policy/quota_owner.rs
@@ -55,7 +55,7 @@
 impl Gateway {
     /// Until when a grant is of use to a request.
     pub(crate) fn grant_useful_until_ms(&self, active: &ActiveRequest) -> f64 {
-        let reserved_ms = RESERVED_RESPONSE_TIMES * self.latency.mean_by_class_ms[active.request.class];
+        let reserved_ms = RESERVED_RESPONSE_TIMES * self.latency.response_ms(active.request.class);
         active.objective_at_ms.min(active.deadline_ms) - reserved_ms
     }
 
--- a/crates/admission/src/policy/retry.rs
+++ b/crates/admission/src/policy/retry.rs
@@ -65,7 +65,7 @@
     /// Hedges stalled attempts, or cancels them where hedging is not allowed, so that they are tried again.
     /// Guards against hung machines and lost zones, whatever the cause.
     pub(crate) fn rescue_stalled(&mut self, actions: &mut Vec<Action>) {
-        if self.outliers.correlated_failure {
+        if self.outliers.is_correlated_failure() {
             return;
         }
         for AttemptRef { request, attempt } in self.stalled_attempts() {
@@ -88,9 +88,9 @@
     /// alone. In a large one a gateway sends an endpoint too little for that and reports long attempts.
     fn stalled_attempts(&mut self) -> Vec<AttemptRef> {
         if self.coordination.is_broadcast() {
-            let outliers = self.endpoints.by_id.values().filter(|endpoint| self.is_outlier(endpoint));
-            let in_flight = outliers.flat_map(|endpoint| &endpoint.in_flight);
-            return in_flight.map(|o| AttemptRef { request: o.1, attempt: o.2 }).collect();
+            let outliers = self.endpoints.iter().filter(|endpoint| self.is_outlier(endpoint));
+            let in_flight = outliers.flat_map(|endpoint| endpoint.in_flight());
+            return in_flight.map(|a| AttemptRef { request: a.request, attempt: a.attempt }).collect();
         }
         let pending = || self.requests.pending_attempts();
         let stalled = pending().filter(|p| self.is_stalled(p)).map(|p| p.reference).collect();
@@ -103,9 +103,8 @@
 
     /// Whether an attempt is taken for stalled in a large fleet.
     fn is_stalled(&self, pending: &PendingAttempt) -> bool {
-        let Some(endpoint) = self.endpoints.by_id.get(&pending.endpoint) else { return false };
-        let ejection = endpoint.scoped_ejections.get(&EjectionScope::Class(pending.class));
-        let reported = ejection.is_some_and(|mark| self.clock.now_ms < mark.0);
+        let Some(endpoint) = self.endpoints.get(pending.endpoint) else { return false };
+        let reported = endpoint.is_scope_ejected(EjectionScope::Class(pending.class), self.clock.now_ms);
         let limit_ms = self.long_response_ms(pending.class) * if reported { 1.0 } else { STALLED_FACTOR };
         self.is_outlier(endpoint)
             || self.is_unresponsive(endpoint)
@@ -116,13 +115,12 @@
     fn turned_long(&self, pending: &PendingAttempt) -> bool {
         let limit_ms = self.long_response_ms(pending.class);
         let age_ms = self.clock.now_ms - pending.sent_ms;
-        let is_listed = self.endpoints.by_id.contains_key(&pending.endpoint);
-        is_listed && age_ms > limit_ms && age_ms < limit_ms + UPKEEP_MS
+        self.endpoints.get(pending.endpoint).is_some() && age_ms > limit_ms && age_ms < limit_ms + UPKEEP_MS
     }
 
     /// The time after which an attempt of a class takes long.
     fn long_response_ms(&self, class: usize) -> f64 {
-        let by_mean_ms = self.latency.mean_by_class_ms[class] * LONG_RESPONSE_TIMES;
+        let by_mean_ms = self.latency.response_ms(class) * LONG_RESPONSE_TIMES;
         by_mean_ms.max(LONG_OBJECTIVE_FRACTION * self.settings.classes[class].latency_objective_ms)
     }
 }
--- a/crates/admission/src/state/band.rs
+++ b/crates/admission/src/state/band.rs
@@ -1,5 +1,4 @@
 //! The in-flight band's state: watermark, dispatch credit, and whether requests are held back.
-use crate::event::EndpointState;
 use crate::state::endpoint::Endpoint;
 use crate::state::peer::BroadcastPeer;
 
@@ -60,8 +59,8 @@
     pub(crate) fn sum<'a>(endpoints: impl Iterator<Item = (&'a Endpoint, f64)>) -> Self {
         let mut load = BandLoad { ready_capacity: 0.0, in_flight: 0 };
         for (endpoint, part) in endpoints {
-            load.in_flight += endpoint.in_flight.len() as u32;
-            if endpoint.state == EndpointState::Ready {
+            load.in_flight += endpoint.in_flight().len() as u32;
+            if endpoint.is_ready() {
                 load.ready_capacity += part;
             }
         }
--- a/crates/admission/src/state/request.rs
+++ b/crates/admission/src/state/request.rs
@@ -2,9 +2,6 @@
 use crate::event::{Outcome, Request};
 use crate::gateway::Gateway;
 use crate::id::{EndpointId, RequestId};
-use crate::policy::admission::{
-    FIRST_TRY_MAX_VOTES, FIRST_TRY_MIN_VOTES, FIRST_TRY_TOLERANCE, FIRST_TRY_VOTES,
-};
 use crate::settings::{DedupGroup, Idempotency};
 use crate::state::endpoint::Endpoint;
 use std::collections::BTreeMap;
@@ -30,16 +27,6 @@
 }
 
 impl QuotaState {
-    /// Whether a response of this owner to the quota request of this number is awaited.
-    pub(crate) fn awaits_response(&self, from: usize, response_to: u32) -> bool {
-        match *self {
-            QuotaState::AwaitingOwner { owner, number, .. } | QuotaState::QueuedAtOwner { owner, number } => {
-                owner == from && number == response_to
-            }
-            _ => false,
-        }
-    }
-
     /// What has been decided already; `None` where this gateway's own records are still to be checked.
     pub(crate) fn decision(&self) -> Option<QuotaDecision> {
         match self {
@@ -57,6 +44,16 @@
     pub(crate) fn holds_slot_here(&self) -> bool {
         matches!(self, QuotaState::LocalBucket | QuotaState::AdmittedByCounter { .. })
     }
+
+    /// Whether a response of this owner to the quota request of this number is awaited.
+    pub(crate) fn awaits_response(&self, from: usize, response_to: u32) -> bool {
+        match *self {
+            QuotaState::AwaitingOwner { owner, number, .. } | QuotaState::QueuedAtOwner { owner, number } => {
+                owner == from && number == response_to
+            }
+            _ => false,
+        }
+    }
 }
 
 /// Whether a request may be sent as far as its customer's quota goes.
@@ -82,6 +79,7 @@
 }
 
 /// An attempt of a request: what was sent, to which endpoint, and what became of it.
+
 #[derive(Debug, Clone)]
 pub(crate) struct Attempt {
     pub(crate) endpoint: EndpointId,
@@ -106,8 +104,8 @@
     pub(crate) fn shares_keys_with(&self, endpoint: &Endpoint, group: DedupGroup) -> bool {
         match group {
             DedupGroup::All => true,
-            DedupGroup::Zone => self.zone == endpoint.zone,
-            DedupGroup::Cell => self.cell == endpoint.cell,
+            DedupGroup::Zone => self.zone == endpoint.zone(),
+            DedupGroup::Cell => self.cell == endpoint.cell(),
         }
     }
 }
@@ -172,6 +170,11 @@
         }
     }
 
+    /// Whether an attempt was sent to an endpoint before.
+    pub(crate) fn was_sent_to(&self, endpoint: EndpointId) -> bool {
+        self.attempts.iter().any(|attempt| attempt.endpoint == endpoint)
+    }
+
     /// Attempts whose endpoint may have done the work or may still do it, oldest first.
     pub(crate) fn risky_attempts(&self) -> impl Iterator<Item = &Attempt> {
         self.attempts.iter().filter(|attempt| attempt.is_risky())
@@ -268,26 +271,4 @@
             Idempotency::IdempotencyKey { group, .. } => !risky || group == DedupGroup::All,
         }
     }
-
-    /// How long the client of a request has waited already, where its time left tells. First tries of a class
-    /// all come with the same time left, the commonest; another one is what is left of the deadline, unless
-    /// it is under the aim, as an impatient client's. Nothing is concluded while no time left is common.
-    pub(crate) fn already_waited_ms(&mut self, class: usize, time_left_ms: f64) -> f64 {
-        let settings = &self.settings.classes[class];
-        let (usual_ms, seen) = &mut self.latency.time_budgets[class];
-        if (time_left_ms - *usual_ms).abs() <= FIRST_TRY_TOLERANCE * *usual_ms {
-            *seen = (*seen + FIRST_TRY_VOTES).min(FIRST_TRY_MAX_VOTES);
-            return 0.0;
-        }
-        *seen -= 1;
-        if *seen <= 0 {
-            (*usual_ms, *seen) = (time_left_ms, 1);
-        }
-        let later = *seen >= FIRST_TRY_MIN_VOTES && time_left_ms > settings.latency_objective_ms;
-        if later {
-            (settings.deadline_ms - time_left_ms).max(0.0)
-        } else {
-            0.0
-        }
-    }
 }
