--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -5,11 +5,15 @@
 use crate::mechanism::splitmix64::{mix, SplitMix64};
 use crate::mechanism::virtual_finish_queue::VirtualFinishQueue;
 use crate::policy::in_flight_band::INITIAL_DISPATCH_CREDIT;
-use crate::policy::outlier_detection::{INITIAL_OBJECTIVE_FRACTION, LATENCY_GAINS};
+use crate::policy::outlier_detection::{
+    INITIAL_OBJECTIVE_FRACTION, LATENCY_GAINS, RESPONSE_TIME_HALF_LIFE_MS,
+};
 use crate::policy::retry::MAX_RETRY_TOKENS;
+use crate::policy::slow_start::SEND_RATE_SPAN_S;
 use crate::settings::{Settings, SettingsError};
 use crate::state::band::InFlightBand;
 use crate::state::customer::CustomerTable;
+use crate::state::endpoint::EndpointSmoothing;
 use crate::state::endpoint_table::EndpointTable;
 use crate::state::event_clock::EventClock;
 use crate::state::fleet_means::FleetMeans;
@@ -63,6 +67,10 @@
             incarnation: (mix(seed) & 0x3_ffff) as u32,
             random: SplitMix64::new(seed),
             latency: LatencyModel::new(objectives_ms, INITIAL_OBJECTIVE_FRACTION, LATENCY_GAINS),
+            endpoints: EndpointTable::new(EndpointSmoothing {
+                response_time_half_life_ms: RESPONSE_TIME_HALF_LIFE_MS,
+                send_rate_span_s: SEND_RATE_SPAN_S,
+            }),
             retries: RetryBudget::new(MAX_RETRY_TOKENS / 2.0),
             coordination: Coordination::from_settings(&settings),
             settings,
--- a/crates/admission/src/policy/in_flight_band.rs
+++ b/crates/admission/src/policy/in_flight_band.rs
@@ -78,10 +78,10 @@
     /// let slow endpoints be flooded.
     fn is_lost(&self, endpoint: &Endpoint) -> bool {
         let now_ms = self.clock.now_ms;
-        let backing_off = endpoint.consecutive_failures() > 0 && endpoint.is_ejected(now_ms);
+        let backing_off = endpoint.health.consecutive_failures() > 0 && endpoint.health.is_ejected(now_ms);
         // Work at clearly slow endpoints would swell the stock as if the others were full.
         let slow = !self.coordination.is_broadcast() && self.kind_deviation(endpoint).excess > CLEARLY_SLOW;
-        let ejected = backing_off || endpoint.is_any_class_ejected(now_ms);
+        let ejected = backing_off || endpoint.observed.is_any_class_ejected(now_ms);
         let stalled = self.is_unresponsive(endpoint) || self.stall_ratio(endpoint) > HUNG_STALL_RATIO;
         endpoint.is_gone() || ejected || slow || stalled
     }
