--- /dev/null
+++ b/crates/gateway/src/shutdown.rs
@@ -0,0 +1,80 @@
+//! Graceful shutdown: after SIGTERM every active request gets its response before SIGKILL can arrive.
+use crate::clock::duration_from_ms;
+use crate::dispatcher::Dispatcher;
+use crate::downstream::DownstreamServer;
+use irishinge_admission::Settings;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout_at, Instant};
+
+/// How long new connections are accepted after SIGTERM. Clients keep connecting for up to 0.4 s. A request that arrives
+/// on such a connection more than 0.7 s after SIGTERM may be cut off by SIGKILL.
+const ACCEPT_FOR: Duration = Duration::from_millis(600);
+/// SIGKILL arrives no sooner than this after the longest deadline of any class.
+const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
+/// Longer deadlines count as this long.
+const MAX_DEADLINE: Duration = Duration::from_millis(3000);
+/// How long before SIGKILL all requests that are still active are answered.
+const RESPOND_BEFORE_KILL: Duration = Duration::from_millis(300);
+/// How long before SIGKILL all responses must be written.
+const FINISH_BEFORE_KILL: Duration = Duration::from_millis(150);
+
+/// The times of the shutdown's steps, counted from SIGTERM.
+pub(crate) struct ShutdownTimes {
+    /// When new connections are no longer accepted.
+    pub stop_accepting: Duration,
+    /// When all requests that are still active are answered.
+    pub respond_to_all: Duration,
+    /// When the process ends, even if responses are not written yet.
+    pub finish: Duration,
+}
+
+impl ShutdownTimes {
+    /// Computes the times from the deadlines of the request classes.
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let longest_ms = settings.classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
+        let kill = duration_from_ms(longest_ms).min(MAX_DEADLINE) + KILL_AFTER_DEADLINE;
+        ShutdownTimes {
+            stop_accepting: ACCEPT_FOR,
+            respond_to_all: kill - RESPOND_BEFORE_KILL,
+            finish: kill - FINISH_BEFORE_KILL,
+        }
+    }
+}
+
+/// The parts of the gateway that the shutdown ends.
+pub(crate) struct Shutdown {
+    /// Drained: its connections close once they have no active request.
+    pub downstream: Rc<DownstreamServer>,
+    /// Answers the requests that are still active near the end.
+    pub dispatcher: Rc<Dispatcher>,
+    /// Closed when new connections are no longer accepted.
+    pub listener: Rc<TcpListener>,
+    /// The task that accepts connections, which holds the listener too.
+    pub accepting: JoinHandle<()>,
+    /// When each step happens.
+    pub times: ShutdownTimes,
+}
+
+impl Shutdown {
+    /// Drains the gateway and returns when the process can end. To be called as soon as SIGTERM arrives.
+    pub(crate) async fn run(self) {
+        let start = Instant::now();
+        self.downstream.drain();
+        sleep(self.times.stop_accepting).await;
+        self.accepting.abort();
+        drop(self.listener);
+        self.downstream.drain_all();
+        let all_ended = timeout_at(start + self.times.respond_to_all, self.downstream.all_ended()).await;
+        if all_ended.is_err() {
+            self.dispatcher.respond_to_all();
+            // Past this time SIGKILL would cut off what is not written, so an expired timeout is no error.
+            let _ = timeout_at(start + self.times.finish, self.downstream.all_ended()).await;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
