--- a/crates/admission/src/lifecycle.rs
+++ b/crates/admission/src/lifecycle.rs
@@ -259,7 +259,8 @@
         units: f64,
         actions: &mut Vec<Action>,
     ) {
-        let release = QuotaRelease { customer, number, additional_units: QuarterUnits::nearest(units) };
+        let additional_units = QuarterUnits::nearest(units);
+        let release = QuotaRelease { customer, number, additional_units };
         self.send_gossip(owner, GossipMessage::release(release), actions);
     }
 }
