Show the whole chain of causes where a call to discovery fails

The errors of discovery repeated their cause in their own text, unlike the gateway's other errors, and the log line showed only what was put there. A new test holds the lines; nothing is formatted unless the line is written.

--- a/crates/gateway/src/discovery/endpoint_list.rs
+++ b/crates/gateway/src/discovery/endpoint_list.rs
@@ -71,7 +71,11 @@
         {
             Ok(endpoint) => Some(endpoint),
             Err(error) => {
-                tracing::warn!(target: target::DISCOVERY, reason = %error, "endpoint entry ignored: it cannot be read");
+                tracing::warn!(
+                    target: target::DISCOVERY,
+                    reason = %error,
+                    "endpoint entry ignored: it cannot be read"
+                );
                 None
             }
         };
--- a/crates/gateway/src/discovery/tests/mod.rs
+++ b/crates/gateway/src/discovery/tests/mod.rs
@@ -1,5 +1,6 @@
 //! The tests of discovery, by concern, and what they share.
 mod endpoint_list;
+mod error;
 mod fleet_recovery;
 mod lease_expiry;
 mod list_lease;
--- a/crates/gateway/src/discovery/watch.rs
+++ b/crates/gateway/src/discovery/watch.rs
@@ -6,6 +6,7 @@
 use super::observer::EndpointListObserver;
 use super::refresh_policy::RefreshPolicy;
 use super::refresh_schedule::{CallPosition, RefreshSchedule};
+use crate::error_chain::ErrorChain;
 use crate::http_connection::HttpConnection;
 use crate::logging::target;
 use bytes::Bytes;
@@ -43,13 +44,7 @@
     list_watch.publish_lease();
     if policy.lease_duration.is_some() {
         let observer = list_watch.observer.clone();
-        spawn_local(report_lease_expiry(lease_ends, move || {
-            tracing::error!(
-                target: target::DISCOVERY,
-                "endpoint list expired; nothing is sent until discovery answers"
-            );
-            observer.lease_expired();
-        }));
+        spawn_local(report_lease_expiry(lease_ends, move || on_lease_expired(&observer)));
     }
     loop {
         let current = *address.borrow_and_update();
@@ -64,6 +59,11 @@
     }
 }
 
+fn on_lease_expired(observer: &impl EndpointListObserver) {
+    tracing::error!(target: target::DISCOVERY, "endpoint list expired; nothing is sent until discovery answers");
+    observer.lease_expired();
+}
+
 /// The state of the watch.
 struct EndpointListWatch<O> {
     observer: O,
@@ -95,7 +95,7 @@
             tracing::warn!(
                 target: target::DISCOVERY,
                 discovery = %address,
-                reason = %error,
+                reason = %ErrorChain(&error),
                 "discovery failed; the last endpoint list is kept"
             );
         }
@@ -159,7 +159,11 @@
         self.schedule.on_list(delay, Instant::now());
         self.publish_lease();
         if !std::mem::replace(&mut self.is_healthy, true) {
-            tracing::info!(target: target::DISCOVERY, discovery = %address, "discovery answers again; endpoint list current");
+            tracing::info!(
+                target: target::DISCOVERY,
+                discovery = %address,
+                "discovery answers again; endpoint list current"
+            );
         }
         let kind = if list.is_whole { ListKind::Whole } else { ListKind::Changes };
         self.observer.list_received(kind, list);
--- a/crates/gateway/src/downstream/server.rs
+++ b/crates/gateway/src/downstream/server.rs
@@ -78,7 +78,11 @@
     /// Serves a connection in a task of its own.
     pub(super) fn serve(self: &Rc<Self>, stream: TcpStream, role: ConnectionRole) {
         if let Err(error) = stream.set_nodelay(true) {
-            tracing::warn!(target: target::DOWNSTREAM, %error, "cannot set TCP_NODELAY; responses may be delayed");
+            tracing::warn!(
+                target: target::DOWNSTREAM,
+                %error,
+                "cannot set TCP_NODELAY; responses may be delayed"
+            );
         }
         let connection = Rc::new(Connection::new(stream, role));
         let id = self.connections.insert(connection.clone());
