--- a/crates/admission/src/policy/dispatch.rs
+++ b/crates/admission/src/policy/dispatch.rs
@@ -3,6 +3,7 @@
 use crate::gateway::Gateway;
 use crate::id::RequestId;
 use crate::mechanism::virtual_finish_queue::FlowHead;
+use crate::policy::coordination::PEER_TIMEOUT_MS;
 use crate::settings::PlanSettings;
 use crate::state::customer::Customer;
 use crate::state::request::{QuotaDecision, QuotaState};
@@ -12,65 +13,38 @@
 /// endpoints could do.
 pub(crate) const ATTEMPT_TIMEOUT_OBJECTIVES: f64 = 2.0;
 
-/// Least factor that a plan's weight gives its queue flow: a plan of weight 0 is still served.
-const MIN_PLAN_WEIGHT: f64 = 0.01;
+/// Least weight of a class or a plan in the queue: one of weight 0 is still served.
+pub(crate) const MIN_WEIGHT: f64 = 0.01;
 
 impl Gateway {
-    /// Sends queued requests for as long as the band has room: the smallest virtual finish first, in order of
-    /// arrival within a customer.
-    pub(crate) fn dispatch(&mut self, actions: &mut Vec<Action>) {
-        self.band.blocked = false;
-        while !self.queue.is_empty() {
-            let Some(head) = self.next_in_queue(actions) else { return };
-            if !self.under_band(head.id).0 {
-                (self.band.blocked, self.band.was_blocked) = (true, true);
-                return;
-            }
-            let Some(endpoint) = self.select_endpoint(head.id) else {
-                self.band.blocked = true;
-                return;
-            };
-            self.queue.release(head);
-            self.send(head.id, endpoint, actions);
-        }
-    }
-
-    /// The head with the smallest virtual finish among those that quota and band let go. Heads over their
-    /// quota leave the queue on the way.
-    fn next_in_queue(&mut self, actions: &mut Vec<Action>) -> Option<FlowHead> {
+    /// The queued request to send next: the smallest virtual finish among the heads that quota and band let
+    /// go, in order of arrival within a customer. Heads over their quota leave the queue on the way.
+    pub(crate) fn next_to_dispatch(&mut self, actions: &mut Vec<Action>) -> Option<FlowHead> {
+        let by_credit = !self.coordination.is_broadcast();
         let mut next: Option<FlowHead> = None;
         for head in self.queue.heads() {
             match self.quota_decision(head.id) {
-                QuotaDecision::Wait => {}
-                QuotaDecision::OverQuota => self.send_or_finish_over_quota(head, actions),
-                // Dispatch credit depends on the class, so that another head may pass where this one can't.
-                QuotaDecision::Admit if !self.coordination.is_broadcast() && !self.under_band(head.id).0 => {
-                    (self.band.blocked, self.band.was_blocked) = (true, true)
-                }
-                QuotaDecision::Admit => {
-                    if next.is_none_or(|best| head.virtual_finish < best.virtual_finish) {
-                        next = Some(head);
-                    }
+                QuotaDecision::OverQuota => self.dispatch_over_quota(head, actions),
+                // Dispatch credit depends on the class: another head may pass where this one can't.
+                QuotaDecision::Admit if by_credit && !self.band_position(head.id).under_lower => {
+                    self.band.block()
                 }
+                QuotaDecision::Admit if next.is_none_or(|best| head.precedes(&best)) => next = Some(head),
+                QuotaDecision::Admit | QuotaDecision::Wait => {}
             }
         }
+        if !self.band_position(next?.id).under_lower {
+            self.band.block();
+            return None;
+        }
         next
     }
 
-    /// A request over its quota is sent at once, where its plan allows that and there is room, or finished.
-    fn send_or_finish_over_quota(&mut self, head: FlowHead, actions: &mut Vec<Action>) {
-        self.queue.remove(head.tag, head.id);
-        let sendable = QuotaState::OverQuota { within_ceiling: true };
-        let may_send = self.requests.active.get(&head.id).is_some_and(|active| active.quota == sendable)
-            && self.under_band(head.id).0;
-        match if may_send { self.select_endpoint(head.id) } else { None } {
-            Some(endpoint) => self.send(head.id, endpoint, actions),
-            None => {
-                let retry_after_ms =
-                    (!self.coordination.is_broadcast()).then_some(self.settings.max_retry_after_ms);
-                self.finish(head.id, retry_after_ms, actions)
-            }
-        }
+    /// Whether a request over its quota may still be sent: where its plan pays for that and there is room.
+    pub(crate) fn may_send_over_quota(&self, id: RequestId) -> bool {
+        let within_ceiling = QuotaState::OverQuota { within_ceiling: true };
+        self.requests.active.get(&id).is_some_and(|active| active.quota == within_ceiling)
+            && self.band_position(id).under_lower
     }
 
     /// The weight of a plan's flows in the queue, in units per second. The plan's weight multiplies its rate;
@@ -81,35 +55,28 @@
         } else {
             f64::from(plan.open_limit.max(1)) / (self.mean_response_ms() / 1000.0)
         };
-        rate * plan.plan_weight.max(MIN_PLAN_WEIGHT)
+        rate * plan.plan_weight.max(MIN_WEIGHT)
     }
 
     /// Whether quota, open limit and this gateway's part of the ceiling let a request be sent now.
     pub(crate) fn quota_decision(&mut self, id: RequestId) -> QuotaDecision {
         let Some(active) = self.requests.active.get(&id) else { return QuotaDecision::OverQuota };
-        let own_bucket = match active.quota {
-            QuotaState::LocalBucket => true,
-            QuotaState::AdmittedByCounter { .. } => false,
-            QuotaState::GrantedByOwner { .. } => return QuotaDecision::Admit,
-            QuotaState::OverQuota { .. } => return QuotaDecision::OverQuota,
-            QuotaState::AwaitingOwner { .. }
-            | QuotaState::QueuedAtOwner { .. }
-            | QuotaState::AwaitingCounter => return QuotaDecision::Wait,
-        };
+        if let Some(decision) = active.quota.decision() {
+            return decision;
+        }
+        let own_bucket = active.quota == QuotaState::LocalBucket;
         let (tag, units) = (active.tag, active.request.units);
         let plan = &self.settings.plans[active.request.plan];
-        if let Some(customer) = self.customers.by_tag.get_mut(&tag) {
-            customer.fill(plan, self.clock.now_ms);
-        }
-        let Some(customer) = self.customers.by_tag.get(&tag) else { return QuotaDecision::OverQuota };
-        if own_bucket && plan.rate_per_second > 0.0 && customer.tokens < units {
+        self.customers.refill(tag, plan, self.clock.now_ms);
+        let Some(customer) = self.customers.get(tag) else { return QuotaDecision::OverQuota };
+        if own_bucket && plan.rate_per_second > 0.0 && customer.quota_tokens() < units {
             return QuotaDecision::OverQuota;
         }
         if plan.open_limit > 0 && self.open_limit_reached(plan.open_limit, customer, tag) {
             return QuotaDecision::Wait;
         }
-        if plan.ceiling_rate_per_second > 0.0 && customer.ceiling_tokens < units {
-            self.request_ceiling(tag);
+        if plan.ceiling_rate_per_second > 0.0 && customer.ceiling_tokens() < units {
+            self.customers.schedule_ceiling_request(tag);
             return QuotaDecision::Wait;
         }
         QuotaDecision::Admit
@@ -120,20 +87,13 @@
     /// one more than it reported. Where gateways outnumber slots only some have a part: a third more of them
     /// than there are slots, since few are busy at once.
     fn open_limit_reached(&self, limit: u32, customer: &Customer, tag: u64) -> bool {
-        let (in_flight, busy_peers) = customer.peers_in_flight(self.clock.now_ms);
-        let spread = customer.spread as u32;
-        let place = (self.settings.me + self.settings.gateways - customer.first) as u32 + tag as u32;
+        let peers = customer.peer_activity(self.clock.now_ms, PEER_TIMEOUT_MS);
+        let spread = customer.gateways().len() as u32;
+        let place = self.settings.me + self.settings.gateways - customer.gateways().first();
+        let place = place as u32 + tag as u32;
         let has_slot = place % spread < (4 * limit).div_ceil(3);
         let part = (limit / spread).max(u32::from(has_slot));
-        let margin = if customer.in_flight < part { 0 } else { busy_peers };
-        customer.in_flight + in_flight + margin >= limit
-    }
-
-    /// Asks the customer's other gateways for a part of its ceiling with the next report.
-    fn request_ceiling(&mut self, tag: u64) {
-        if let Some(customer) = self.customers.by_tag.get_mut(&tag) {
-            customer.ceiling_requested = true;
-            self.customers.unreported.insert(tag);
-        }
+        let margin = if customer.in_flight() < part { 0 } else { peers.busy };
+        customer.in_flight() + peers.in_flight + margin >= limit
     }
 }
