Split the requests' records: attempt, quota state, retry budget and table, with private fields

state/request.rs held six records, a decision and open fields. Attempts and their end are private to state/attempt.rs, whose three states replace two flags; answered and closed always were the same and are one; what a class allows a client to try again stands with Idempotency. Tokens at the start of the retry budget are a figure of policy/retry.rs.

--- a/crates/admission/src/coordination/counter_calls.rs
+++ b/crates/admission/src/coordination/counter_calls.rs
@@ -11,7 +11,8 @@
 use crate::settings::PlanSettings;
 use crate::state::counter_account::{CatchUp, CountedRequest, CounterCall, CounterEpoch};
 use crate::state::gateway_set::GatewaySet;
-use crate::state::request::{ActiveRequest, QuotaState};
+use crate::state::quota_state::QuotaState;
+use crate::state::request::ActiveRequest;
 
 impl Gateway {
     /// Asks the counter about a queued request's quota, or decides by what was last seen: the customer cannot
@@ -160,7 +161,7 @@
     /// Corrects the count by what an admitted request took in the end: all of it is given back where it was
     /// never sent.
     pub(crate) fn settle_counted(&mut self, active: &ActiveRequest, actions: &mut Vec<Action>) {
-        let unsent = active.attempts.is_empty();
+        let unsent = active.is_unsent();
         let correction_units =
             if unsent { -self.refund_units(active.request.units) } else { settlement_units(active) };
         let Some(customer) = self.customers.get_mut(active.tag) else { return };
--- a/crates/admission/src/coordination/quota_requests.rs
+++ b/crates/admission/src/coordination/quota_requests.rs
@@ -11,7 +11,7 @@
 };
 use crate::state::gateway_set::GatewaySet;
 use crate::state::quota_requests::QuotaRoute;
-use crate::state::request::QuotaState;
+use crate::state::quota_state::QuotaState;
 
 /// A quota request that the owner did not respond to in time.
 #[derive(Debug, Clone, Copy)]
--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -8,7 +8,7 @@
 use crate::policy::outlier_detection::{
     INITIAL_OBJECTIVE_FRACTION, LATENCY_GAINS, RESPONSE_TIME_HALF_LIFE_MS,
 };
-use crate::policy::retry::MAX_RETRY_TOKENS;
+use crate::policy::retry::INITIAL_RETRY_TOKENS;
 use crate::policy::slow_start::SEND_RATE_SPAN_S;
 use crate::settings::{Settings, SettingsError};
 use crate::state::band::InFlightBand;
@@ -20,7 +20,8 @@
 use crate::state::latency_model::LatencyModel;
 use crate::state::outlier_detector::OutlierDetector;
 use crate::state::recent_observations::RecentObservations;
-use crate::state::request::{RequestTable, RetryBudget};
+use crate::state::request::RequestTable;
+use crate::state::retry_budget::RetryBudget;
 use crate::state::slow_start::SlowStart;
 
 /// One gateway's decisions: takes events in and answers with actions. Each part owns the state of one
@@ -33,6 +34,7 @@
     pub(crate) clock: EventClock,
     /// Tells this start of the gateway from earlier ones.
     pub(crate) incarnation: u32,
+    /// What is drawn by chance.
     pub(crate) random: SplitMix64,
     pub(crate) endpoints: EndpointTable,
     pub(crate) requests: RequestTable,
@@ -57,21 +59,29 @@
 /// Time between two evictions of idle customers.
 const EVICTION_INTERVAL_MS: f64 = 1000.0;
 
+/// Bits of the incarnation: as many as three digits of a message carry.
+const INCARNATION_MASK: u64 = 0x3_ffff;
+
 impl Gateway {
-    /// A gateway with no memory but its settings.
+    /// A gateway that knows nothing but its settings. `seed` decides all that is left to chance; times are in
+    /// milliseconds, of any origin.
+    ///
+    /// # Errors
+    ///
+    /// Where the settings hold a figure that a gateway cannot act on.
     pub fn new(settings: Settings, seed: u64, now_ms: f64) -> Result<Self, SettingsError> {
         settings.check()?;
         let objectives_ms = settings.classes.iter().map(|class| class.latency_objective_ms);
         let mut gateway = Gateway {
             clock: EventClock::new(now_ms),
-            incarnation: (mix(seed) & 0x3_ffff) as u32,
+            incarnation: (mix(seed) & INCARNATION_MASK) as u32,
             random: SplitMix64::new(seed),
             endpoints: EndpointTable::new(EndpointSmoothing {
                 response_time_half_life_ms: RESPONSE_TIME_HALF_LIFE_MS,
                 send_rate_span_s: SEND_RATE_SPAN_S,
             }),
             latency: LatencyModel::new(objectives_ms, INITIAL_OBJECTIVE_FRACTION, LATENCY_GAINS),
-            retries: RetryBudget::new(MAX_RETRY_TOKENS / 2.0),
+            retries: RetryBudget::new(INITIAL_RETRY_TOKENS),
             coordination: Coordination::from_settings(&settings),
             settings,
             ..Gateway::default()
@@ -80,7 +90,8 @@
         Ok(gateway)
     }
 
-    /// Takes one event in and adds what is to be done to `actions`.
+    /// Takes one event in and adds what is to be done, in this order, to `actions`. Times must not fall from
+    /// event to event; an earlier one counts as the last.
     pub fn on_event(&mut self, now_ms: f64, event: Event, actions: &mut Vec<Action>) {
         self.clock.advance(now_ms);
         if self.clock.start_ticking() {
--- a/crates/admission/src/lifecycle.rs
+++ b/crates/admission/src/lifecycle.rs
@@ -10,9 +10,11 @@
 use crate::policy::dispatch::ATTEMPT_TIMEOUT_OBJECTIVES;
 use crate::policy::in_flight_band::MAX_CREDIT_OVERDRAFT;
 use crate::policy::retry::{MAX_RETRY_TOKENS, RETRY_TOKENS_PER_REQUEST};
+use crate::state::attempt::AttemptRef;
 use crate::state::customer::customer_tag;
 use crate::state::endpoint::InFlightAttempt;
-use crate::state::request::{ActiveRequest, Attempt, QuotaState};
+use crate::state::quota_state::QuotaState;
+use crate::state::request::ActiveRequest;
 
 /// Shortest time-out of an attempt: the host needs one above 0.
 const MIN_TIMEOUT_MS: f64 = 1.0;
@@ -81,7 +83,7 @@
         let overdue = self.requests.iter().filter(|active| self.is_overdue(active));
         let overdue: Vec<RequestId> = overdue.map(|active| active.request.id).collect();
         for id in overdue {
-            let unsent = self.requests.get(id).is_some_and(|active| active.attempts.is_empty());
+            let unsent = self.requests.get(id).is_some_and(ActiveRequest::is_unsent);
             self.finish(id, if unsent { self.overload_retry_after() } else { None }, actions);
         }
     }
@@ -95,7 +97,7 @@
         let objective_ms = self.settings.classes[active.request.class].latency_objective_ms;
         let time_left_ms = active.deadline_ms - self.clock.now_ms();
         let timeout_ms = (ATTEMPT_TIMEOUT_OBJECTIVES * objective_ms).min(time_left_ms).max(MIN_TIMEOUT_MS);
-        let is_first = active.attempts.is_empty();
+        let is_first = active.is_unsent();
         self.band.spend_dispatch_credit(MAX_CREDIT_OVERDRAFT);
         if is_first {
             self.retries.earn(RETRY_TOKENS_PER_REQUEST, MAX_RETRY_TOKENS);
@@ -114,16 +116,8 @@
         if let Some(budget) = warm_up_budget {
             endpoint.warm_up_tokens.take(now, budget);
         }
-        let attempt = active.attempts.len() as u32;
-        endpoint.record_sent(InFlightAttempt { sent_ms: now, request: id, attempt });
-        active.attempts.push(Attempt {
-            endpoint: endpoint_id,
-            zone: endpoint.zone(),
-            cell: endpoint.cell(),
-            sent_ms: now,
-            pending: true,
-            may_have_run: false,
-        });
+        let AttemptRef { request, attempt } = active.start_attempt(endpoint, now);
+        endpoint.record_sent(InFlightAttempt { sent_ms: now, request, attempt });
     }
 
     /// Counts a new attempt to its customer, where the quota is not held by another gateway: its slot, and
@@ -157,7 +151,7 @@
         self.settle_attempt(end);
         self.record_attempt_end(end, class, plan);
         let Some(active) = self.requests.get(end.request) else { return };
-        if end.closed || end.outcome == Outcome::Ok || active.answered {
+        if end.closed || end.outcome == Outcome::Ok || active.is_closed() {
             self.close(end.request, actions);
         } else if !active.has_pending()
             && (end.outcome == Outcome::TooLate || !self.retry(end.request, actions))
@@ -192,10 +186,11 @@
         }
     }
 
-    /// Gives the final answer: a rejection, or a failure where the request may have run.
+    /// Gives the final answer: a rejection where trying again is harmless, else a failure.
     pub(crate) fn finish(&mut self, id: RequestId, retry_after_ms: Option<f64>, actions: &mut Vec<Action>) {
-        let Some(active) = self.requests.get(id).filter(|o| !o.answered) else { return };
-        actions.push(if self.may_reject(active) {
+        let Some(active) = self.requests.get(id).filter(|active| !active.is_closed()) else { return };
+        let idempotency = self.settings.classes[active.request.class].idempotency;
+        actions.push(if !active.may_have_run() || idempotency.allows_new_try() {
             Action::Reject { request: id, retry_after_ms }
         } else {
             Action::Fail { request: id }
@@ -208,9 +203,9 @@
     pub(crate) fn close(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(active) = self.requests.get_mut(id) else { return };
         let pending: Vec<u32> = active.pending_attempts().map(|(number, _)| number).collect();
-        let was_closed = active.close();
+        let is_first_time = active.close();
         let tag = active.tag;
-        if self.settings.cancel_allowed && !was_closed {
+        if self.settings.cancel_allowed && is_first_time {
             actions.extend(pending.iter().map(|number| Action::Cancel { request: id, attempt: *number }));
         }
         self.queue.remove(tag, id);
@@ -223,7 +218,7 @@
 
     /// Tells whoever holds the quota what an ended request took, where that matters to its count.
     fn report_request_end(&mut self, active: &ActiveRequest, actions: &mut Vec<Action>) {
-        let unsent = active.attempts.is_empty();
+        let unsent = active.is_unsent();
         let unused = -active.request.units;
         match active.quota {
             QuotaState::AdmittedByCounter { asked: true } => self.settle_counted(active, actions),
--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -5,7 +5,8 @@
 use crate::mechanism::common_value::VoteLimits;
 use crate::policy::dispatch::MIN_WEIGHT;
 use crate::state::gateway_set::GatewaySet;
-use crate::state::request::{ActiveRequest, OwnBucketCheck, QuotaDecision};
+use crate::state::quota_state::{OwnBucketCheck, QuotaDecision};
+use crate::state::request::ActiveRequest;
 
 /// For this long after its start a gateway spends only its part of each burst: it may not have heard yet what
 /// its peers spent.
@@ -116,7 +117,7 @@
     /// Whether a request must be finished now: its deadline is near, or it is unsent and cannot meet it.
     pub(crate) fn is_overdue(&self, active: &ActiveRequest) -> bool {
         let is_late = active.deadline_ms - self.clock.now_ms() < UPKEEP_MS + 2.0 * self.settings.tick_ms;
-        !active.answered && (is_late || active.attempts.is_empty() && self.cannot_meet_deadline(active))
+        !active.is_closed() && (is_late || active.is_unsent() && self.cannot_meet_deadline(active))
     }
 
     /// When to try again at a gateway that had no room in time: after the longest wait that clients honour.
--- a/crates/admission/src/policy/endpoint_selection.rs
+++ b/crates/admission/src/policy/endpoint_selection.rs
@@ -109,7 +109,7 @@
     ) -> Option<EndpointId> {
         let local_fraction = self.local_fraction(&candidates);
         let warming_up = |c: &Candidate<'_>| self.is_warming_up(c.endpoint);
-        match self.warm_up_odds(active.request.id, active.attempts.len()) {
+        match self.warm_up_odds(active.request.id, active.attempt_count()) {
             Some(odds) => candidates.iter_mut().filter(|c| warming_up(c)).for_each(|c| c.cost /= odds),
             None => candidates.retain(|c| !warming_up(c)),
         }
--- a/crates/admission/src/policy/quota_counter.rs
+++ b/crates/admission/src/policy/quota_counter.rs
@@ -4,7 +4,8 @@
 use crate::id::RequestId;
 use crate::settings::PlanSettings;
 use crate::state::counter_account::{CatchUp, CountedRequest};
-use crate::state::request::{ActiveRequest, QuotaState};
+use crate::state::quota_state::QuotaState;
+use crate::state::request::ActiveRequest;
 
 /// Length of a count's epoch: the counter keeps no name longer.
 pub(crate) const COUNT_EPOCH_MS: f64 = 60_000.0;
--- a/crates/admission/src/policy/quota_owner.rs
+++ b/crates/admission/src/policy/quota_owner.rs
@@ -10,7 +10,8 @@
 use crate::state::customer::Customer;
 use crate::state::gateway_set::{GatewaySet, RankedGateway};
 use crate::state::quota_requests::QuotaRoute;
-use crate::state::request::{ActiveRequest, QuotaState};
+use crate::state::quota_state::QuotaState;
+use crate::state::request::ActiveRequest;
 
 /// An owner misses a response after this fraction of the shortest objective, and after this long at least.
 const RESPONSE_WAIT_FRACTION: f64 = 0.1;
--- a/crates/admission/src/policy/retry.rs
+++ b/crates/admission/src/policy/retry.rs
@@ -4,11 +4,13 @@
 use crate::id::RequestId;
 use crate::messages::observation::ObservationKind;
 use crate::settings::Idempotency;
+use crate::state::attempt::{AttemptRef, PendingAttempt};
 use crate::state::endpoint::Endpoint;
 use crate::state::observed_health::EjectionScope;
-use crate::state::request::{ActiveRequest, AttemptRef, PendingAttempt};
+use crate::state::request::ActiveRequest;
 
-/// Retry tokens that each first attempt brings, and the most that may be saved up.
+/// Retry tokens at the start, those that each first attempt brings, and the limit to which they are saved up.
+pub(crate) const INITIAL_RETRY_TOKENS: f64 = 10.0;
 pub(crate) const RETRY_TOKENS_PER_REQUEST: f64 = 0.2;
 pub(crate) const MAX_RETRY_TOKENS: f64 = 20.0;
 
@@ -49,8 +51,8 @@
     /// Makes a further attempt where class, time and the retry budget allow one.
     pub(crate) fn retry(&mut self, id: RequestId, actions: &mut Vec<Action>) -> bool {
         let Some(active) = self.requests.get(id) else { return false };
-        let exhausted = active.attempts.len() >= self.settings.max_attempts as usize;
-        if active.answered || exhausted || self.cannot_meet_deadline(active) {
+        let exhausted = active.attempt_count() >= self.settings.max_attempts as usize;
+        if active.is_closed() || exhausted || self.cannot_meet_deadline(active) {
             return false;
         }
         let cost = if active.may_have_run() { RISKY_RETRY_COST } else { SAFE_RETRY_COST };
@@ -71,8 +73,8 @@
         }
         for AttemptRef { request, attempt } in self.stalled_attempts() {
             let Some(active) = self.requests.get(request) else { continue };
-            let exhausted = active.attempts.len() >= self.settings.max_attempts as usize;
-            if active.answered || exhausted || active.pending_attempts().count() > 1 {
+            let exhausted = active.attempt_count() >= self.settings.max_attempts as usize;
+            if active.is_closed() || exhausted || active.pending_attempts().count() > 1 {
                 continue;
             }
             let idempotency = self.settings.classes[active.request.class].idempotency;
--- a/crates/admission/src/settings.rs
+++ b/crates/admission/src/settings.rs
@@ -17,6 +17,17 @@
     NonIdempotent,
 }
 
+impl Idempotency {
+    /// Whether a client's new try does no harm, to whichever endpoint it goes, once an attempt may have run.
+    pub(crate) fn allows_new_try(&self) -> bool {
+        match self {
+            Idempotency::Idempotent => true,
+            Idempotency::IdempotencyKey { group, .. } => *group == DedupGroup::All,
+            Idempotency::NonIdempotent => false,
+        }
+    }
+}
+
 /// The endpoints that share their memory of idempotency keys.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DedupGroup {
--- a/crates/admission/src/state/mod.rs
+++ b/crates/admission/src/state/mod.rs
@@ -1,4 +1,5 @@
 //! Records, each with the methods that keep it consistent.
+pub(crate) mod attempt;
 pub(crate) mod band;
 pub(crate) mod candidate;
 pub(crate) mod counter_account;
@@ -15,7 +16,9 @@
 pub(crate) mod peer;
 pub(crate) mod quota_grants;
 pub(crate) mod quota_requests;
+pub(crate) mod quota_state;
 pub(crate) mod recent_observations;
 pub(crate) mod relative_response_time;
 pub(crate) mod request;
+pub(crate) mod retry_budget;
 pub(crate) mod slow_start;
--- a/crates/admission/src/state/request.rs
+++ b/crates/admission/src/state/request.rs
@@ -1,147 +1,31 @@
-//! Requests in work and their attempts.
+//! Requests in work.
 use crate::event::{Outcome, Request};
-use crate::gateway::Gateway;
 use crate::id::{EndpointId, RequestId};
-use crate::settings::{DedupGroup, Idempotency};
+use crate::state::attempt::{Attempt, AttemptRef, PendingAttempt};
 use crate::state::endpoint::Endpoint;
+use crate::state::quota_state::QuotaState;
 use std::collections::BTreeMap;
 
-/// Who decides whether a request is within its customer's quota, and what was decided.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub(crate) enum QuotaState {
-    /// This gateway's own token bucket decides; nobody is asked.
-    #[default]
-    LocalBucket,
-    /// The quota's owner was asked and has not answered.
-    AwaitingOwner { owner: usize, number: u32, at_ms: f64, tries: u32 },
-    /// The owner keeps the request waiting until the customer has a free slot.
-    QueuedAtOwner { owner: usize, number: u32 },
-    /// The owner granted it.
-    GrantedByOwner { owner: usize, number: u32 },
-    /// It is over the quota. Within the ceiling it may still be sent while there is room.
-    OverQuota { within_ceiling: bool },
-    /// The quota counter was asked and has not answered.
-    AwaitingCounter,
-    /// It may be sent: the counter said so, or was not asked about it.
-    AdmittedByCounter { asked: bool },
-}
-
-impl QuotaState {
-    /// What has been decided already; `None` where this gateway's own records are still to be checked.
-    pub(crate) fn decision(&self) -> Option<QuotaDecision> {
-        match self {
-            QuotaState::LocalBucket | QuotaState::AdmittedByCounter { .. } => None,
-            QuotaState::GrantedByOwner { .. } => Some(QuotaDecision::Admit),
-            QuotaState::OverQuota { .. } => Some(QuotaDecision::OverQuota),
-            QuotaState::AwaitingOwner { .. }
-            | QuotaState::QueuedAtOwner { .. }
-            | QuotaState::AwaitingCounter => Some(QuotaDecision::Wait),
-        }
-    }
-
-    /// Whether the request's attempts count to its customer at this gateway; else the quota's owner counts
-    /// them.
-    pub(crate) fn holds_slot_here(&self) -> bool {
-        matches!(self, QuotaState::LocalBucket | QuotaState::AdmittedByCounter { .. })
-    }
-
-    /// Whether a response of this owner to the quota request of this number is awaited.
-    pub(crate) fn awaits_response(&self, from: usize, response_to: u32) -> bool {
-        match *self {
-            QuotaState::AwaitingOwner { owner, number, .. } | QuotaState::QueuedAtOwner { owner, number } => {
-                owner == from && number == response_to
-            }
-            _ => false,
-        }
-    }
-}
-
-/// Whether a request may be sent as far as its customer's quota goes.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) enum QuotaDecision {
-    /// It may be sent now.
-    Admit,
-    /// It stays queued: an answer, a slot or a part of the ceiling is still to come.
-    Wait,
-    /// It is over the quota, so it leaves the queue.
-    OverQuota,
-}
-
-/// What the customer's token bucket at this gateway says of a new request.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct OwnBucketCheck {
-    /// The request is within the quota.
-    pub(crate) is_met: bool,
-    /// Beyond its quota the request may still be sent where there is room.
-    pub(crate) may_exceed: bool,
-    /// When the bucket will have filled enough for the request; `None` where it never does.
-    pub(crate) retry_after_ms: Option<f64>,
-}
-
-/// An attempt of a request: what was sent, to which endpoint, and what became of it.
-
-#[derive(Debug, Clone)]
-pub(crate) struct Attempt {
-    pub(crate) endpoint: EndpointId,
-    /// The endpoint's zone when it was sent.
-    pub(crate) zone: usize,
-    /// The endpoint's cell when it was sent.
-    pub(crate) cell: u64,
-    pub(crate) sent_ms: f64,
-    /// It has not ended yet.
-    pub(crate) pending: bool,
-    /// It has ended, and the endpoint may have done the work.
-    pub(crate) may_have_run: bool,
-}
-
-impl Attempt {
-    /// Whether the endpoint may have done the work, or may still do it.
-    pub(crate) fn is_risky(&self) -> bool {
-        self.pending || self.may_have_run
-    }
-
-    /// Whether an endpoint belongs to the group that drops a repeat of this attempt's idempotency key.
-    pub(crate) fn shares_keys_with(&self, endpoint: &Endpoint, group: DedupGroup) -> bool {
-        match group {
-            DedupGroup::All => true,
-            DedupGroup::Zone => self.zone == endpoint.zone(),
-            DedupGroup::Cell => self.cell == endpoint.cell(),
-        }
-    }
-}
-
-/// Names an attempt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct AttemptRef {
-    /// The request.
-    pub(crate) request: RequestId,
-    /// The attempt's number among those of its request, from 0.
-    pub(crate) attempt: u32,
-}
-
-/// An attempt in flight.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct PendingAttempt {
-    pub(crate) reference: AttemptRef,
-    pub(crate) class: usize,
-    pub(crate) endpoint: EndpointId,
-    pub(crate) sent_ms: f64,
-}
-
 /// A request taken in, until it is answered and all its attempts have ended.
 #[derive(Debug)]
 pub(crate) struct ActiveRequest {
+    /// As it came in.
     pub(crate) request: Request,
+    /// Its customer's tag, which names the customer's records.
     pub(crate) tag: u64,
+    /// When its latency objective is reached, in milliseconds.
     pub(crate) objective_at_ms: f64,
+    /// When its client gives up, in milliseconds.
     pub(crate) deadline_ms: f64,
-    pub(crate) attempts: Vec<Attempt>,
-    pub(crate) answered: bool,
-    /// What was out at the answer has been called off.
-    pub(crate) closed: bool,
+    /// Its attempts, in the order in which they were sent.
+    attempts: Vec<Attempt>,
+    /// It has its final answer, or its client has gone.
+    closed: bool,
+    /// It counts to its customer's quota.
     pub(crate) within_quota: bool,
+    /// Where it stands with the quota.
     pub(crate) quota: QuotaState,
-    /// Units by which the answer's true figure passed the guess.
+    /// Units by which the true figure passed the estimate, where the quota is not held here.
     pub(crate) settled_units: f64,
     /// So much of the quota is left that the true units need not be reported.
     pub(crate) ample: bool,
@@ -150,7 +34,7 @@
 impl ActiveRequest {
     /// Whether the request still waits for the counter: its client may have gone, or its time may be over.
     pub(crate) fn awaits_counter(&self) -> bool {
-        !self.answered && self.quota == QuotaState::AwaitingCounter
+        !self.closed && self.quota == QuotaState::AwaitingCounter
     }
 
     /// A request just taken in.
@@ -160,7 +44,6 @@
             objective_at_ms: now_ms + objective_ms,
             deadline_ms: now_ms + request.time_left_ms,
             attempts: Vec::new(),
-            answered: false,
             closed: false,
             within_quota: false,
             quota: QuotaState::LocalBucket,
@@ -170,6 +53,23 @@
         }
     }
 
+    /// How many attempts were sent.
+    pub(crate) fn attempt_count(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Whether no attempt was sent yet.
+    pub(crate) fn is_unsent(&self) -> bool {
+        self.attempts.is_empty()
+    }
+
+    /// Enters an attempt that is sent to an endpoint now, and names it.
+    pub(crate) fn start_attempt(&mut self, endpoint: &Endpoint, now_ms: f64) -> AttemptRef {
+        let attempt = self.attempts.len() as u32;
+        self.attempts.push(Attempt::new(endpoint, now_ms));
+        AttemptRef { request: self.request.id, attempt }
+    }
+
     /// Whether an attempt was sent to an endpoint before.
     pub(crate) fn was_sent_to(&self, endpoint: EndpointId) -> bool {
         self.attempts.iter().any(|attempt| attempt.endpoint == endpoint)
@@ -187,23 +87,25 @@
 
     /// Attempts in flight, each with its number, oldest first.
     pub(crate) fn pending_attempts(&self) -> impl Iterator<Item = (u32, &Attempt)> {
-        (0u32..).zip(&self.attempts).filter(|(_, attempt)| attempt.pending)
+        (0u32..).zip(&self.attempts).filter(|(_, attempt)| attempt.is_pending())
     }
 
     /// Marks an attempt as ended. `false` where no such attempt is in flight.
     pub(crate) fn end_attempt(&mut self, number: u32, outcome: Outcome) -> bool {
-        let attempt = self.attempts.get_mut(number as usize).filter(|attempt| attempt.pending);
+        let attempt = self.attempts.get_mut(number as usize).filter(|attempt| attempt.is_pending());
         let Some(attempt) = attempt else { return false };
-        attempt.pending = false;
-        attempt.may_have_run =
-            !matches!(outcome, Outcome::Overloaded | Outcome::ConnectFailed | Outcome::TooLate);
+        attempt.end(outcome);
         true
     }
 
-    /// Marks the request as answered and its attempts as cancelled. Whether that was so before.
+    /// Whether it has its final answer, or its client has gone.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.closed
+    }
+
+    /// Marks it as closed. `false` where it was so before.
     pub(crate) fn close(&mut self) -> bool {
-        self.answered = true;
-        std::mem::replace(&mut self.closed, true)
+        !std::mem::replace(&mut self.closed, true)
     }
 
     /// Whether an attempt is in flight.
@@ -266,44 +168,3 @@
         })
     }
 }
-
-/// Tokens for further attempts: first attempts bring some, each further one costs some. So retries stay a
-/// part of all attempts, also while many fail.
-#[derive(Debug, Default)]
-pub(crate) struct RetryBudget {
-    tokens: f64,
-}
-
-impl RetryBudget {
-    /// A budget that starts with these tokens.
-    pub(crate) fn new(tokens: f64) -> Self {
-        RetryBudget { tokens }
-    }
-
-    /// Adds tokens, up to `limit` in all.
-    pub(crate) fn earn(&mut self, tokens: f64, limit: f64) {
-        self.tokens = (self.tokens + tokens).min(limit);
-    }
-
-    /// Whether there are as many tokens.
-    pub(crate) fn can_spend(&self, tokens: f64) -> bool {
-        self.tokens >= tokens
-    }
-
-    /// Takes tokens out.
-    pub(crate) fn spend(&mut self, tokens: f64) {
-        self.tokens -= tokens;
-    }
-}
-
-impl Gateway {
-    /// Whether the promise of a rejection can be kept: that trying again is harmless.
-    pub(crate) fn may_reject(&self, active: &ActiveRequest) -> bool {
-        let risky = active.may_have_run();
-        match self.settings.classes[active.request.class].idempotency {
-            Idempotency::Idempotent => true,
-            Idempotency::NonIdempotent => !risky,
-            Idempotency::IdempotencyKey { group, .. } => !risky || group == DedupGroup::All,
-        }
-    }
-}
