Decide in policy/ what an attempt's end teaches, and when a class is ejected

Which outcome changes which learned response time, and the failed part from which an endpoint is left alone with a class, are decisions, and stood in endpoint_records.rs and coordination/observations.rs. They move to policy/outlier_detection.rs with the figures they go by.

--- a/crates/admission/src/coordination/observations.rs
+++ b/crates/admission/src/coordination/observations.rs
@@ -6,7 +6,7 @@
 use crate::mechanism::splitmix64::short_tag;
 use crate::messages::observation::{Observation, ObservationKind, ResponseTimeCode};
 use crate::policy::outlier_detection::{
-    CLASS_FAILURE_GAIN, EJECTION_JITTER, MAX_CLASS_FAILURE_FRACTION, MAX_OBSERVATIONS, MAX_RELATIVE_SAMPLE,
+    fails_class, CLASS_FAILURE_GAIN, EJECTION_JITTER, MAX_OBSERVATIONS, MAX_RELATIVE_SAMPLE,
     OBSERVATION_SPAN_S, OBSERVED_RESPONSE_TIME_GAIN, SCOPED_EJECTION,
 };
 use crate::policy::quota_owner::QUOTA_RATE_SPAN_S;
@@ -67,7 +67,7 @@
         let (now_ms, jitter) = (self.clock.now_ms(), self.observation_jitter(tag));
         let Some(endpoint) = self.endpoints.get_by_tag_mut(tag) else { return };
         let failed_fraction = endpoint.observed.record_failure(class, CLASS_FAILURE_GAIN);
-        if failed_fraction > MAX_CLASS_FAILURE_FRACTION {
+        if fails_class(failed_fraction) {
             endpoint.observed.eject(EjectionScope::Class(class), now_ms, SCOPED_EJECTION, jitter);
         }
     }
--- a/crates/admission/src/endpoint_records.rs
+++ b/crates/admission/src/endpoint_records.rs
@@ -7,8 +7,8 @@
 use crate::mechanism::backoff::jitter_factor;
 use crate::mechanism::percentile::percentile;
 use crate::policy::outlier_detection::{
-    EJECTION, EJECTION_JITTER, ERROR_GAIN, IDLE_AGE_FRACTION, MAX_RESPONSE_SAMPLE,
-    OVERLOAD_EJECTION_FRACTION, OWN_RESPONSE_TIME_GAIN, TYPICAL_AGE_PERCENTILE,
+    EJECTION, EJECTION_JITTER, ERROR_GAIN, IDLE_AGE_FRACTION, OVERLOAD_EJECTION_FRACTION,
+    TYPICAL_AGE_PERCENTILE,
 };
 use crate::state::endpoint::Endpoint;
 use crate::state::slow_start::WarmUpBudget;
@@ -41,43 +41,6 @@
         self.endpoints.remove_if_finished(end.endpoint);
     }
 
-    /// Small fleets: learns response times from an own attempt.
-    fn learn_response_time(&mut self, end: &AttemptEnd, class: usize) {
-        let now_ms = self.clock.now_ms();
-        let objective_fraction = end.took_ms / self.settings.classes[class].latency_objective_ms;
-        let relative = end.took_ms / self.latency.expected_ms(class);
-        let Some(endpoint) = self.endpoints.get_mut(end.endpoint) else { return };
-        let unanswered_ms = endpoint.health.unanswered_ms(now_ms);
-        let has_warmed_up = endpoint.has_warmed_up(now_ms, self.settings.warm_up_ms);
-        match end.outcome {
-            Outcome::Ok => {
-                endpoint.response_time.record_own(unanswered_ms, relative, OWN_RESPONSE_TIME_GAIN);
-                if has_warmed_up {
-                    self.latency.record_response_ms(class, end.took_ms);
-                    self.latency.record_own_fraction(objective_fraction);
-                }
-            }
-            Outcome::Overloaded => self.latency.record_own_fraction(1.0),
-            Outcome::TimedOut => {
-                endpoint.response_time.record_own_time_out(unanswered_ms, relative, OWN_RESPONSE_TIME_GAIN);
-                self.latency.record_own_fraction_at_least(objective_fraction.min(1.0));
-            }
-            _ => {}
-        }
-    }
-
-    /// Large fleets: learns the mean response time of a class from an own attempt. The rest is learned from
-    /// what the fleet observed.
-    fn learn_mean_response_time(&mut self, end: &AttemptEnd, class: usize) {
-        let now_ms = self.clock.now_ms();
-        let Some(endpoint) = self.endpoints.get(end.endpoint) else { return };
-        let has_warmed_up = endpoint.has_warmed_up(now_ms, self.settings.warm_up_ms);
-        if end.outcome == Outcome::Ok && has_warmed_up {
-            let max_ms = MAX_RESPONSE_SAMPLE * self.latency.expected_ms(class);
-            self.latency.record_response_ms(class, end.took_ms.min(max_ms));
-        }
-    }
-
     /// Small fleets: takes the age of own attempts at an endpoint that is not among the slowest. Each endpoint
     /// counts once, so that work piled up on a hung zone does not outweigh the rest.
     pub(crate) fn update_typical_age(&mut self) {
--- a/crates/admission/src/policy/outlier_detection.rs
+++ b/crates/admission/src/policy/outlier_detection.rs
@@ -1,4 +1,4 @@
-//! Which endpoints are outliers, and the figures by which their speed is learned.
+//! Which endpoints are outliers, and what is learned of their speed.
 use crate::event::{AttemptEnd, Outcome};
 use crate::gateway::Gateway;
 use crate::mechanism::backoff::BackoffLimits;
@@ -23,7 +23,7 @@
 pub(crate) const RESPONSE_TIME_HALF_LIFE_MS: f64 = 4000.0;
 
 /// Weights of a new sample in that value: of an own attempt, and of one that the fleet observed.
-pub(crate) const OWN_RESPONSE_TIME_GAIN: f64 = 0.1;
+const OWN_RESPONSE_TIME_GAIN: f64 = 0.1;
 pub(crate) const OBSERVED_RESPONSE_TIME_GAIN: f64 = 0.12;
 
 /// Response time in parts of the objective that is assumed at the start, and the weights of new samples.
@@ -33,7 +33,7 @@
 
 /// Largest sample of a class's response time, over the mean, and of a kind's relative response time: a few
 /// very slow endpoints must not make all look slow.
-pub(crate) const MAX_RESPONSE_SAMPLE: f64 = 2.5;
+const MAX_RESPONSE_SAMPLE: f64 = 2.5;
 pub(crate) const MAX_RELATIVE_SAMPLE: f64 = 4.0;
 
 /// Relative response time over that of its kind from which an endpoint gets less: all gateways learn the
@@ -45,7 +45,7 @@
 
 /// Weight of each observation of a class at an endpoint, and the failed part from which it is ejected for it.
 pub(crate) const CLASS_FAILURE_GAIN: f64 = 0.3;
-pub(crate) const MAX_CLASS_FAILURE_FRACTION: f64 = 0.5;
+const MAX_CLASS_FAILURE_FRACTION: f64 = 0.5;
 
 /// Typical age of attempts in flight, as a percentile over the endpoints: less than the median, since a zone
 /// of two may be gone with its work in flight. One without any counts with part of the mean response time.
@@ -146,4 +146,46 @@
         let observed = endpoint.response_time.observed(self.clock.now_ms(), baseline);
         KindDeviation { baseline, excess: (observed / baseline / CLEARLY_SLOW).max(1.0) }
     }
+
+    /// Small fleets: learns response times from an own attempt.
+    pub(crate) fn learn_response_time(&mut self, end: &AttemptEnd, class: usize) {
+        let now_ms = self.clock.now_ms();
+        let objective_fraction = end.took_ms / self.settings.classes[class].latency_objective_ms;
+        let relative = end.took_ms / self.latency.expected_ms(class);
+        let Some(endpoint) = self.endpoints.get_mut(end.endpoint) else { return };
+        let unanswered_ms = endpoint.health.unanswered_ms(now_ms);
+        let has_warmed_up = endpoint.has_warmed_up(now_ms, self.settings.warm_up_ms);
+        match end.outcome {
+            Outcome::Ok => {
+                endpoint.response_time.record_own(unanswered_ms, relative, OWN_RESPONSE_TIME_GAIN);
+                if has_warmed_up {
+                    self.latency.record_response_ms(class, end.took_ms);
+                    self.latency.record_own_fraction(objective_fraction);
+                }
+            }
+            Outcome::Overloaded => self.latency.record_own_fraction(1.0),
+            Outcome::TimedOut => {
+                endpoint.response_time.record_own_time_out(unanswered_ms, relative, OWN_RESPONSE_TIME_GAIN);
+                self.latency.record_own_fraction_at_least(objective_fraction.min(1.0));
+            }
+            _ => {}
+        }
+    }
+
+    /// Large fleets: learns the mean response time of a class from an own attempt. The rest is learned from
+    /// what the fleet observed.
+    pub(crate) fn learn_mean_response_time(&mut self, end: &AttemptEnd, class: usize) {
+        let now_ms = self.clock.now_ms();
+        let Some(endpoint) = self.endpoints.get(end.endpoint) else { return };
+        let has_warmed_up = endpoint.has_warmed_up(now_ms, self.settings.warm_up_ms);
+        if end.outcome == Outcome::Ok && has_warmed_up {
+            let max_ms = MAX_RESPONSE_SAMPLE * self.latency.expected_ms(class);
+            self.latency.record_response_ms(class, end.took_ms.min(max_ms));
+        }
+    }
+}
+
+/// Whether an endpoint fails so much of a class, by what the fleet observes, that it is ejected for it.
+pub(crate) fn fails_class(failed_fraction: f64) -> bool {
+    failed_fraction > MAX_CLASS_FAILURE_FRACTION
 }
