--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -10,6 +10,7 @@
 };
 use crate::policy::retry::INITIAL_RETRY_TOKENS;
 use crate::policy::slow_start::SEND_RATE_SPAN_S;
+use crate::policy::upkeep::UPKEEP_MS;
 use crate::settings::{Settings, SettingsError};
 use crate::state::band::InFlightBand;
 use crate::state::customer::CustomerTable;
@@ -49,16 +50,6 @@
     pub(crate) recent_observations: RecentObservations,
 }
 
-/// Time between two rounds of upkeep: short beside any latency objective, so that nothing is noticed late.
-pub(crate) const UPKEEP_MS: f64 = 20.0;
-
-/// Time between two looks at all endpoints in a large fleet, and between two rounds of upkeep there while the
-/// gateway has no request: with many gateways and endpoints each look costs more.
-const LARGE_FLEET_REVIEW_MS: f64 = 100.0;
-
-/// Time between two evictions of idle customers.
-const EVICTION_INTERVAL_MS: f64 = 1000.0;
-
 /// Bits of the incarnation: as many as three digits of a message carry.
 const INCARNATION_MASK: u64 = 0x3_ffff;
 
@@ -132,8 +123,7 @@
     /// A round of upkeep: what time alone brings about.
     fn upkeep(&mut self, actions: &mut Vec<Action>) {
         let broadcast = self.coordination.is_broadcast();
-        let idle = !broadcast && self.requests.is_empty();
-        self.schedule_tick(if idle { LARGE_FLEET_REVIEW_MS } else { UPKEEP_MS }, actions);
+        self.schedule_tick(self.upkeep_interval_ms(), actions);
         if broadcast {
             self.update_typical_age();
             self.detect_correlated_failure();
@@ -163,14 +153,9 @@
         self.retry_quota_requests(actions);
     }
 
-    /// Whether a large fleet's gateway is to look at all endpoints again.
-    fn review_is_due(&self) -> bool {
-        self.fleet_means.since_measured_ms(self.clock.now_ms()) >= LARGE_FLEET_REVIEW_MS
-    }
-
     /// Forgets idle customers from time to time.
     fn evict_idle_customers_if_due(&mut self) {
-        if self.clock.now_ms() - self.customers.evicted_ms >= EVICTION_INTERVAL_MS {
+        if self.eviction_is_due() {
             self.customers.evicted_ms = self.clock.now_ms();
             self.evict_idle_customers();
         }
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,8 +1,19 @@
-//! The decisions of the irishinge API gateway: which requests go on now and to which endpoint, which are
+//! The decisions of the irishinge API gateway: which requests are sent now and to which endpoint, which are
 //! queued, and which are rejected.
 //!
-//! The library does no I/O and reads no clock. The host program feeds [`Event`]s with a time to a [`Gateway`]
-//! and carries out the [`Action`]s it answers with.
+//! The library does no I/O and reads no clock. The host program gives a [`Gateway`] one [`Event`] after the
+//! other, each with its time, and carries out the [`Action`]s that it answers with. The same settings, seed
+//! and events bring the same actions.
+//!
+//! [`Gateway::on_event`] passes each event to the part that it concerns and then sends queued requests:
+//!
+//! - `lifecycle` takes requests in, sends attempts, and closes what has ended. `customer_lifecycle` and
+//!   `endpoint_records` do the same for the records of customers and endpoints.
+//! - `policy` decides, and holds every figure that a decision goes by; one file for each decision.
+//! - `coordination` exchanges what gateways know of the fleet: counts in small fleets, gossip in large ones,
+//!   calls to the shared counter where gateways may not send each other messages.
+//! - `state` holds the records, `messages` their form on the wire, and `mechanism` known structures that take
+//!   their figures as parameters.
 
 mod action;
 mod coordination;
--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -1,15 +1,15 @@
 //! Whether a request is admitted, queued or rejected.
 use crate::action::Action;
-use crate::gateway::{Gateway, UPKEEP_MS};
+use crate::gateway::Gateway;
 use crate::id::RequestId;
 use crate::mechanism::common_value::VoteLimits;
 use crate::policy::dispatch::MIN_WEIGHT;
+use crate::policy::upkeep::UPKEEP_MS;
 use crate::state::gateway_set::GatewaySet;
 use crate::state::quota_state::{OwnBucketCheck, QuotaDecision};
 use crate::state::request::ActiveRequest;
 
-/// For this long after its start a gateway spends only its part of each burst: it may not have heard yet what
-/// its peers spent.
+/// For this long after its start a gateway spends only its part of each burst: its peers' use is unknown.
 const STARTUP_MS: f64 = 1000.0;
 
 /// First tries of a class come with the same time left, found by vote; and the votes that make sure of it.
@@ -78,12 +78,11 @@
         let reserved = self.queue.queued_size(tag);
         let customer = self.customer_entry(tag, request.plan, gateways);
         let room = customer.quota_tokens() - reserved - withheld;
-        let within_ceiling =
-            plan.ceiling_rate_per_second <= 0.0 || customer.ceiling_tokens() >= request.units;
+        let ceiling_met = plan.ceiling_rate_per_second <= 0.0 || customer.ceiling_tokens() >= request.units;
         let wait_ms = 1000.0 * (request.units - room).max(0.0) / plan.rate_per_second;
         let check = OwnBucketCheck {
             is_met: plan.rate_per_second <= 0.0 || room >= request.units,
-            may_exceed: plan.pays_over_quota() && within_ceiling,
+            may_exceed: plan.pays_over_quota() && ceiling_met,
             retry_after_ms: Some(wait_ms).filter(|ms| ms.is_finite()),
         };
         self.requests.get_mut(id)?.within_quota = check.is_met;
--- a/crates/admission/src/policy/mod.rs
+++ b/crates/admission/src/policy/mod.rs
@@ -1,4 +1,4 @@
-//! Every decision and the figures it goes by.
+//! Every decision and the figures it goes by, one file for each.
 pub(crate) mod admission;
 pub(crate) mod coordination;
 pub(crate) mod dispatch;
@@ -9,3 +9,4 @@
 pub(crate) mod quota_owner;
 pub(crate) mod retry;
 pub(crate) mod slow_start;
+pub(crate) mod upkeep;
--- a/crates/admission/src/policy/retry.rs
+++ b/crates/admission/src/policy/retry.rs
@@ -1,8 +1,9 @@
 //! Further attempts: idempotency, retry budget, hedging, and stalled attempts.
 use crate::action::Action;
-use crate::gateway::{Gateway, UPKEEP_MS};
+use crate::gateway::Gateway;
 use crate::id::RequestId;
 use crate::messages::observation::ObservationKind;
+use crate::policy::upkeep::UPKEEP_MS;
 use crate::settings::Idempotency;
 use crate::state::attempt::{AttemptRef, PendingAttempt};
 use crate::state::endpoint::Endpoint;
--- a/crates/admission/src/state/attempt.rs
+++ b/crates/admission/src/state/attempt.rs
@@ -5,9 +5,9 @@
 use crate::state::endpoint::Endpoint;
 
 /// An attempt of a request: what was sent, to which endpoint, and what became of it.
-
 #[derive(Debug, Clone)]
 pub(crate) struct Attempt {
+    /// Where it was sent.
     pub(crate) endpoint: EndpointId,
     /// When it was sent, in milliseconds.
     pub(crate) sent_ms: f64,
@@ -83,8 +83,12 @@
 /// An attempt in flight.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PendingAttempt {
+    /// Its name.
     pub(crate) reference: AttemptRef,
+    /// Its request's class, an index into the settings.
     pub(crate) class: usize,
+    /// Where it was sent.
     pub(crate) endpoint: EndpointId,
+    /// When it was sent, in milliseconds.
     pub(crate) sent_ms: f64,
 }
