--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -29,24 +29,37 @@
 /// concern.
 #[derive(Debug, Default)]
 pub struct Gateway {
+    /// What it was started with.
     pub(crate) settings: Settings,
     /// The way in which this fleet agrees on quotas and attempts in flight.
     pub(crate) coordination: Coordination,
+    /// The time of the event being handled.
     pub(crate) clock: EventClock,
     /// Tells this start of the gateway from earlier ones.
     pub(crate) incarnation: u32,
     /// What is drawn by chance.
     pub(crate) random: SplitMix64,
+    /// The endpoints of the list.
     pub(crate) endpoints: EndpointTable,
+    /// Requests in work.
     pub(crate) requests: RequestTable,
+    /// Customers and their quotas.
     pub(crate) customers: CustomerTable,
+    /// Requests that wait to be sent.
     pub(crate) queue: VirtualFinishQueue,
+    /// How much may be in flight.
     pub(crate) band: InFlightBand,
+    /// Learned response times.
     pub(crate) latency: LatencyModel,
+    /// Failures beyond single endpoints.
     pub(crate) outliers: OutlierDetector,
+    /// What warming endpoints may be sent goes by.
     pub(crate) slow_start: SlowStart,
+    /// Tokens for further attempts.
     pub(crate) retries: RetryBudget,
+    /// Means over the gateways of a large fleet.
     pub(crate) fleet_means: FleetMeans,
+    /// Own observations of endpoints that the next messages carry.
     pub(crate) recent_observations: RecentObservations,
 }
 
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -7,8 +7,8 @@
 //!
 //! [`Gateway::on_event`] passes each event to the part that it concerns and then sends queued requests:
 //!
-//! - `lifecycle` takes requests in, sends attempts, and closes what has ended. `customer_lifecycle` and
-//!   `endpoint_records` do the same for the records of customers and endpoints.
+//! - `lifecycle` takes requests in, sends attempts, closes what has ended, and has the records of customers
+//!   and endpoints follow.
 //! - `policy` decides, and holds every figure that a decision goes by; one file for each decision.
 //! - `coordination` exchanges what gateways know of the fleet: counts in small fleets, gossip in large ones,
 //!   calls to the shared counter where gateways may not send each other messages.
@@ -17,8 +17,6 @@
 
 mod action;
 mod coordination;
-mod customer_lifecycle;
-mod endpoint_records;
 mod event;
 mod gateway;
 mod id;
--- a/crates/admission/src/lifecycle.rs
+++ b/crates/admission/src/lifecycle/requests.rs
@@ -1,24 +1,15 @@
-//! How a request and its attempts are entered into and taken out of the records.
+//! How requests are taken in, sent from the queue, and closed.
 use crate::action::Action;
-use crate::event::{AttemptEnd, Outcome, Request};
+use crate::event::Request;
 use crate::gateway::Gateway;
-use crate::id::{EndpointId, RequestId};
+use crate::id::RequestId;
 use crate::mechanism::virtual_finish_queue::FlowHead;
 use crate::messages::gossip::GossipMessage;
 use crate::messages::quota::{QuarterUnits, QuotaRelease};
-use crate::policy::coordination::REPORT_ROUNDS;
-use crate::policy::dispatch::ATTEMPT_TIMEOUT_OBJECTIVES;
-use crate::policy::in_flight_band::MAX_CREDIT_OVERDRAFT;
-use crate::policy::retry::{MAX_RETRY_TOKENS, RETRY_TOKENS_PER_REQUEST};
-use crate::state::attempt::AttemptRef;
 use crate::state::customer::customer_tag;
-use crate::state::endpoint::InFlightAttempt;
 use crate::state::quota_state::QuotaState;
 use crate::state::request::ActiveRequest;
 
-/// Shortest time-out of an attempt: the host needs one above 0.
-const MIN_TIMEOUT_MS: f64 = 1.0;
-
 impl Gateway {
     /// Takes a request in: checks it, enters it into the records, and has it admitted, queued or rejected.
     pub(crate) fn on_request(&mut self, request: Request, actions: &mut Vec<Action>) {
@@ -88,104 +79,6 @@
         }
     }
 
-    /// Starts a request's next attempt, at this endpoint, and enters it in all records.
-    pub(crate) fn send(&mut self, id: RequestId, endpoint_id: EndpointId, actions: &mut Vec<Action>) {
-        let Some(active) = self.requests.get(id) else { return };
-        if self.endpoints.get(endpoint_id).is_none() {
-            return;
-        }
-        let objective_ms = self.settings.classes[active.request.class].latency_objective_ms;
-        let time_left_ms = active.deadline_ms - self.clock.now_ms();
-        let timeout_ms = (ATTEMPT_TIMEOUT_OBJECTIVES * objective_ms).min(time_left_ms).max(MIN_TIMEOUT_MS);
-        let is_first = active.is_unsent();
-        self.band.spend_dispatch_credit(MAX_CREDIT_OVERDRAFT);
-        if is_first {
-            self.retries.earn(RETRY_TOKENS_PER_REQUEST, MAX_RETRY_TOKENS);
-        }
-        self.enter_attempt(id, endpoint_id);
-        self.count_attempt(id, is_first);
-        actions.push(Action::Send { request: id, endpoint: endpoint_id, timeout_ms });
-    }
-
-    /// Enters a new attempt in the records of its request and its endpoint.
-    fn enter_attempt(&mut self, id: RequestId, endpoint_id: EndpointId) {
-        let now = self.clock.now_ms();
-        let warm_up_budget = self.endpoints.get(endpoint_id).and_then(|e| self.warm_up_budget(e));
-        let Some(active) = self.requests.get_mut(id) else { return };
-        let Some(endpoint) = self.endpoints.get_mut(endpoint_id) else { return };
-        if let Some(budget) = warm_up_budget {
-            endpoint.warm_up_tokens.take(now, budget);
-        }
-        let AttemptRef { request, attempt } = active.start_attempt(endpoint, now);
-        endpoint.record_sent(InFlightAttempt { sent_ms: now, request, attempt });
-    }
-
-    /// Counts a new attempt to its customer, where the quota is not held by another gateway: its slot, and
-    /// with the first attempt the request's units.
-    fn count_attempt(&mut self, id: RequestId, is_first: bool) {
-        let Some(active) = self.requests.get(id).filter(|a| a.quota.holds_slot_here()) else {
-            return;
-        };
-        let Some(customer) = self.customers.get_mut(active.tag) else { return };
-        let plan = &self.settings.plans[active.request.plan];
-        let own_bucket = active.quota == QuotaState::LocalBucket;
-        customer.start_attempt();
-        if is_first {
-            customer.consume_ceiling(active.request.units);
-        }
-        if is_first && active.within_quota && plan.rate_per_second > 0.0 && own_bucket {
-            customer.consume_quota(active.request.units);
-        }
-        if plan.open_limit > 0 || (is_first && active.within_quota) {
-            self.customers.schedule_report(active.tag, REPORT_ROUNDS);
-        }
-    }
-
-    /// Takes in how an attempt ended: closes the request, tries again, or gives the final answer.
-    pub(crate) fn on_attempt_end(&mut self, end: &AttemptEnd, actions: &mut Vec<Action>) {
-        let Some(active) = self.requests.get_mut(end.request) else { return };
-        if !active.end_attempt(end.attempt, end.outcome) {
-            return;
-        }
-        let (class, plan) = (active.request.class, active.request.plan);
-        self.settle_attempt(end);
-        self.record_attempt_end(end, class, plan);
-        let Some(active) = self.requests.get(end.request) else { return };
-        if end.closed || end.outcome == Outcome::Ok || active.is_closed() {
-            self.close(end.request, actions);
-        } else if !active.has_pending()
-            && (end.outcome == Outcome::TooLate || !self.retry(end.request, actions))
-        {
-            self.finish(end.request, None, actions);
-        }
-    }
-
-    /// Settles an ended attempt with its customer: frees its slot, and takes the units by which the true
-    /// figure passed the estimate.
-    fn settle_attempt(&mut self, end: &AttemptEnd) {
-        let Some(active) = self.requests.get_mut(end.request) else { return };
-        let plan = &self.settings.plans[active.request.plan];
-        let has_quota = active.within_quota && plan.rate_per_second > 0.0;
-        // No request can count more than `max_units`: such a figure is corrupt.
-        let true_units = end.true_units.filter(|units| has_quota && *units <= self.settings.max_units);
-        let excess = true_units.map_or(0.0, |units| units - active.request.units);
-        let own_bucket = active.quota == QuotaState::LocalBucket;
-        if !own_bucket {
-            active.settled_units += excess;
-        }
-        if !active.quota.holds_slot_here() {
-            return;
-        }
-        let Some(customer) = self.customers.get_mut(active.tag) else { return };
-        customer.end_attempt();
-        if own_bucket {
-            customer.consume_quota(excess);
-        }
-        if own_bucket && (excess != 0.0 || plan.open_limit > 0) {
-            self.customers.schedule_report(active.tag, REPORT_ROUNDS);
-        }
-    }
-
     /// Gives the final answer: a rejection where trying again is harmless, else a failure.
     pub(crate) fn finish(&mut self, id: RequestId, retry_after_ms: Option<f64>, actions: &mut Vec<Action>) {
         let Some(active) = self.requests.get(id).filter(|active| !active.is_closed()) else { return };
