Say in plain terms what each figure of the quotas is, and move two that were left outside policy/

The bounds on the age of attempts and the part of a ceiling that a peer is given were literals in the exchange of messages; they are named in policy/coordination.rs, beside the choice they belong to. The table of customers has a file of its own, apart from the customer's record, and its time of eviction is private. Comments of the quota files, codecs and mechanisms say units and reasons in short sentences.

--- a/crates/admission/src/coordination/gossip.rs
+++ b/crates/admission/src/coordination/gossip.rs
@@ -3,7 +3,7 @@
 use crate::gateway::Gateway;
 use crate::mechanism::decaying_rate::DecayingRate;
 use crate::messages::gossip::{GossipMessage, MeansOnWire};
-use crate::policy::coordination::{MEAN_GAIN, MEAN_GAIN_PER_SECOND, RECEIVED_MEAN_GAIN};
+use crate::policy::coordination::{mean_attempt_age_ms, MEAN_GAIN, MEAN_GAIN_PER_SECOND, RECEIVED_MEAN_GAIN};
 use crate::policy::in_flight_band::MAX_WATERMARK;
 use crate::policy::quota_owner::{
     max_quota_messages, quota_messages_per_second, INITIAL_QUOTA_MESSAGES, QUOTA_RATE_SPAN_S,
@@ -20,7 +20,7 @@
     peers: BTreeMap<usize, GossipPeer>,
     /// Quota requests that wait for a response.
     pub(crate) requests: QuotaRequests,
-    /// Quota requests that may be sent now, so that no gateway gets more messages than it takes in.
+    /// Message tokens: each quota request takes one, so that no gateway gets more messages than it takes in.
     message_tokens: f64,
     /// Messages a second that others' quota requests and releases bring.
     received_rate: DecayingRate,
@@ -47,18 +47,18 @@
         self.peers.get_mut(&gateway)
     }
 
-    /// Quota requests that may be sent now.
+    /// Message tokens: quota requests that may be sent now.
     pub(crate) fn message_tokens(&self) -> f64 {
         self.message_tokens
     }
 
-    /// Takes the token of a quota request.
+    /// Takes the message token of a quota request.
     pub(crate) fn spend_message_token(&mut self) {
         self.message_tokens -= 1.0;
     }
 
-    /// Enters a message of a peer. One that responds to own quota requests is not of the load that others'
-    /// requests bring.
+    /// Enters a message of a peer. Messages with responses do not count as received: own quota requests bring
+    /// them, and their share of the capacity is planned for with these.
     fn record_message(&mut self, from: usize, message: &GossipMessage, now_ms: f64) {
         if let Some(peer) = self.peers.get_mut(&from) {
             peer.record_message();
@@ -68,7 +68,7 @@
         }
     }
 
-    /// Adds the quota requests that may be sent for so many seconds.
+    /// Adds the message tokens of the seconds gone by.
     fn refill_message_tokens(&mut self, settings: &Settings, seconds: f64, now_ms: f64) {
         let received = self.received_rate.now(now_ms, QUOTA_RATE_SPAN_S);
         let accrued = quota_messages_per_second(settings, received) * seconds;
@@ -113,7 +113,7 @@
         actions.push(Action::SendPeerMessage { to: Some(to), body: message.encode() });
     }
 
-    /// Adds the quota requests that may be sent for so many seconds.
+    /// Adds the message tokens of the seconds gone by.
     pub(crate) fn refill_message_tokens(&mut self, seconds: f64) {
         if let Some(gossip) = self.coordination.gossip_mut() {
             gossip.refill_message_tokens(&self.settings, seconds, self.clock.now_ms());
@@ -131,22 +131,8 @@
             // Nothing is received: this gateway's figures stand for the others'.
             self.fleet_means.receive_own();
         }
-        let age_ms = self.mean_attempt_age_ms();
+        let mean_response_ms = self.latency.mean_response_ms();
+        let age_ms = mean_attempt_age_ms(&self.settings, self.fleet_means.received(), mean_response_ms);
         self.latency.set_typical_age_ms(age_ms);
     }
-
-    /// How long attempts are in flight, by Little's law: what is in flight over what is answered shows a jam
-    /// before the answers do.
-    fn mean_attempt_age_ms(&self) -> f64 {
-        let usual_ms = self.latency.mean_response_ms();
-        let objectives = self.settings.classes.iter().map(|c| c.latency_objective_ms);
-        let longest_ms = objectives.fold(usual_ms, f64::max);
-        let means = self.fleet_means.received();
-        let age_ms = if means.responses_per_second > 0.0 {
-            1000.0 * means.stock / means.responses_per_second
-        } else {
-            usual_ms
-        };
-        age_ms.clamp(0.5 * usual_ms, 2.0 * longest_ms)
-    }
 }
--- a/crates/admission/src/coordination/quota_requests.rs
+++ b/crates/admission/src/coordination/quota_requests.rs
@@ -25,8 +25,8 @@
 }
 
 impl Gateway {
-    /// Asks whoever knows about a queued request's quota: its owner, the counter, or nobody where neither may
-    /// be asked. Then each gateway grants what it would alone.
+    /// Asks the quota's owner or the counter about a queued request. Where neither may be asked, each gateway
+    /// goes by its own bucket.
     pub(crate) fn check_quota(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         match self.coordination {
             Coordination::Gossip(_) => self.request_quota(id, 0, actions),
@@ -42,8 +42,8 @@
         }
     }
 
-    /// Asks the owner of a queued request's quota, after so many tries that it left without a response. Where
-    /// the owner is not to be asked, this gateway decides alone.
+    /// Asks the owner of a queued request's quota. `tries` counts the earlier quota requests for it that got
+    /// no response. Where the owner is not to be asked, this gateway decides alone.
     fn request_quota(&mut self, id: RequestId, tries: u32, actions: &mut Vec<Action>) {
         let Some(active) = self.requests.get(id) else { return };
         let now_ms = self.clock.now_ms();
--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -12,7 +12,7 @@
 use crate::policy::slow_start::SEND_RATE_SPAN_S;
 use crate::settings::{Settings, SettingsError};
 use crate::state::band::InFlightBand;
-use crate::state::customer::CustomerTable;
+use crate::state::customer_table::CustomerTable;
 use crate::state::endpoint::EndpointSmoothing;
 use crate::state::endpoint_table::EndpointTable;
 use crate::state::event_clock::EventClock;
@@ -159,8 +159,7 @@
 
     /// Forgets idle customers from time to time.
     fn evict_idle_customers_if_due(&mut self) {
-        if self.clock.now_ms() - self.customers.evicted_ms >= EVICTION_INTERVAL_MS {
-            self.customers.evicted_ms = self.clock.now_ms();
+        if self.customers.begin_eviction(self.clock.now_ms(), EVICTION_INTERVAL_MS) {
             self.evict_idle_customers();
         }
     }
--- a/crates/admission/src/messages/base64_digits.rs
+++ b/crates/admission/src/messages/base64_digits.rs
@@ -13,14 +13,14 @@
 const LONG_PART_MASK: u64 = 0x3fff_ffff;
 const LONG_FIRST_MASK: u64 = 0xf;
 
-/// Adds the low bits of a number as so many digits, the highest first.
+/// Adds the low bits of a number as `digits` digits, the highest first.
 pub(crate) fn put(text: &mut String, value: u32, digits: u32) {
     for place in (0..digits).rev() {
         text.push(DIGITS[(value >> (DIGIT_BITS * place) & 63) as usize] as char);
     }
 }
 
-/// Takes a number of so many digits; `None` where the text ends or holds anything else.
+/// Takes a number of `digits` digits; `None` where the text ends or holds anything else.
 pub(crate) fn take(bytes: &mut Bytes<'_>, digits: u32) -> Option<u32> {
     let mut value = 0;
     for _ in 0..digits {
--- a/crates/admission/src/messages/quota.rs
+++ b/crates/admission/src/messages/quota.rs
@@ -54,7 +54,7 @@
 pub(crate) enum QuotaVerdict {
     /// Within the quota.
     Granted,
-    /// Within the quota, with so much left that the true units need not be reported.
+    /// Within the quota, which is so full that the true units need not be reported.
     GrantedAmple,
     /// Within the quota, but all the customer's slots are taken: the request waits at the owner.
     Queued,
@@ -115,7 +115,7 @@
         f64::from(self.0.min(MAX_ONE_DIGIT)) / f64::from(MAX_ONE_DIGIT)
     }
 
-    /// Units of all requests, where those of the fraction have so many.
+    /// Units of all requests, where the requests of the fraction have `units`.
     pub(crate) fn extrapolate(self, units: f64) -> f64 {
         units * f64::from(MAX_ONE_DIGIT) / f64::from(self.0.clamp(1, MAX_ONE_DIGIT))
     }
--- a/crates/admission/src/policy/coordination.rs
+++ b/crates/admission/src/policy/coordination.rs
@@ -1,46 +1,58 @@
 //! Figures of the messages between gateways, and what they report and give to each other.
 use crate::settings::{PlanSettings, Settings};
+use crate::state::fleet_means::GatewayMeans;
 
-/// A peer's reported stock counts for this long (the design's two seconds).
+/// A peer's report counts for this long: the two seconds of the design.
 pub(crate) const PEER_TIMEOUT_MS: f64 = 2000.0;
 
-/// Fraction of the messages a gateway takes in that all its peers together use: room for chance.
+/// Fraction of the messages that a gateway takes in which all its peers together use. The rest is room for
+/// messages that come unevenly by chance.
 pub(crate) const PEER_MESSAGE_FRACTION: f64 = 0.7;
 
 /// Shortest time between two rounds of reports.
 const MIN_REPORT_INTERVAL_MS: f64 = 40.0;
 
-/// A peer is taken to take in this many messages a second at least.
+/// Messages a second that a fleet is taken to allow at least, so that the interval stays finite.
 const MIN_MESSAGES_PER_SECOND: f64 = 0.1;
 
-/// A peer receives a report from us at least this often.
+/// Longest time between two reports to a peer, also when nothing has changed: it must not take this gateway
+/// for silent.
 pub(crate) const MAX_REPORT_INTERVAL_MS: f64 = 400.0;
 
-/// Longest message, in bytes.
+/// Longest message in bytes.
 pub(crate) const MAX_MESSAGE_BYTES: usize = 256;
 
-/// Rounds in which a changed count is reported: once more than needed heals one loss at once.
+/// Rounds in which a changed count is reported. One round more than needed makes up for a lost message.
 pub(crate) const REPORT_ROUNDS: u8 = 2;
 
-/// Customers kept at most; the idle ones beyond go first.
+/// Customers from which on idle ones are forgotten sooner: a bound on memory.
 const MAX_CUSTOMERS: usize = 50_000;
 
-/// A customer is kept for so long without use at least, and for so many times as long as its quota takes to
-/// fill: it must not come back fuller than it went.
+/// An idle customer is kept for this time at least, and for this multiple of the time in which its quota
+/// fills: a forgotten customer comes back with a full quota.
 const MIN_CUSTOMER_IDLE_MS: f64 = 30_000.0;
 const IDLE_REFILLS: f64 = 2.0;
 
-/// Weight of each received mean in what this gateway passes on.
+/// Weight of each received mean in the means that this gateway passes on.
 pub(crate) const MEAN_GAIN: f64 = 0.5;
 
-/// Weight of each received mean in what the band goes by: own attempts, few and jumpy, stay out of it.
+/// Weight of each received mean in the means that the band goes by. Own figures, which are few and jump, stay
+/// out of these.
 pub(crate) const RECEIVED_MEAN_GAIN: f64 = 0.15;
 
-/// How fast the means passed on follow this gateway's own figures, a second.
+/// How fast the means that are passed on follow this gateway's own figures, a second.
 pub(crate) const MEAN_GAIN_PER_SECOND: f64 = 2.0;
 
-/// Ceiling units come in quarters.
-const CEILING_QUARTERS: f64 = 4.0;
+/// Fraction of the spare units of a ceiling that a peer is given which requests some.
+const CEILING_TRANSFER_FRACTION: f64 = 0.5;
+
+/// Units of a ceiling are given in quarters, as messages have them.
+const CEILING_STEPS_PER_UNIT: f64 = 4.0;
+
+/// Bounds on the age of attempts that follows from the means, in mean response times and in the longest
+/// latency objectives.
+const MIN_AGE_RESPONSE_TIMES: f64 = 0.5;
+const MAX_AGE_OBJECTIVES: f64 = 2.0;
 
 /// Whether gateways are few enough to send their counts to every other often enough.
 pub(crate) fn broadcast_reaches_all(settings: &Settings) -> bool {
@@ -60,15 +72,15 @@
     (1000.0 * peers / per_second).max(MIN_REPORT_INTERVAL_MS)
 }
 
-/// Units of a ceiling that are given to a peer that requests some: half of those not needed for one request
-/// here.
+/// Units of a ceiling that are given to a peer which requests some: a part of those beyond what one request
+/// here may need.
 pub(crate) fn ceiling_transfer_units(tokens: f64, max_request_units: f64) -> f64 {
     let spare = (tokens - max_request_units).max(0.0);
-    (spare * 0.5 * CEILING_QUARTERS).floor() / CEILING_QUARTERS
+    (spare * CEILING_TRANSFER_FRACTION * CEILING_STEPS_PER_UNIT).floor() / CEILING_STEPS_PER_UNIT
 }
 
-/// How long a customer without attempts in flight is kept. Among too many it goes sooner, unless it has a
-/// ceiling: a fraction of a ceiling would come back fuller.
+/// How long a customer without attempts in flight is kept. Among too many it is forgotten sooner, unless it
+/// has a ceiling, whose tokens would come back fuller than they were.
 pub(crate) fn idle_limit_ms(plan: Option<&PlanSettings>, customers: usize) -> f64 {
     if customers > MAX_CUSTOMERS && plan.is_none_or(|p| p.ceiling_rate_per_second <= 0.0) {
         return PEER_TIMEOUT_MS;
@@ -78,3 +90,16 @@
         .map_or(0.0, |p| IDLE_REFILLS * 1000.0 * p.burst_units / p.rate_per_second);
     fill_ms.max(MIN_CUSTOMER_IDLE_MS)
 }
+
+/// How long attempts are in flight, by Little's law: attempts in flight over responses a second. These means
+/// show a jam before the response times do.
+pub(crate) fn mean_attempt_age_ms(settings: &Settings, means: GatewayMeans, mean_response_ms: f64) -> f64 {
+    let objectives = settings.classes.iter().map(|class| class.latency_objective_ms);
+    let longest_ms = objectives.fold(mean_response_ms, f64::max);
+    let age_ms = if means.responses_per_second > 0.0 {
+        1000.0 * means.stock / means.responses_per_second
+    } else {
+        mean_response_ms
+    };
+    age_ms.clamp(MIN_AGE_RESPONSE_TIMES * mean_response_ms, MAX_AGE_OBJECTIVES * longest_ms)
+}
--- a/crates/admission/src/policy/quota_counter.rs
+++ b/crates/admission/src/policy/quota_counter.rs
@@ -6,29 +6,32 @@
 use crate::state::counter_account::{CatchUp, CountedRequest};
 use crate::state::request::{ActiveRequest, QuotaState};
 
-/// Length of a count's epoch: the counter keeps no name longer.
+/// Length of a count's epoch, after which the count begins anew under another name: the counter keeps no name
+/// for longer.
 pub(crate) const COUNT_EPOCH_MS: f64 = 60_000.0;
 
-/// Fraction of the burst by which a count may lie behind the clock. What a customer saves beyond the burst
-/// until then is little, and each customer that comes back after a while costs one more call.
+/// Fraction of the burst by which a count may lie behind the clock. A count is not raised sooner, since each
+/// customer that comes back after a while would cost one more call; what it can save beyond its burst until
+/// then is little.
 const MAX_LAG_FRACTION: f64 = 0.25;
 
-/// When another gateway has raised the count by this fraction of what is to be raised, both have: one takes
-/// it back.
+/// Where others added more than this fraction of the units by which a gateway raised a count, another gateway
+/// has raised it as well: one of them takes its units back.
 const DOUBLE_RAISE_FRACTION: f64 = 0.5;
 
 /// Above this fraction of the burst the quota is ample: the true units need not be reported.
 pub(crate) const AMPLE_FRACTION: f64 = 0.5;
 
-/// The counter serves so many calls a second, and works through those, too, that nobody waits for. Each total
-/// raises the fraction of the requests that it is asked about by this, each call without one multiplies it by
-/// this factor, down to the least; what is asked about stands for the rest. So the gateways share what it can
-/// do.
+/// The counter serves a limited number of calls a second, also calls that nobody waits for any more. So the
+/// gateways share it as TCP shares a link: each total received raises the fraction of the requests that the
+/// counter is asked about by the increase, each call without a total multiplies it by the decrease, down to
+/// the least. The requests asked about stand for the others.
 const SAMPLING_INCREASE: f64 = 0.01;
 const SAMPLING_DECREASE: f64 = 0.85;
 const MIN_COUNTER_SAMPLING: f64 = 0.05;
 
-/// So many requests one stands for at most: after an outage a few would empty every quota.
+/// Requests that one request stands for at most. Without a limit a few would empty every quota after an
+/// outage of the counter.
 const MAX_SAMPLE_WEIGHT: f64 = 3.0;
 
 impl Gateway {
@@ -47,8 +50,9 @@
         sampled.then_some(CountedRequest { id, units, added_units: units * weight })
     }
 
-    /// Units to give back for those that were taken in vain. Each such call is one question fewer: where the
-    /// counter can't answer all, the same fraction of them is made, and each stands for the others.
+    /// Units to give back for a request whose units were taken but not used. Each such call leaves the
+    /// counter one request fewer. So only a fraction of them is made, as of the requests, and each stands for
+    /// the others.
     pub(crate) fn refund_units(&mut self, units: f64) -> f64 {
         let fraction = self.counter_sampling_fraction().max(1.0 / MAX_SAMPLE_WEIGHT);
         if self.random.next_fraction() < fraction {
@@ -81,13 +85,13 @@
     active.quota = if active.within_quota { admitted } else { over_quota(plan) };
 }
 
-/// Tokens to assume where the counter said nothing. Most customers are well inside their quota, and those
-/// last seen over it wait.
+/// Tokens to assume where the counter gave no total. Most customers are well inside their quota, and those
+/// last seen over it stay over it until the rate has brought enough.
 pub(crate) fn assumed_tokens(plan: &PlanSettings, tokens_at_most: Option<f64>) -> f64 {
     tokens_at_most.unwrap_or(plan.burst_units)
 }
 
-/// Units by which to raise a count that shows so many tokens; `None` where it is not far behind the clock.
+/// Units by which to raise a count that shows these tokens; `None` where it is not far behind the clock.
 pub(crate) fn catch_up_units(plan: &PlanSettings, tokens: f64) -> Option<f64> {
     let behind = tokens - plan.burst_units;
     (behind > MAX_LAG_FRACTION * plan.burst_units).then_some(behind)
--- a/crates/admission/src/policy/quota_owner.rs
+++ b/crates/admission/src/policy/quota_owner.rs
@@ -12,15 +12,18 @@
 use crate::state::quota_requests::QuotaRoute;
 use crate::state::request::{ActiveRequest, QuotaState};
 
-/// An owner misses a response after this fraction of the shortest objective, and after this long at least.
+/// How long a gateway waits for an owner's response: this fraction of the shortest latency objective, and
+/// this time at least.
 const RESPONSE_WAIT_FRACTION: f64 = 0.1;
 const MIN_RESPONSE_WAIT_MS: f64 = 60.0;
 
-/// A gateway that missed so many responses in a row is sent no quota requests for so long.
+/// After this many missed responses in a row a gateway is suspected to be down. It is then sent no quota
+/// requests for this time.
 pub(crate) const SUSPECT_MISSED_RESPONSES: u32 = 2;
 pub(crate) const SUSPECT_MS: f64 = 2500.0;
 
-/// A quota request is sent again so often, and only with more than this fraction of the messages saved up.
+/// A quota request is sent again at most this often, and only while more than this fraction of the message
+/// tokens is left.
 const MAX_QUOTA_RETRIES: u32 = 3;
 const RETRY_TOKENS_FRACTION: f64 = 0.5;
 
@@ -29,27 +32,29 @@
 const QUOTA_MESSAGE_FRACTION: f64 = 0.9;
 const MIN_QUOTA_MESSAGE_FRACTION: f64 = 0.2;
 
-/// Quota requests that may be sent at once after the start.
+/// Message tokens for quota requests that a gateway starts with.
 pub(crate) const INITIAL_QUOTA_MESSAGES: f64 = 10.0;
 
 /// Fraction of a ceiling that the quota's owner holds. The next in the ranking, which takes over when the
 /// owner is silent, holds the rest.
 const OWNER_CEILING_FRACTION: f64 = 0.6;
 
-/// An owner wants to be asked for so many times what it grants, where it is asked for more.
+/// Where the owner receives more requests than it grants, it wants to be asked about this multiple of what it
+/// grants.
 const SAMPLING_HEADROOM: f64 = 1.5;
 
-/// And for this fraction at least. What it said loses weight over so long.
+/// The owner wants to be asked about this fraction of the requests at least. A fraction that it gave loses
+/// weight over this time; then the other gateways ask about all requests again.
 const MIN_SAMPLING_FRACTION: f64 = 0.05;
 pub(crate) const SAMPLING_TTL_MS: f64 = 3000.0;
 
 /// Span over which an owner smooths what is requested and granted.
 pub(crate) const QUOTA_RATE_SPAN_S: f64 = 1.5;
 
-/// Mean response times that a request needs once it is granted: a later grant comes in vain.
+/// Mean response times that must be left once a request is granted: a later grant is of no use.
 const RESERVED_RESPONSE_TIMES: f64 = 0.8;
 
-/// Requests that may wait at the owner, for each slot of the plan.
+/// Requests that may wait at the owner for each slot of the plan.
 const MAX_WAITING_PER_SLOT: usize = 4;
 
 impl Gateway {
@@ -59,8 +64,8 @@
         active.objective_at_ms.min(active.deadline_ms) - reserved_ms
     }
 
-    /// Whether the owner is asked. Where it wants only some requests, the others are most likely over the
-    /// quota.
+    /// Whether the owner is asked about a request. Where it wants to be asked about some only, the others are
+    /// most likely over the quota.
     pub(crate) fn quota_route(&mut self, owner: usize, tries: u32, sampling: SamplingFraction) -> QuotaRoute {
         let sampled = self.random.next_fraction() <= sampling.fraction();
         let message_tokens = self.coordination.gossip().map_or(0.0, |gossip| gossip.message_tokens());
@@ -76,9 +81,8 @@
     }
 
     /// Decides on a request whose quota's owner can't be asked, or does not respond. Most customers are well
-    /// inside their quota, so where the band has room it goes on by what this gateway itself passed of the
-    /// customer. Not so where the owner lately said that there is too little for what is requested, and never
-    /// under a ceiling.
+    /// inside their quota, so while the band has room this gateway's own bucket decides. It does not where
+    /// the owner lately granted less than was requested, and never under a ceiling.
     pub(crate) fn decide_without_owner(&mut self, id: RequestId, likely_within: bool) {
         let room = self.band_is_ungated();
         let Some(active) = self.requests.get_mut(id) else { return };
@@ -136,12 +140,12 @@
     (RESPONSE_WAIT_FRACTION * settings.shortest_objective_ms()).max(MIN_RESPONSE_WAIT_MS)
 }
 
-/// Whether a quota request that got no response after so many tries is sent again.
+/// Whether a quota request that has been sent again `tries` times without a response is sent once more.
 pub(crate) fn may_retry_quota_request(settings: &Settings, tries: u32, message_tokens: f64) -> bool {
     tries < MAX_QUOTA_RETRIES && message_tokens > RETRY_TOKENS_FRACTION * max_quota_messages(settings)
 }
 
-/// What the owner decides on a new quota request of so many units, by ceiling, quota and slots.
+/// What the owner decides on a new quota request, by ceiling, quota and slots.
 pub(crate) fn verdict(customer: &Customer, plan: &PlanSettings, units: f64) -> QuotaVerdict {
     if plan.ceiling_rate_per_second > 0.0 && customer.ceiling_tokens() < units {
         return QuotaVerdict::OverQuota;
@@ -165,7 +169,7 @@
     customer.grants.active() < plan.open_limit as usize
 }
 
-/// Whether so much of a customer's quota is left that the true units of what is granted need not be reported.
+/// Whether a customer's quota is so full that the true units of what is granted need not be reported.
 pub(crate) fn quota_is_ample(customer: &Customer, plan: &PlanSettings) -> bool {
     let ample_units = AMPLE_FRACTION * plan.burst_units;
     plan.rate_per_second > 0.0 && plan.open_limit == 0 && customer.quota_tokens() > ample_units
--- a/crates/admission/src/state/customer.rs
+++ b/crates/admission/src/state/customer.rs
@@ -7,7 +7,7 @@
 use crate::state::counter_account::CounterAccount;
 use crate::state::gateway_set::GatewaySet;
 use crate::state::quota_grants::QuotaGrants;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// A customer as this gateway knows it.
 #[derive(Debug, Clone)]
@@ -76,7 +76,7 @@
 
 impl Customer {
     /// A customer of whom nothing is known: a full quota.
-    fn new(now_ms: f64) -> Self {
+    pub(crate) fn new(now_ms: f64) -> Self {
         Customer {
             plan: None,
             // Until its first request here tells.
@@ -152,6 +152,11 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
+    /// How long no request of the customer came in here and no report of it from a peer.
+    pub(crate) fn idle_ms(&self, now_ms: f64) -> f64 {
+        now_ms - self.last_used_ms
+    }
+
     /// Own attempts in flight.
     pub(crate) fn in_flight(&self) -> u32 {
         self.in_flight
@@ -242,6 +247,16 @@
         self.reports.consumed_units
     }
 
+    /// Has the own count sent in the next rounds.
+    pub(crate) fn schedule_report(&mut self, rounds: u8) {
+        self.reports.pending_rounds = rounds;
+    }
+
+    /// Has peers asked for units of the ceiling in the next round.
+    pub(crate) fn request_ceiling(&mut self) {
+        self.reports.ceiling_requested = true;
+    }
+
     /// Whether the own count is to be sent in this round.
     pub(crate) fn report_pending(&self) -> bool {
         self.reports.pending_rounds > 0
@@ -282,97 +297,6 @@
     }
 }
 
-/// What is known of customers, by tag.
-#[derive(Debug, Default)]
-pub(crate) struct CustomerTable {
-    by_tag: BTreeMap<u64, Customer>,
-    /// Customers of whom something is to be sent to peers.
-    unreported: BTreeSet<u64>,
-    /// When idle customers were last evicted.
-    pub(crate) evicted_ms: f64,
-}
-
-impl CustomerTable {
-    /// A customer's record.
-    pub(crate) fn get(&self, tag: u64) -> Option<&Customer> {
-        self.by_tag.get(&tag)
-    }
-
-    /// A customer's record, to be changed.
-    pub(crate) fn get_mut(&mut self, tag: u64) -> Option<&mut Customer> {
-        self.by_tag.get_mut(&tag)
-    }
-
-    /// A customer's record, made where there is none.
-    pub(crate) fn get_or_insert(&mut self, tag: u64, now_ms: f64) -> &mut Customer {
-        self.by_tag.entry(tag).or_insert_with(|| Customer::new(now_ms))
-    }
-
-    /// Brings a customer's quota and ceiling up to now.
-    pub(crate) fn refill(&mut self, tag: u64, plan: &PlanSettings, now_ms: f64) {
-        if let Some(customer) = self.by_tag.get_mut(&tag) {
-            customer.refill(plan, now_ms);
-        }
-    }
-
-    /// Whether a customer's plan is known.
-    pub(crate) fn knows_plan(&self, tag: u64) -> bool {
-        self.by_tag.get(&tag).is_some_and(|c| c.plan.is_some())
-    }
-
-    /// Has a customer's count sent to peers in the next rounds.
-    pub(crate) fn schedule_report(&mut self, tag: u64, rounds: u8) {
-        if let Some(customer) = self.by_tag.get_mut(&tag) {
-            customer.reports.pending_rounds = rounds;
-            self.unreported.insert(tag);
-        }
-    }
-
-    /// Has peers asked for units of a customer's ceiling in the next round.
-    pub(crate) fn schedule_ceiling_request(&mut self, tag: u64) {
-        if let Some(customer) = self.by_tag.get_mut(&tag) {
-            customer.reports.ceiling_requested = true;
-            self.unreported.insert(tag);
-        }
-    }
-
-    /// Takes units of a customer's ceiling for a peer, to be sent in the next round.
-    pub(crate) fn schedule_ceiling_transfer(&mut self, tag: u64, peer: usize, units: f64) {
-        if let Some(customer) = self.by_tag.get_mut(&tag) {
-            customer.transfer_ceiling(peer, units);
-            self.unreported.insert(tag);
-        }
-    }
-
-    /// Customers of whom something is to be sent to peers.
-    pub(crate) fn unreported(&self) -> Vec<u64> {
-        self.unreported.iter().copied().collect()
-    }
-
-    /// Nothing more of a customer is to be sent.
-    pub(crate) fn mark_reported(&mut self, tag: u64) {
-        self.unreported.remove(&tag);
-    }
-
-    /// Drops all that is to be sent, in a fleet that broadcasts no counts.
-    pub(crate) fn clear_unreported(&mut self) {
-        self.unreported.clear();
-    }
-
-    /// How many customers are known.
-    pub(crate) fn len(&self) -> usize {
-        self.by_tag.len()
-    }
-
-    /// Forgets customers that have nothing in flight and were not used for the time that `idle_limit_ms`
-    /// gives for their plan.
-    pub(crate) fn evict_idle(&mut self, now_ms: f64, idle_limit_ms: impl Fn(Option<usize>) -> f64) {
-        self.by_tag.retain(|_, customer| {
-            customer.in_flight > 0 || now_ms - customer.last_used_ms < idle_limit_ms(customer.plan)
-        });
-    }
-}
-
 /// A customer's short name in messages.
 pub(crate) fn customer_tag(id: CustomerId) -> u32 {
     short_tag(id.0)
--- /dev/null
+++ b/crates/admission/src/state/customer_table.rs
@@ -0,0 +1,104 @@
+//! The customers that a gateway knows, and those of whom something is to be sent to peers.
+use crate::settings::PlanSettings;
+use crate::state::customer::Customer;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What is known of customers, by tag.
+#[derive(Debug, Default)]
+pub(crate) struct CustomerTable {
+    by_tag: BTreeMap<u64, Customer>,
+    /// Customers of whom something is to be sent to peers.
+    unreported: BTreeSet<u64>,
+    /// When idle customers were last evicted.
+    evicted_ms: f64,
+}
+
+impl CustomerTable {
+    /// A customer's record.
+    pub(crate) fn get(&self, tag: u64) -> Option<&Customer> {
+        self.by_tag.get(&tag)
+    }
+
+    /// A customer's record, to be changed.
+    pub(crate) fn get_mut(&mut self, tag: u64) -> Option<&mut Customer> {
+        self.by_tag.get_mut(&tag)
+    }
+
+    /// A customer's record, made where there is none.
+    pub(crate) fn get_or_insert(&mut self, tag: u64, now_ms: f64) -> &mut Customer {
+        self.by_tag.entry(tag).or_insert_with(|| Customer::new(now_ms))
+    }
+
+    /// Brings a customer's quota and ceiling up to now.
+    pub(crate) fn refill(&mut self, tag: u64, plan: &PlanSettings, now_ms: f64) {
+        if let Some(customer) = self.by_tag.get_mut(&tag) {
+            customer.refill(plan, now_ms);
+        }
+    }
+
+    /// Whether a customer's plan is known.
+    pub(crate) fn knows_plan(&self, tag: u64) -> bool {
+        self.by_tag.get(&tag).is_some_and(|customer| customer.plan().is_some())
+    }
+
+    /// Has a customer's count sent to peers in the next rounds.
+    pub(crate) fn schedule_report(&mut self, tag: u64, rounds: u8) {
+        if let Some(customer) = self.by_tag.get_mut(&tag) {
+            customer.schedule_report(rounds);
+            self.unreported.insert(tag);
+        }
+    }
+
+    /// Has peers asked for units of a customer's ceiling in the next round.
+    pub(crate) fn schedule_ceiling_request(&mut self, tag: u64) {
+        if let Some(customer) = self.by_tag.get_mut(&tag) {
+            customer.request_ceiling();
+            self.unreported.insert(tag);
+        }
+    }
+
+    /// Takes units of a customer's ceiling for a peer, to be sent in the next round.
+    pub(crate) fn schedule_ceiling_transfer(&mut self, tag: u64, peer: usize, units: f64) {
+        if let Some(customer) = self.by_tag.get_mut(&tag) {
+            customer.transfer_ceiling(peer, units);
+            self.unreported.insert(tag);
+        }
+    }
+
+    /// Customers of whom something is to be sent to peers.
+    pub(crate) fn unreported(&self) -> Vec<u64> {
+        self.unreported.iter().copied().collect()
+    }
+
+    /// Nothing more of a customer is to be sent.
+    pub(crate) fn mark_reported(&mut self, tag: u64) {
+        self.unreported.remove(&tag);
+    }
+
+    /// Drops all that is to be sent, in a fleet that broadcasts no counts.
+    pub(crate) fn clear_unreported(&mut self) {
+        self.unreported.clear();
+    }
+
+    /// How many customers are known.
+    pub(crate) fn len(&self) -> usize {
+        self.by_tag.len()
+    }
+
+    /// Begins a round of eviction, where the last one lies the interval back; `false` where it does not.
+    pub(crate) fn begin_eviction(&mut self, now_ms: f64, interval_ms: f64) -> bool {
+        let is_due = now_ms - self.evicted_ms >= interval_ms;
+        if is_due {
+            self.evicted_ms = now_ms;
+        }
+        is_due
+    }
+
+    /// Forgets customers that have nothing in flight and were not used for the time that `idle_limit_ms`
+    /// gives for their plan.
+    pub(crate) fn evict_idle(&mut self, now_ms: f64, idle_limit_ms: impl Fn(Option<usize>) -> f64) {
+        self.by_tag.retain(|_, customer| {
+            customer.in_flight() > 0 || customer.idle_ms(now_ms) < idle_limit_ms(customer.plan())
+        });
+    }
+}
--- a/crates/admission/src/state/fleet_means.rs
+++ b/crates/admission/src/state/fleet_means.rs
@@ -58,8 +58,8 @@
         now_ms - self.measured_ms
     }
 
-    /// Brings the means towards this gateway's own figures, at so much a second. The rate of responses is
-    /// smoothed over a span.
+    /// Brings the means that are passed on towards this gateway's own figures, at a gain per second. The rate
+    /// of responses is smoothed over a span.
     pub(crate) fn measure(&mut self, own_stock: f64, now_ms: f64, gain_per_second: f64, span_s: f64) {
         let seconds = self.since_measured_ms(now_ms).max(0.0) / 1000.0;
         self.measured_ms = now_ms;
--- a/crates/admission/src/state/mod.rs
+++ b/crates/admission/src/state/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod candidate;
 pub(crate) mod counter_account;
 pub(crate) mod customer;
+pub(crate) mod customer_table;
 pub(crate) mod endpoint;
 pub(crate) mod endpoint_health;
 pub(crate) mod endpoint_table;
--- a/crates/admission/src/state/peer.rs
+++ b/crates/admission/src/state/peer.rs
@@ -80,15 +80,16 @@
         true
     }
 
-    /// Adds the messages that the peer may be sent for the time since the last call; one may always be saved.
+    /// Adds the messages that the peer may be sent for the time since the last call. Those of a second may be
+    /// saved up, and one at least.
     pub(crate) fn accrue_credit(&mut self, messages_per_second: f64, now_ms: f64) {
         let accrued = messages_per_second * (now_ms - self.credit_ms) / 1000.0;
         self.credit = (self.credit + accrued).min(messages_per_second.max(1.0));
         self.credit_ms = now_ms;
     }
 
-    /// Whether a message may be sent: the peer can take one, and the message says anything new or the last
-    /// one is so old.
+    /// Whether a message is to be sent: the peer can take one, and either the message says something new or
+    /// the last one was sent longer ago than the interval.
     pub(crate) fn wants(&self, message: &CountsMessage, now_ms: f64, max_interval_ms: f64) -> bool {
         let nothing_new =
             message.is_empty() && self.sent_stock == message.stock && now_ms - self.sent_ms < max_interval_ms;
@@ -125,8 +126,8 @@
         *self = GossipPeer::default();
     }
 
-    /// Enters a quota request that the peer did not respond to in time. From so many in a row on it is
-    /// suspected.
+    /// Enters a quota request that the peer did not respond to in time. After `suspect_after` of these in a
+    /// row it is suspected.
     pub(crate) fn record_missed_response(&mut self, suspect_after: u32, suspect_until_ms: f64) {
         self.missed_responses += 1;
         if self.missed_responses >= suspect_after {
--- a/crates/admission/src/state/quota_grants.rs
+++ b/crates/admission/src/state/quota_grants.rs
@@ -61,7 +61,7 @@
         self.requested_rate.add(units, now_ms, span_s);
     }
 
-    /// Grants a request of so many units.
+    /// Grants a request.
     pub(crate) fn grant(&mut self, grant: Grant, units: f64, now_ms: f64, span_s: f64) {
         self.granted_rate.add(units, now_ms, span_s);
         self.granted.push(grant);
