--- a/crates/admission/src/policy/quota_owner.rs
+++ b/crates/admission/src/policy/quota_owner.rs
@@ -10,7 +10,8 @@
 use crate::state::customer::Customer;
 use crate::state::gateway_set::{GatewaySet, RankedGateway};
 use crate::state::quota_requests::QuotaRoute;
-use crate::state::request::{ActiveRequest, QuotaState};
+use crate::state::quota_state::QuotaState;
+use crate::state::request::ActiveRequest;
 
 /// How long a gateway waits for an owner's response: this fraction of the shortest latency objective, and
 /// this time at least.
--- /dev/null
+++ b/crates/admission/src/state/quota_state.rs
@@ -0,0 +1,73 @@
+//! Where a request stands with its customer's quota.
+
+/// Who decides whether a request is within its customer's quota, and what was decided.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub(crate) enum QuotaState {
+    /// This gateway's own token bucket decides; nobody is asked.
+    #[default]
+    LocalBucket,
+    /// The quota's owner was asked and has not answered.
+    AwaitingOwner { owner: usize, number: u32, at_ms: f64, tries: u32 },
+    /// The owner keeps the request waiting until the customer has a free slot.
+    QueuedAtOwner { owner: usize, number: u32 },
+    /// The owner granted it.
+    GrantedByOwner { owner: usize, number: u32 },
+    /// It is over the quota. Within the ceiling it may still be sent while there is room.
+    OverQuota { within_ceiling: bool },
+    /// The quota counter was asked and has not answered.
+    AwaitingCounter,
+    /// It may be sent: the counter said so, or was not asked about it.
+    AdmittedByCounter { asked: bool },
+}
+
+impl QuotaState {
+    /// What has been decided already; `None` where this gateway's own records are still to be checked.
+    pub(crate) fn decision(&self) -> Option<QuotaDecision> {
+        match self {
+            QuotaState::LocalBucket | QuotaState::AdmittedByCounter { .. } => None,
+            QuotaState::GrantedByOwner { .. } => Some(QuotaDecision::Admit),
+            QuotaState::OverQuota { .. } => Some(QuotaDecision::OverQuota),
+            QuotaState::AwaitingOwner { .. }
+            | QuotaState::QueuedAtOwner { .. }
+            | QuotaState::AwaitingCounter => Some(QuotaDecision::Wait),
+        }
+    }
+
+    /// Whether the request's attempts count to its customer at this gateway; else the quota's owner counts
+    /// them.
+    pub(crate) fn holds_slot_here(&self) -> bool {
+        matches!(self, QuotaState::LocalBucket | QuotaState::AdmittedByCounter { .. })
+    }
+
+    /// Whether a response of this owner to the quota request of this number is awaited.
+    pub(crate) fn awaits_response(&self, from: usize, response_to: u32) -> bool {
+        match *self {
+            QuotaState::AwaitingOwner { owner, number, .. } | QuotaState::QueuedAtOwner { owner, number } => {
+                owner == from && number == response_to
+            }
+            _ => false,
+        }
+    }
+}
+
+/// Whether a request may be sent as far as its customer's quota goes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum QuotaDecision {
+    /// It may be sent now.
+    Admit,
+    /// It stays queued: an answer, a slot or a part of the ceiling is still to come.
+    Wait,
+    /// It is over the quota, so it leaves the queue.
+    OverQuota,
+}
+
+/// What the customer's token bucket at this gateway says of a new request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OwnBucketCheck {
+    /// The request is within the quota.
+    pub(crate) is_met: bool,
+    /// Beyond its quota the request may still be sent where there is room.
+    pub(crate) may_exceed: bool,
+    /// When the bucket will have filled enough for the request; `None` where it never does.
+    pub(crate) retry_after_ms: Option<f64>,
+}
