--- a/crates/admission/src/coordination/broadcast.rs
+++ b/crates/admission/src/coordination/broadcast.rs
@@ -10,8 +10,7 @@
     MAX_REPORT_INTERVAL_MS,
 };
 use crate::settings::Settings;
-use crate::state::customer::{Customer, PeerCount};
-use crate::state::peer::{peer_indices, BroadcastPeer};
+use crate::state::{peer_indices, BroadcastPeer, Customer, PeerCount};
 use std::collections::BTreeMap;
 
 /// What a gateway of a small fleet knows of the others.
--- a/crates/admission/src/coordination/counter_calls.rs
+++ b/crates/admission/src/coordination/counter_calls.rs
@@ -9,10 +9,9 @@
     settlement_units, COUNT_EPOCH_MS,
 };
 use crate::settings::PlanSettings;
-use crate::state::counter_account::{CatchUp, CountedRequest, CounterCall, CounterEpoch};
-use crate::state::gateway_set::GatewaySet;
-use crate::state::quota_state::QuotaState;
-use crate::state::request::ActiveRequest;
+use crate::state::{
+    ActiveRequest, CatchUp, CountedRequest, CounterCall, CounterEpoch, GatewaySet, QuotaState,
+};
 
 impl Gateway {
     /// Asks the counter about a queued request's quota, or decides by what was last seen: the customer cannot
--- a/crates/admission/src/coordination/gossip.rs
+++ b/crates/admission/src/coordination/gossip.rs
@@ -9,9 +9,7 @@
     max_quota_messages, quota_messages_per_second, INITIAL_QUOTA_MESSAGES, QUOTA_RATE_SPAN_S,
 };
 use crate::settings::Settings;
-use crate::state::fleet_means::GatewayMeans;
-use crate::state::peer::{peer_indices, GossipPeer};
-use crate::state::quota_requests::QuotaRequests;
+use crate::state::{peer_indices, GatewayMeans, GossipPeer, QuotaRequests};
 use std::collections::BTreeMap;
 
 /// What a gateway of a large fleet knows of the others, and what it is to send them.
--- a/crates/admission/src/coordination/mod.rs
+++ b/crates/admission/src/coordination/mod.rs
@@ -10,8 +10,7 @@
 use crate::coordination::gossip::Gossip;
 use crate::policy::coordination::broadcast_reaches_all;
 use crate::settings::Settings;
-use crate::state::counter_account::CounterCalls;
-use crate::state::peer::BroadcastPeer;
+use crate::state::{BroadcastPeer, CounterCalls};
 
 /// The way in which the fleet's gateways agree on quotas and on attempts in flight, with the state that only
 /// this way has. It follows from the settings alone, so that it is settled once, when the gateway starts, and
--- a/crates/admission/src/coordination/observations.rs
+++ b/crates/admission/src/coordination/observations.rs
@@ -10,7 +10,7 @@
     OBSERVATION_SPAN_S, OBSERVED_RESPONSE_TIME_GAIN, SCOPED_EJECTION,
 };
 use crate::policy::quota_owner::QUOTA_RATE_SPAN_S;
-use crate::state::observed_health::EjectionScope;
+use crate::state::EjectionScope;
 
 impl Gateway {
     /// Records what an own attempt's end shows of its endpoint.
--- a/crates/admission/src/coordination/quota_grants.rs
+++ b/crates/admission/src/coordination/quota_grants.rs
@@ -7,9 +7,7 @@
     has_free_slot, quota_is_ample, verdict, wanted_sampling_fraction, QUOTA_RATE_SPAN_S,
 };
 use crate::settings::PlanSettings;
-use crate::state::customer::Customer;
-use crate::state::gateway_set::GatewaySet;
-use crate::state::quota_grants::Grant;
+use crate::state::{Customer, GatewaySet, Grant};
 
 /// A quota request as the owner goes by it.
 #[derive(Debug, Clone, Copy)]
--- a/crates/admission/src/coordination/quota_requests.rs
+++ b/crates/admission/src/coordination/quota_requests.rs
@@ -6,12 +6,9 @@
 use crate::messages::gossip::GossipMessage;
 use crate::messages::quota::{QuotaRequest, QuotaResponse, QuotaVerdict, SamplingFraction, WaitBudget};
 use crate::policy::quota_owner::{
-    may_retry_quota_request, reachable_owner, response_wait_ms, SAMPLING_TTL_MS, SUSPECT_MISSED_RESPONSES,
-    SUSPECT_MS,
+    may_retry_quota_request, response_wait_ms, SAMPLING_TTL_MS, SUSPECT_MISSED_RESPONSES, SUSPECT_MS,
 };
-use crate::state::gateway_set::GatewaySet;
-use crate::state::quota_requests::QuotaRoute;
-use crate::state::quota_state::QuotaState;
+use crate::state::{GatewaySet, QuotaRoute, QuotaState};
 
 /// A quota request that the owner did not respond to in time.
 #[derive(Debug, Clone, Copy)]
@@ -56,7 +53,7 @@
             SamplingFraction::nearest_above_zero(customer.sampling_fraction_now(now_ms, SAMPLING_TTL_MS));
         let Some(gossip) = self.coordination.gossip_mut() else { return };
         let suspected = |gateway| gossip.is_suspected(gateway, now_ms);
-        let owner = reachable_owner(tag, &gateways, suspected).unwrap_or(self.settings.me);
+        let owner = gateways.owner(tag, suspected).unwrap_or(self.settings.me);
         let number = gossip.requests.number_for(previous, owner);
         let quota_request = QuotaRequest {
             customer: tag,
--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -12,18 +12,10 @@
 use crate::policy::slow_start::SEND_RATE_SPAN_S;
 use crate::policy::upkeep::{EVICTION_INTERVAL_MS, UPKEEP_MS};
 use crate::settings::{Settings, SettingsError};
-use crate::state::band::InFlightBand;
-use crate::state::customer_table::CustomerTable;
-use crate::state::endpoint::EndpointSmoothing;
-use crate::state::endpoint_table::EndpointTable;
-use crate::state::event_clock::EventClock;
-use crate::state::fleet_means::FleetMeans;
-use crate::state::latency_model::LatencyModel;
-use crate::state::outlier_detector::OutlierDetector;
-use crate::state::recent_observations::RecentObservations;
-use crate::state::request::RequestTable;
-use crate::state::retry_budget::RetryBudget;
-use crate::state::slow_start::SlowStart;
+use crate::state::{
+    CustomerTable, EndpointSmoothing, EndpointTable, EventClock, FleetMeans, InFlightBand, LatencyModel,
+    OutlierDetector, RecentObservations, RequestTable, RetryBudget, SlowStart,
+};
 
 /// One gateway's decisions: takes events in and answers with actions. Each part owns the state of one
 /// concern.
--- a/crates/admission/src/lifecycle/attempts.rs
+++ b/crates/admission/src/lifecycle/attempts.rs
@@ -7,9 +7,7 @@
 use crate::policy::dispatch::ATTEMPT_TIMEOUT_OBJECTIVES;
 use crate::policy::in_flight_band::MAX_CREDIT_OVERDRAFT;
 use crate::policy::retry::{MAX_RETRY_TOKENS, RETRY_TOKENS_PER_REQUEST};
-use crate::state::attempt::AttemptRef;
-use crate::state::endpoint::InFlightAttempt;
-use crate::state::quota_state::QuotaState;
+use crate::state::{AttemptRef, InFlightAttempt, QuotaState};
 
 /// Shortest time-out of an attempt: the host needs one above 0.
 const MIN_TIMEOUT_MS: f64 = 1.0;
--- a/crates/admission/src/lifecycle/customers.rs
+++ b/crates/admission/src/lifecycle/customers.rs
@@ -1,8 +1,7 @@
 //! How customers are entered into the records and evicted from them.
 use crate::gateway::Gateway;
 use crate::policy::coordination::idle_limit_ms;
-use crate::state::customer::Customer;
-use crate::state::gateway_set::GatewaySet;
+use crate::state::{Customer, GatewaySet};
 
 impl Gateway {
     /// The record of a customer whose request came in through these gateways, brought up to now and made
--- a/crates/admission/src/lifecycle/endpoints.rs
+++ b/crates/admission/src/lifecycle/endpoints.rs
@@ -10,8 +10,7 @@
     EJECTION, EJECTION_JITTER, ERROR_GAIN, IDLE_AGE_FRACTION, OVERLOAD_EJECTION_FRACTION,
     TYPICAL_AGE_PERCENTILE,
 };
-use crate::state::endpoint::Endpoint;
-use crate::state::slow_start::WarmUpBudget;
+use crate::state::{Endpoint, WarmUpBudget};
 
 impl Gateway {
     /// Learns an endpoint's speed and health from how an attempt ended.
@@ -41,8 +40,8 @@
         self.endpoints.remove_if_finished(end.endpoint);
     }
 
-    /// Small fleets: takes the age of own attempts at an endpoint that is not among the slowest. Each endpoint
-    /// counts once, so that work piled up on a hung zone does not outweigh the rest.
+    /// Small fleets: takes the age of own attempts at an endpoint that is not among the slowest. Each
+    /// endpoint counts once, so that work piled up on a hung zone does not outweigh the rest.
     pub(crate) fn update_typical_age(&mut self) {
         let idle_age_ms = IDLE_AGE_FRACTION * self.latency.mean_response_ms();
         let age = |e: &Endpoint| e.mean_in_flight_age_ms(self.clock.now_ms()).unwrap_or(idle_age_ms);
@@ -68,8 +67,8 @@
         self.slow_start.set_warm_send_rates(rates.into_iter());
     }
 
-    /// Mean of own attempts in flight at a warm endpoint. Large fleets draw by weights that fall with attempts
-    /// in flight: endpoints that are warming up, with none, would draw most of the work.
+    /// Mean of own attempts in flight at a warm endpoint. Large fleets draw by weights that fall with
+    /// attempts in flight: endpoints that are warming up, with none, would draw most of the work.
     pub(crate) fn mean_warm_in_flight(&self) -> f64 {
         let warm = self.endpoints.ready().filter(|e| !self.is_warming_up(e));
         let counts: Vec<usize> = warm.map(|e| e.in_flight().len()).collect();
--- a/crates/admission/src/lifecycle/requests.rs
+++ b/crates/admission/src/lifecycle/requests.rs
@@ -6,9 +6,7 @@
 use crate::mechanism::virtual_finish_queue::FlowHead;
 use crate::messages::gossip::GossipMessage;
 use crate::messages::quota::{QuarterUnits, QuotaRelease};
-use crate::state::customer::customer_tag;
-use crate::state::quota_state::QuotaState;
-use crate::state::request::ActiveRequest;
+use crate::state::{customer_tag, ActiveRequest, QuotaState};
 
 impl Gateway {
     /// Takes a request in: checks it, enters it into the records, and has it admitted, queued or rejected.
--- a/crates/admission/src/mechanism/backoff.rs
+++ b/crates/admission/src/mechanism/backoff.rs
@@ -39,8 +39,8 @@
         self.failures
     }
 
-    /// Counts a failure and starts its delay, times `jitter`. A failure while a delay runs counts for nothing:
-    /// it belongs to the same trouble.
+    /// Counts a failure and starts its delay, times `jitter`. A failure while a delay runs counts for
+    /// nothing: it belongs to the same trouble.
     pub(crate) fn record_failure(&mut self, now_ms: f64, limits: BackoffLimits, jitter: f64) {
         if self.is_active(now_ms) {
             return;
--- a/crates/admission/src/messages/observation.rs
+++ b/crates/admission/src/messages/observation.rs
@@ -13,8 +13,8 @@
 /// Highest code that two digits hold.
 const MAX_CODE: u32 = 4095;
 
-/// Scale of response times: steps to an octave, octaves below the objective at which it begins, its highest step,
-/// and the shortest response time that is told apart from none, in parts of the objective.
+/// Scale of response times: steps to an octave, octaves below the objective at which it begins, its highest
+/// step, and the shortest response time that is told apart from none, in parts of the objective.
 const STEPS_PER_OCTAVE: f64 = 5.0;
 const OCTAVES_BELOW_OBJECTIVE: f64 = 6.0;
 const MAX_STEP: f64 = 60.0;
--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -5,9 +5,7 @@
 use crate::mechanism::common_value::VoteLimits;
 use crate::policy::dispatch::MIN_WEIGHT;
 use crate::policy::upkeep::UPKEEP_MS;
-use crate::state::gateway_set::GatewaySet;
-use crate::state::quota_state::{OwnBucketCheck, QuotaDecision};
-use crate::state::request::ActiveRequest;
+use crate::state::{ActiveRequest, GatewaySet, OwnBucketCheck, QuotaDecision};
 
 /// For this long after its start a gateway spends only its part of each burst: its peers' use is unknown.
 const STARTUP_MS: f64 = 1000.0;
--- a/crates/admission/src/policy/coordination.rs
+++ b/crates/admission/src/policy/coordination.rs
@@ -1,6 +1,6 @@
 //! Figures of the messages between gateways, and what they report and give to each other.
 use crate::settings::{PlanSettings, Settings};
-use crate::state::fleet_means::GatewayMeans;
+use crate::state::GatewayMeans;
 
 /// A peer's report counts for this long: the two seconds of the design.
 pub(crate) const PEER_TIMEOUT_MS: f64 = 2000.0;
@@ -94,8 +94,7 @@
 /// How long attempts are in flight, by Little's law: attempts in flight over responses a second. These means
 /// show a jam before the response times do.
 pub(crate) fn mean_attempt_age_ms(settings: &Settings, means: GatewayMeans, mean_response_ms: f64) -> f64 {
-    let objectives = settings.classes.iter().map(|class| class.latency_objective_ms);
-    let longest_ms = objectives.fold(mean_response_ms, f64::max);
+    let longest_ms = settings.longest_objective_ms().max(mean_response_ms);
     let age_ms = if means.responses_per_second > 0.0 {
         1000.0 * means.stock / means.responses_per_second
     } else {
--- a/crates/admission/src/policy/dispatch.rs
+++ b/crates/admission/src/policy/dispatch.rs
@@ -5,8 +5,7 @@
 use crate::mechanism::virtual_finish_queue::FlowHead;
 use crate::policy::coordination::PEER_TIMEOUT_MS;
 use crate::settings::PlanSettings;
-use crate::state::customer::Customer;
-use crate::state::quota_state::{QuotaDecision, QuotaState};
+use crate::state::{Customer, QuotaDecision, QuotaState};
 
 /// Time-out of an attempt, in latency objectives. Later responses have little value, but while the endpoint
 /// may still work the attempt belongs to the stock: a shorter time-out let in more than endpoints could do.
--- a/crates/admission/src/policy/endpoint_selection.rs
+++ b/crates/admission/src/policy/endpoint_selection.rs
@@ -5,9 +5,7 @@
 use crate::policy::outlier_detection::MIN_HEALTHY_FRACTION;
 use crate::policy::slow_start::{WARM_UP_BUDGET_FRACTION, WARM_UP_WEIGHT};
 use crate::settings::Idempotency;
-use crate::state::candidate::{Candidate, ZoneCapacity};
-use crate::state::endpoint::Endpoint;
-use crate::state::request::ActiveRequest;
+use crate::state::{ActiveRequest, Candidate, Endpoint, ZoneCapacity};
 
 /// Largest part of its attempts that a gateway of a large fleet sends within its zone: the rest shows it how
 /// remote zones do. It sends to one of 60 endpoints too seldom to find a connection open; to those of its
--- a/crates/admission/src/policy/in_flight_band.rs
+++ b/crates/admission/src/policy/in_flight_band.rs
@@ -3,8 +3,7 @@
 use crate::id::RequestId;
 use crate::policy::coordination::PEER_TIMEOUT_MS;
 use crate::policy::outlier_detection::{CLEARLY_SLOW, HUNG_STALL_RATIO};
-use crate::state::band::{Band, BandLoad, BandPosition};
-use crate::state::endpoint::Endpoint;
+use crate::state::{Band, BandLoad, BandPosition, Endpoint};
 
 /// Attempts in flight per ready endpoint where the band starts, the paper's `watermarkPerBackend`. The
 /// watermark never falls below it, however slow the responses.
--- a/crates/admission/src/policy/outlier_detection.rs
+++ b/crates/admission/src/policy/outlier_detection.rs
@@ -2,9 +2,7 @@
 use crate::event::{AttemptEnd, Outcome};
 use crate::gateway::Gateway;
 use crate::mechanism::backoff::BackoffLimits;
-use crate::state::endpoint::Endpoint;
-use crate::state::latency_model::LatencyGains;
-use crate::state::relative_response_time::KindDeviation;
+use crate::state::{Endpoint, KindDeviation, LatencyGains};
 
 /// Mean response times without an answer that count as a stall: with several attempts in flight, with one,
 /// and for an attempt given up to count as a failure. The mean counts as at least this many typical ages.
--- a/crates/admission/src/policy/quota_counter.rs
+++ b/crates/admission/src/policy/quota_counter.rs
@@ -3,9 +3,7 @@
 use crate::gateway::Gateway;
 use crate::id::RequestId;
 use crate::settings::PlanSettings;
-use crate::state::counter_account::{CatchUp, CountedRequest};
-use crate::state::quota_state::QuotaState;
-use crate::state::request::ActiveRequest;
+use crate::state::{ActiveRequest, CatchUp, CountedRequest, QuotaState};
 
 /// Length of a count's epoch, after which the count begins anew under another name: the counter keeps no name
 /// for longer.
--- a/crates/admission/src/policy/quota_owner.rs
+++ b/crates/admission/src/policy/quota_owner.rs
@@ -7,11 +7,7 @@
 use crate::policy::dispatch::ATTEMPT_TIMEOUT_OBJECTIVES;
 use crate::policy::quota_counter::AMPLE_FRACTION;
 use crate::settings::{PlanSettings, Settings};
-use crate::state::customer::Customer;
-use crate::state::gateway_set::{GatewaySet, RankedGateway};
-use crate::state::quota_requests::QuotaRoute;
-use crate::state::quota_state::QuotaState;
-use crate::state::request::ActiveRequest;
+use crate::state::{ActiveRequest, Customer, GatewaySet, QuotaRoute, QuotaState, RankedGateway};
 
 /// How long a gateway waits for an owner's response: this fraction of the shortest latency objective, and
 /// this time at least.
@@ -95,8 +91,7 @@
 
     /// How long a grant counts beyond the time that its request may wait: as long as an attempt may take.
     pub(crate) fn grant_lifetime_ms(&self) -> f64 {
-        let objectives = self.settings.classes.iter().map(|c| c.latency_objective_ms);
-        ATTEMPT_TIMEOUT_OBJECTIVES * objectives.fold(0.0, f64::max)
+        ATTEMPT_TIMEOUT_OBJECTIVES * self.settings.longest_objective_ms()
     }
 
     /// This gateway's fraction of a customer's ceiling. With an owner, only it and the next in the ranking
@@ -114,16 +109,6 @@
     }
 }
 
-/// The first gateway in a customer's ranking that is not suspected; `None` where all are.
-pub(crate) fn reachable_owner(
-    tag: u64,
-    gateways: &GatewaySet,
-    suspected: impl Fn(usize) -> bool,
-) -> Option<usize> {
-    let ranking = gateways.rendezvous_ranking(tag).filter(|g| !suspected(g.gateway));
-    ranking.min().map(|g| g.gateway)
-}
-
 /// Messages a second that own quota requests may use: what others' messages and the responses leave free.
 pub(crate) fn quota_messages_per_second(settings: &Settings, received_per_second: f64) -> f64 {
     let capacity = settings.peer_messages_per_second;
--- a/crates/admission/src/policy/retry.rs
+++ b/crates/admission/src/policy/retry.rs
@@ -5,10 +5,7 @@
 use crate::messages::observation::ObservationKind;
 use crate::policy::upkeep::UPKEEP_MS;
 use crate::settings::Idempotency;
-use crate::state::attempt::{AttemptRef, PendingAttempt};
-use crate::state::endpoint::Endpoint;
-use crate::state::observed_health::EjectionScope;
-use crate::state::request::ActiveRequest;
+use crate::state::{ActiveRequest, AttemptRef, EjectionScope, Endpoint, PendingAttempt};
 
 /// Retry tokens at the start, those that each first attempt brings, and the limit to which they are saved up.
 pub(crate) const INITIAL_RETRY_TOKENS: f64 = 10.0;
--- a/crates/admission/src/policy/slow_start.rs
+++ b/crates/admission/src/policy/slow_start.rs
@@ -2,8 +2,7 @@
 use crate::gateway::Gateway;
 use crate::id::RequestId;
 use crate::mechanism::splitmix64::{fraction, mix};
-use crate::state::endpoint::Endpoint;
-use crate::state::slow_start::{FleetCapacity, WarmUpBudget};
+use crate::state::{Endpoint, FleetCapacity, WarmUpBudget};
 
 /// Part of the warm-up budget that is used: work sizes vary, and endpoints of a kind differ in speed.
 pub(crate) const WARM_UP_BUDGET_FRACTION: f64 = 0.6;
@@ -27,11 +26,8 @@
 impl Gateway {
     /// Part of its capacity that an endpoint has at least, by its age.
     pub(crate) fn warm_fraction(&self, endpoint: &Endpoint) -> f64 {
-        let (settings, now_ms) = (&self.settings, self.clock.now_ms());
-        let warm_up_ms = Some(settings.warm_up_ms).filter(|ms| *ms > 0.0);
-        let (Some(age_ms), Some(warm_up_ms)) = (endpoint.age_ms(now_ms), warm_up_ms) else { return 1.0 };
-        let progress = (age_ms / warm_up_ms).clamp(0.0, 1.0);
-        settings.cold_start_fraction + (1.0 - settings.cold_start_fraction) * progress
+        let settings = &self.settings;
+        endpoint.warm_fraction(self.clock.now_ms(), settings.warm_up_ms, settings.cold_start_fraction)
     }
 
     /// Whether an endpoint has not its full capacity yet.
--- a/crates/admission/src/settings.rs
+++ b/crates/admission/src/settings.rs
@@ -5,8 +5,8 @@
 pub enum Idempotency {
     /// Running it again does no harm.
     Idempotent,
-    /// It carries an idempotency key: endpoints of the group drop a repeat of a key for a time after its first
-    /// use.
+    /// It carries an idempotency key: endpoints of the group drop a repeat of a key for a time after its
+    /// first use.
     IdempotencyKey {
         /// The endpoints among which repeats are dropped.
         group: DedupGroup,
@@ -149,6 +149,11 @@
         self.classes.iter().map(|class| class.latency_objective_ms).fold(f64::INFINITY, f64::min)
     }
 
+    /// The longest latency objective of all classes, in milliseconds.
+    pub(crate) fn longest_objective_ms(&self) -> f64 {
+        self.classes.iter().map(|class| class.latency_objective_ms).fold(0.0, f64::max)
+    }
+
     /// The lowest priority weight of all classes.
     pub(crate) fn lowest_priority_weight(&self) -> f64 {
         self.classes.iter().map(|class| class.priority_weight).fold(f64::INFINITY, f64::min)
--- a/crates/admission/src/state/attempt.rs
+++ b/crates/admission/src/state/attempt.rs
@@ -2,7 +2,7 @@
 use crate::event::Outcome;
 use crate::id::{EndpointId, RequestId};
 use crate::settings::DedupGroup;
-use crate::state::endpoint::Endpoint;
+use crate::state::Endpoint;
 
 /// An attempt of a request: what was sent, to which endpoint, and what became of it.
 #[derive(Debug, Clone)]
--- a/crates/admission/src/state/band.rs
+++ b/crates/admission/src/state/band.rs
@@ -1,6 +1,5 @@
 //! The in-flight band's state: watermark, dispatch credit, and whether requests are held back.
-use crate::state::endpoint::Endpoint;
-use crate::state::peer::BroadcastPeer;
+use crate::state::{BroadcastPeer, Endpoint};
 
 /// The in-flight band of one gateway.
 #[derive(Debug, Default)]
--- a/crates/admission/src/state/candidate.rs
+++ b/crates/admission/src/state/candidate.rs
@@ -1,5 +1,5 @@
 //! Endpoints weighed against each other for one attempt.
-use crate::state::endpoint::Endpoint;
+use crate::state::Endpoint;
 use std::collections::BTreeMap;
 
 /// An endpoint that an attempt may be sent to.
--- a/crates/admission/src/state/customer.rs
+++ b/crates/admission/src/state/customer.rs
@@ -4,9 +4,7 @@
 use crate::mechanism::token_bucket::TokenBucket;
 use crate::messages::counts::ConsumedUnits;
 use crate::settings::PlanSettings;
-use crate::state::counter_account::CounterAccount;
-use crate::state::gateway_set::GatewaySet;
-use crate::state::quota_grants::QuotaGrants;
+use crate::state::{CounterAccount, GatewaySet, QuotaGrants};
 use std::collections::BTreeMap;
 
 /// A customer as this gateway knows it.
--- a/crates/admission/src/state/customer_table.rs
+++ b/crates/admission/src/state/customer_table.rs
@@ -1,6 +1,6 @@
 //! The customers that a gateway knows, and those of whom something is to be sent to peers.
 use crate::settings::PlanSettings;
-use crate::state::customer::Customer;
+use crate::state::Customer;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What is known of customers, by tag.
--- a/crates/admission/src/state/endpoint.rs
+++ b/crates/admission/src/state/endpoint.rs
@@ -2,10 +2,7 @@
 use crate::event::{EndpointEntry, EndpointState};
 use crate::id::{EndpointId, RequestId};
 use crate::mechanism::decaying_rate::DecayingRate;
-use crate::state::endpoint_health::EndpointHealth;
-use crate::state::observed_health::ObservedHealth;
-use crate::state::relative_response_time::RelativeResponseTime;
-use crate::state::slow_start::WarmUpTokens;
+use crate::state::{EndpointHealth, ObservedHealth, RelativeResponseTime, WarmUpTokens};
 
 /// One of this gateway's own attempts at an endpoint that has not ended.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -67,8 +64,8 @@
         }
     }
 
-    /// Takes over a new line of the list. A process that has restarted since owes nothing to what the last one
-    /// did; only the attempts in flight stay.
+    /// Takes over a new line of the list. A process that has restarted since owes nothing to what the last
+    /// one did; only the attempts in flight stay.
     pub(crate) fn update(&mut self, entry: EndpointEntry, now_ms: f64, warm_up_tokens: f64) {
         let restarted = entry.started_at_ms != self.entry.started_at_ms && entry.started_at_ms.is_some();
         if restarted {
@@ -119,6 +116,14 @@
         self.entry.started_at_ms.map(|started_ms| now_ms - started_ms)
     }
 
+    /// Part of its capacity that it has at least: from `initial` at the start of its process it rises evenly
+    /// to 1 in `warm_up_ms`.
+    pub(crate) fn warm_fraction(&self, now_ms: f64, warm_up_ms: f64, initial: f64) -> f64 {
+        let Some(age_ms) = self.age_ms(now_ms).filter(|_| warm_up_ms > 0.0) else { return 1.0 };
+        let progress = (age_ms / warm_up_ms).clamp(0.0, 1.0);
+        initial + (1.0 - initial) * progress
+    }
+
     /// Whether its process started at least `warm_up_ms` ago.
     pub(crate) fn has_warmed_up(&self, now_ms: f64, warm_up_ms: f64) -> bool {
         self.age_ms(now_ms).is_none_or(|age_ms| age_ms >= warm_up_ms)
--- a/crates/admission/src/state/endpoint_health.rs
+++ b/crates/admission/src/state/endpoint_health.rs
@@ -20,8 +20,8 @@
         EndpointHealth { answered_ms: now_ms, error_fraction: 0.0, ejection: Backoff::default() }
     }
 
-    /// Records how an own attempt ended. An answer of any kind is a sign of life; errors and broken connections
-    /// count by `error_gain` in the smoothed fraction.
+    /// Records how an own attempt ended. An answer of any kind is a sign of life; errors and broken
+    /// connections count by `error_gain` in the smoothed fraction.
     pub(crate) fn record_outcome(&mut self, outcome: Outcome, now_ms: f64, error_gain: f64) {
         match outcome {
             Outcome::Ok => {
--- a/crates/admission/src/state/endpoint_table.rs
+++ b/crates/admission/src/state/endpoint_table.rs
@@ -2,7 +2,7 @@
 use crate::event::{EndpointEntry, ListKind};
 use crate::id::EndpointId;
 use crate::mechanism::splitmix64::{short_tag, SplitMix64};
-use crate::state::endpoint::{Endpoint, EndpointSmoothing};
+use crate::state::{Endpoint, EndpointSmoothing};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The endpoints of the list, and those gone from it that still have own attempts in flight.
--- a/crates/admission/src/state/gateway_set.rs
+++ b/crates/admission/src/state/gateway_set.rs
@@ -59,4 +59,11 @@
     pub(crate) fn rendezvous_ranking(&self, tag: u64) -> impl Iterator<Item = RankedGateway> {
         self.members().map(move |gateway| RankedGateway::new(tag, gateway))
     }
+
+    /// The owner of a customer's quota: the first in the ranking that is not suspected to be down. `None`
+    /// where all are.
+    pub(crate) fn owner(&self, tag: u64, is_suspected: impl Fn(usize) -> bool) -> Option<usize> {
+        let reachable = self.rendezvous_ranking(tag).filter(|ranked| !is_suspected(ranked.gateway));
+        reachable.min().map(|ranked| ranked.gateway)
+    }
 }
--- a/crates/admission/src/state/quota_requests.rs
+++ b/crates/admission/src/state/quota_requests.rs
@@ -1,6 +1,6 @@
 //! Quota requests that this gateway sent to owners and that wait for a response.
 use crate::id::RequestId;
-use crate::state::quota_state::QuotaState;
+use crate::state::QuotaState;
 use std::collections::BTreeMap;
 
 /// Numbers of quota requests have 12 bits in messages.
--- a/crates/admission/src/state/request.rs
+++ b/crates/admission/src/state/request.rs
@@ -1,9 +1,7 @@
 //! Requests in work.
 use crate::event::{Outcome, Request};
 use crate::id::{EndpointId, RequestId};
-use crate::state::attempt::{Attempt, AttemptRef, PendingAttempt};
-use crate::state::endpoint::Endpoint;
-use crate::state::quota_state::QuotaState;
+use crate::state::{Attempt, AttemptRef, Endpoint, PendingAttempt, QuotaState};
 use std::collections::BTreeMap;
 
 /// A request taken in, until it is answered and all its attempts have ended.
