Merge the quotas' customer table and figures into the band's work

The table tells when an eviction is due; its interval stays with the other intervals in policy/upkeep.rs.

--- a/crates/admission/src/policy/upkeep.rs
+++ b/crates/admission/src/policy/upkeep.rs
@@ -9,7 +9,7 @@
 const LARGE_FLEET_REVIEW_MS: f64 = 100.0;
 
 /// Time between two evictions of idle customers.
-const EVICTION_INTERVAL_MS: f64 = 1000.0;
+pub(crate) const EVICTION_INTERVAL_MS: f64 = 1000.0;
 
 impl Gateway {
     /// Time until the next round of upkeep.
@@ -26,9 +26,4 @@
     pub(crate) fn review_is_due(&self) -> bool {
         self.fleet_means.since_measured_ms(self.clock.now_ms()) >= LARGE_FLEET_REVIEW_MS
     }
-
-    /// Whether idle customers are to be evicted again.
-    pub(crate) fn eviction_is_due(&self) -> bool {
-        self.clock.now_ms() - self.customers.evicted_ms >= EVICTION_INTERVAL_MS
-    }
 }
