Give customers' keys a type of their own

A customer is known by its whole id in a large fleet and by a 24-bit tag in a small one; both went about as bare numbers, beside the names of counts and the tags of endpoints. CustomerTag is the key of the records, made in one place from the fleet's way of coordination.

--- a/crates/admission/src/coordination/broadcast.rs
+++ b/crates/admission/src/coordination/broadcast.rs
@@ -2,6 +2,7 @@
 use crate::action::Action;
 use crate::coordination::Coordination;
 use crate::gateway::Gateway;
+use crate::id::CustomerTag;
 use crate::messages::counts::{
     CeilingTransfer, ConsumedUnits, CountEntry, CountsMessage, QuotaFill, WatermarkOnWire, MAX_CUSTOMER_LEN,
 };
@@ -56,17 +57,17 @@
     }
 
     /// Adds what is to be said of a customer to the messages to its gateways.
-    fn add(&mut self, tag: u32, customer: &mut Customer, entry: CountEntry) {
+    fn add(&mut self, customer: &mut Customer, entry: CountEntry) {
         for peer in customer.gateways().members() {
             let Some(message) = self.message_with_room(peer) else { continue };
             if customer.report_pending() {
                 message.counts.push(entry);
             }
             if customer.ceiling_requested() {
-                message.ceiling_requests.push(tag);
+                message.ceiling_requests.push(entry.tag);
             }
             if let Some(units) = customer.take_ceiling_transfer(peer) {
-                message.ceiling_transfers.push(CeilingTransfer::new(tag, units));
+                message.ceiling_transfers.push(CeilingTransfer::new(entry.tag, units));
             }
         }
     }
@@ -99,12 +100,12 @@
             customer.refill(plan, self.clock.now_ms());
             let fill = if plan.burst_units > 0.0 { customer.quota_tokens() / plan.burst_units } else { 1.0 };
             let entry = CountEntry {
-                tag: tag as u32,
+                tag: tag.short(),
                 consumed: ConsumedUnits::new(customer.consumed_units()),
                 fill: QuotaFill::at_most(fill),
                 in_flight: customer.in_flight(),
             };
-            round.add(tag as u32, customer, entry);
+            round.add(customer, entry);
             if !customer.end_report_round() {
                 self.customers.mark_reported(tag);
             }
@@ -144,7 +145,7 @@
             self.apply_count(from, message.incarnation, entry);
         }
         for tag in &message.ceiling_requests {
-            self.on_ceiling_request(from, u64::from(*tag));
+            self.on_ceiling_request(from, CustomerTag::from_short(*tag));
         }
         for transfer in &message.ceiling_transfers {
             self.on_ceiling_transfer(transfer);
@@ -154,7 +155,7 @@
     /// Applies a peer's count of one customer.
     fn apply_count(&mut self, from: usize, incarnation: u32, entry: &CountEntry) {
         let now_ms = self.clock.now_ms();
-        let customer = self.customers.get_or_insert(u64::from(entry.tag), now_ms);
+        let customer = self.customers.get_or_insert(CustomerTag::from_short(entry.tag), now_ms);
         let plan = customer.plan().map(|p| &self.settings.plans[p]);
         let count = PeerCount {
             incarnation,
@@ -167,7 +168,7 @@
 
     /// Gives units of a customer's ceiling to a peer that requests them. They are taken off before the peer
     /// learns of them, so that they are never there twice.
-    fn on_ceiling_request(&mut self, from: usize, tag: u64) {
+    fn on_ceiling_request(&mut self, from: usize, tag: CustomerTag) {
         let Some(customer) = self.customers.get_mut(tag) else { return };
         let Some(plan) = customer.plan().map(|p| &self.settings.plans[p]) else { return };
         customer.refill(plan, self.clock.now_ms());
@@ -179,7 +180,7 @@
 
     /// Adds units of a customer's ceiling that a peer gave.
     fn on_ceiling_transfer(&mut self, transfer: &CeilingTransfer) {
-        let Some(customer) = self.customers.get_mut(u64::from(transfer.tag)) else { return };
+        let Some(customer) = self.customers.get_mut(CustomerTag::from_short(transfer.tag)) else { return };
         let Some(plan) = customer.plan().map(|p| &self.settings.plans[p]) else { return };
         customer.refill(plan, self.clock.now_ms());
         customer.receive_ceiling(plan, transfer.units());
--- a/crates/admission/src/coordination/counter_calls.rs
+++ b/crates/admission/src/coordination/counter_calls.rs
@@ -3,7 +3,7 @@
 use crate::coordination::Coordination;
 use crate::event::CounterOutcome;
 use crate::gateway::Gateway;
-use crate::id::RequestId;
+use crate::id::{CustomerTag, RequestId};
 use crate::policy::quota_counter::{
     assumed_tokens, catch_up_units, decide_by_count, over_quota, raised_twice, sampling_fraction_after,
     settlement_units, COUNT_EPOCH_MS,
@@ -54,14 +54,14 @@
     }
 
     /// Queues a call after the customer's others.
-    fn queue_counter_call(&mut self, tag: u64, call: CounterCall) {
+    fn queue_counter_call(&mut self, tag: CustomerTag, call: CounterCall) {
         if let Some(customer) = self.customers.get_mut(tag) {
             customer.counter.push(call);
         }
     }
 
     /// Makes a customer's next call, where none is in flight.
-    pub(crate) fn call_counter(&mut self, tag: u64, actions: &mut Vec<Action>) {
+    pub(crate) fn call_counter(&mut self, tag: CustomerTag, actions: &mut Vec<Action>) {
         let name = CounterEpoch::at(tag, self.clock.now_ms(), COUNT_EPOCH_MS).name;
         let Some(customer) = self.customers.get_mut(tag) else { return };
         let Coordination::Counter(calls) = &mut self.coordination else { return };
@@ -115,7 +115,7 @@
     /// Decides on a request by the total after its units were added.
     fn on_total_of_request(
         &mut self,
-        tag: u64,
+        tag: CustomerTag,
         plan: &PlanSettings,
         request: CountedRequest,
         total: f64,
@@ -129,7 +129,13 @@
     }
 
     /// Decides on a request that the counter said nothing about.
-    fn on_no_total(&mut self, tag: u64, plan: &PlanSettings, request: CountedRequest, rejected: bool) {
+    fn on_no_total(
+        &mut self,
+        tag: CustomerTag,
+        plan: &PlanSettings,
+        request: CountedRequest,
+        rejected: bool,
+    ) {
         let Some(customer) = self.customers.get_mut(tag) else { return };
         let tokens = assumed_tokens(plan, customer.counter.tokens_at_most(plan, self.clock.now_ms()));
         if rejected {
@@ -140,7 +146,13 @@
 
     /// Decides on a request, given the customer's tokens before it, and enters what it takes. What does not
     /// go on inside the quota takes nothing.
-    fn decide_counted(&mut self, tag: u64, plan: &PlanSettings, request: CountedRequest, tokens: f64) {
+    fn decide_counted(
+        &mut self,
+        tag: CustomerTag,
+        plan: &PlanSettings,
+        request: CountedRequest,
+        tokens: f64,
+    ) {
         let refund_units = self.refund_units(request.units);
         let active = self.requests.get_mut(request.id).filter(|active| active.awaits_counter());
         let taken = match active {
--- a/crates/admission/src/coordination/quota_grants.rs
+++ b/crates/admission/src/coordination/quota_grants.rs
@@ -1,6 +1,7 @@
 //! Owning a customer's quota: responding to the quota requests of other gateways.
 use crate::action::Action;
 use crate::gateway::Gateway;
+use crate::id::CustomerTag;
 use crate::messages::gossip::GossipMessage;
 use crate::messages::quota::{QuotaRelease, QuotaRequest, QuotaResponse, QuotaVerdict, SamplingFraction};
 use crate::policy::quota_owner::{
@@ -56,7 +57,7 @@
         let gateways = self.gateways_of(from, request)?;
         let now_ms = self.clock.now_ms();
         let received = self.received_request(from, request);
-        let customer = self.customer_entry(request.customer, request.plan as usize, gateways);
+        let customer = self.customer_entry(CustomerTag(request.customer), request.plan as usize, gateways);
         customer.grants.expire(now_ms);
         let verdict = account(customer, &plan, &received, now_ms);
         let (verdict, fraction) = match verdict {
@@ -92,7 +93,7 @@
     /// one.
     fn on_quota_release(&mut self, from: usize, release: QuotaRelease, actions: &mut Vec<Action>) {
         let max_units = self.settings.max_units.max(1.0);
-        let Some(customer) = self.customers.get_mut(release.customer) else { return };
+        let Some(customer) = self.customers.get_mut(CustomerTag(release.customer)) else { return };
         let Some(plan) = customer.plan().map(|p| &self.settings.plans[p]) else { return };
         if !customer.grants.release(from, release.number) {
             return;
@@ -103,12 +104,12 @@
             customer.settle_grant(plan, additional_units);
         }
         if plan.open_limit > 0 && has_free_slot(customer, plan) {
-            self.grant_next_waiting(release.customer, actions);
+            self.grant_next_waiting(CustomerTag(release.customer), actions);
         }
     }
 
     /// Grants a free slot to the request that has waited longest.
-    fn grant_next_waiting(&mut self, tag: u64, actions: &mut Vec<Action>) {
+    fn grant_next_waiting(&mut self, tag: CustomerTag, actions: &mut Vec<Action>) {
         let now_ms = self.clock.now_ms();
         let lifetime_ms = self.grant_lifetime_ms();
         let Some(customer) = self.customers.get_mut(tag) else { return };
--- a/crates/admission/src/coordination/quota_requests.rs
+++ b/crates/admission/src/coordination/quota_requests.rs
@@ -59,7 +59,7 @@
         let owner = reachable_owner(tag, &gateways, suspected).unwrap_or(self.settings.me);
         let number = gossip.requests.number_for(previous, owner);
         let quota_request = QuotaRequest {
-            customer: tag,
+            customer: tag.0,
             plan: request.plan as u32,
             units: request.units.ceil().max(0.0) as u32,
             first_gateway: gateways.first() as u32,
--- a/crates/admission/src/customer_lifecycle.rs
+++ b/crates/admission/src/customer_lifecycle.rs
@@ -1,13 +1,29 @@
 //! How customers are entered into the records and evicted from them.
 use crate::gateway::Gateway;
+use crate::id::{CustomerId, CustomerTag};
+use crate::mechanism::splitmix64::short_tag;
 use crate::policy::coordination::idle_limit_ms;
 use crate::state::customer::Customer;
 use crate::state::gateway_set::GatewaySet;
 
 impl Gateway {
+    /// The key of a customer in the records.
+    pub(crate) fn customer_tag(&self, customer: CustomerId) -> CustomerTag {
+        if self.coordination.is_broadcast() {
+            CustomerTag::from_short(short_tag(customer.0))
+        } else {
+            CustomerTag(customer.0)
+        }
+    }
+
     /// The record of a customer whose request came in through these gateways, brought up to now and made
     /// where there is none.
-    pub(crate) fn customer_entry(&mut self, tag: u64, plan: usize, gateways: GatewaySet) -> &mut Customer {
+    pub(crate) fn customer_entry(
+        &mut self,
+        tag: CustomerTag,
+        plan: usize,
+        gateways: GatewaySet,
+    ) -> &mut Customer {
         let now_ms = self.clock.now_ms();
         if !self.customers.knows_plan(tag) {
             let ceiling_fraction = self.ceiling_fraction(tag, &gateways);
--- a/crates/admission/src/id.rs
+++ b/crates/admission/src/id.rs
@@ -8,6 +8,23 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CustomerId(pub u64);
 
+/// The key of a customer in a gateway's records. In a large fleet it is the whole id. In a small fleet it is
+/// the short tag that the messages between gateways name the customer by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct CustomerTag(pub(crate) u64);
+
+impl CustomerTag {
+    /// The key of a customer that a message names by its short tag.
+    pub(crate) fn from_short(tag: u32) -> Self {
+        CustomerTag(u64::from(tag))
+    }
+
+    /// The low 32 bits, which are the short tag where the key is one.
+    pub(crate) fn short(self) -> u32 {
+        self.0 as u32
+    }
+}
+
 /// An endpoint's id, the same at every gateway and after a restart of its process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct EndpointId(pub u64);
--- a/crates/admission/src/lifecycle.rs
+++ b/crates/admission/src/lifecycle.rs
@@ -2,7 +2,7 @@
 use crate::action::Action;
 use crate::event::{AttemptEnd, Outcome, Request};
 use crate::gateway::Gateway;
-use crate::id::{EndpointId, RequestId};
+use crate::id::{CustomerTag, EndpointId, RequestId};
 use crate::mechanism::virtual_finish_queue::FlowHead;
 use crate::messages::gossip::GossipMessage;
 use crate::messages::quota::{QuarterUnits, QuotaRelease};
@@ -11,7 +11,6 @@
 use crate::policy::in_flight_band::MAX_CREDIT_OVERDRAFT;
 use crate::policy::retry::{MAX_RETRY_TOKENS, RETRY_TOKENS_PER_REQUEST};
 use crate::state::attempt::AttemptRef;
-use crate::state::customer::customer_tag;
 use crate::state::endpoint::InFlightAttempt;
 use crate::state::quota_state::QuotaState;
 use crate::state::request::ActiveRequest;
@@ -44,11 +43,7 @@
 
     /// Enters a request into the records.
     fn enter(&mut self, request: Request) {
-        let tag = if self.coordination.is_broadcast() {
-            u64::from(customer_tag(request.customer))
-        } else {
-            request.customer.0
-        };
+        let tag = self.customer_tag(request.customer);
         let objective_ms = self.settings.classes[request.class].latency_objective_ms;
         let objective_ms = objective_ms - self.already_waited_ms(request.class, request.time_left_ms);
         let active = ActiveRequest::new(request, tag, self.clock.now_ms(), objective_ms);
@@ -249,13 +244,13 @@
     fn send_release(
         &mut self,
         owner: usize,
-        customer: u64,
+        tag: CustomerTag,
         number: u32,
         units: f64,
         actions: &mut Vec<Action>,
     ) {
         let additional_units = QuarterUnits::nearest(units);
-        let release = QuotaRelease { customer, number, additional_units };
+        let release = QuotaRelease { customer: tag.0, number, additional_units };
         self.send_gossip(owner, GossipMessage::release(release), actions);
     }
 }
--- a/crates/admission/src/mechanism/virtual_finish_queue.rs
+++ b/crates/admission/src/mechanism/virtual_finish_queue.rs
@@ -3,7 +3,7 @@
 //! Each queued request gets a virtual finish time: its size over its flow's weight, after the later of the
 //! flow's last finish and the queue's virtual time. The caller looks at the heads of all flows and releases
 //! one of them, which moves the virtual time to that request's finish.
-use crate::id::RequestId;
+use crate::id::{CustomerTag, RequestId};
 use std::collections::{BTreeMap, VecDeque};
 
 /// A request in the queue.
@@ -28,7 +28,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct FlowHead {
     /// The customer's tag, which names the flow.
-    pub(crate) tag: u64,
+    pub(crate) tag: CustomerTag,
     /// The request.
     pub(crate) id: RequestId,
     /// Its virtual finish time: the smallest leaves first.
@@ -45,7 +45,7 @@
 /// Queued requests: one flow per customer, ordered by virtual finish time.
 #[derive(Debug, Default)]
 pub(crate) struct VirtualFinishQueue {
-    flows: BTreeMap<u64, Flow>,
+    flows: BTreeMap<CustomerTag, Flow>,
     len: usize,
     virtual_time: f64,
 }
@@ -57,13 +57,13 @@
     }
 
     /// The sum of the sizes of a customer's queued requests.
-    pub(crate) fn queued_size(&self, tag: u64) -> f64 {
+    pub(crate) fn queued_size(&self, tag: CustomerTag) -> f64 {
         self.flows.get(&tag).map_or(0.0, |flow| flow.size)
     }
 
     /// Adds a request to the end of its customer's flow. `weight` is the flow's part of the service: twice
     /// the weight, twice the size released in the same virtual time.
-    pub(crate) fn enqueue(&mut self, tag: u64, id: RequestId, size: f64, weight: f64) {
+    pub(crate) fn enqueue(&mut self, tag: CustomerTag, id: RequestId, size: f64, weight: f64) {
         let flow = self.flows.entry(tag).or_default();
         let virtual_finish = self.virtual_time.max(flow.last_finish) + size / weight;
         flow.last_finish = virtual_finish;
@@ -74,7 +74,7 @@
 
     /// The oldest request of each flow, ordered by customer tag.
     pub(crate) fn heads(&self) -> Vec<FlowHead> {
-        let head = |(tag, flow): (&u64, &Flow)| {
+        let head = |(tag, flow): (&CustomerTag, &Flow)| {
             let first = flow.requests.front()?;
             Some(FlowHead { tag: *tag, id: first.id, virtual_finish: first.virtual_finish })
         };
@@ -83,7 +83,7 @@
 
     /// Takes a request out, wherever it stands in its flow. A flow without requests is forgotten, and its
     /// last finish with it.
-    pub(crate) fn remove(&mut self, tag: u64, id: RequestId) {
+    pub(crate) fn remove(&mut self, tag: CustomerTag, id: RequestId) {
         let Some(flow) = self.flows.get_mut(&tag) else { return };
         let position = flow.requests.iter().position(|queued| queued.id == id);
         if let Some(removed) = position.and_then(|at| flow.requests.remove(at)) {
--- a/crates/admission/src/policy/dispatch.rs
+++ b/crates/admission/src/policy/dispatch.rs
@@ -1,7 +1,7 @@
 //! Which queued request is sent next, and whether its customer's quota lets it go.
 use crate::action::Action;
 use crate::gateway::Gateway;
-use crate::id::RequestId;
+use crate::id::{CustomerTag, RequestId};
 use crate::mechanism::virtual_finish_queue::FlowHead;
 use crate::policy::coordination::PEER_TIMEOUT_MS;
 use crate::settings::PlanSettings;
@@ -85,11 +85,11 @@
     /// late: beyond this gateway's part of the limit each peer that was lately busy for the customer may have
     /// one more than it reported. Where gateways outnumber slots only some have a part: a third more of them
     /// than there are slots, since few are busy at once.
-    fn open_limit_reached(&self, limit: u32, customer: &Customer, tag: u64) -> bool {
+    fn open_limit_reached(&self, limit: u32, customer: &Customer, tag: CustomerTag) -> bool {
         let peers = customer.peer_activity(self.clock.now_ms(), PEER_TIMEOUT_MS);
         let spread = customer.gateways().len() as u32;
         let distance = self.settings.me + self.settings.gateways - customer.gateways().first();
-        let place = distance as u32 + tag as u32;
+        let place = distance as u32 + tag.short();
         let has_slot = place % spread < (4 * limit).div_ceil(3);
         let part = (limit / spread).max(u32::from(has_slot));
         let margin = if customer.in_flight() < part { 0 } else { peers.busy };
--- a/crates/admission/src/policy/quota_owner.rs
+++ b/crates/admission/src/policy/quota_owner.rs
@@ -1,7 +1,7 @@
 //! Quotas in a large fleet: one of the gateways that a customer's requests come through owns its quota, and
 //! the others ask it.
 use crate::gateway::Gateway;
-use crate::id::RequestId;
+use crate::id::{CustomerTag, RequestId};
 use crate::messages::quota::{QuotaVerdict, SamplingFraction};
 use crate::policy::coordination::PEER_MESSAGE_FRACTION;
 use crate::policy::dispatch::ATTEMPT_TIMEOUT_OBJECTIVES;
@@ -101,7 +101,7 @@
 
     /// This gateway's fraction of a customer's ceiling. With an owner, only it and the next in the ranking
     /// have one, since they decide; else all gateways have the same.
-    pub(crate) fn ceiling_fraction(&self, tag: u64, gateways: &GatewaySet) -> f64 {
+    pub(crate) fn ceiling_fraction(&self, tag: CustomerTag, gateways: &GatewaySet) -> f64 {
         if self.coordination.gossip().is_none() || gateways.len() == 1 {
             return 1.0 / gateways.len() as f64;
         }
@@ -116,7 +116,7 @@
 
 /// The first gateway in a customer's ranking that is not suspected; `None` where all are.
 pub(crate) fn reachable_owner(
-    tag: u64,
+    tag: CustomerTag,
     gateways: &GatewaySet,
     suspected: impl Fn(usize) -> bool,
 ) -> Option<usize> {
--- a/crates/admission/src/state/counter_account.rs
+++ b/crates/admission/src/state/counter_account.rs
@@ -1,5 +1,5 @@
 //! Dealings with the shared counter: each customer's calls, and what is known of the counter itself.
-use crate::id::RequestId;
+use crate::id::{CustomerTag, RequestId};
 use crate::mechanism::splitmix64::mix;
 use crate::settings::PlanSettings;
 use std::collections::{BTreeMap, VecDeque};
@@ -146,10 +146,10 @@
 
     /// The present epoch of a customer, of epochs of this length. Each customer's begin at a time of its own,
     /// so that the counts do not all begin anew at once.
-    pub(crate) fn at(tag: u64, now_ms: f64, epoch_ms: f64) -> Self {
-        let phase_ms = (mix(tag) % epoch_ms as u64) as f64;
+    pub(crate) fn at(tag: CustomerTag, now_ms: f64, epoch_ms: f64) -> Self {
+        let phase_ms = (mix(tag.0) % epoch_ms as u64) as f64;
         let number = ((now_ms + phase_ms) / epoch_ms).floor();
-        let name = mix(tag ^ mix(number as i64 as u64)) >> 1;
+        let name = mix(tag.0 ^ mix(number as i64 as u64)) >> 1;
         CounterEpoch { name, age_s: (now_ms + phase_ms - number * epoch_ms) / 1000.0 }
     }
 }
@@ -160,7 +160,7 @@
     /// Fraction of the requests that the counter is called for, 0 to 1.
     sampling_fraction: f64,
     /// Customers with a call in flight, by the name of their count.
-    in_flight: BTreeMap<u64, u64>,
+    in_flight: BTreeMap<u64, CustomerTag>,
 }
 
 impl CounterCalls {
@@ -180,12 +180,12 @@
     }
 
     /// Enters a call for a customer.
-    pub(crate) fn start(&mut self, name: u64, tag: u64) {
+    pub(crate) fn start(&mut self, name: u64, tag: CustomerTag) {
         self.in_flight.insert(name, tag);
     }
 
     /// Ends a call, and gives the customer that it was for.
-    pub(crate) fn complete(&mut self, name: u64) -> Option<u64> {
+    pub(crate) fn complete(&mut self, name: u64) -> Option<CustomerTag> {
         self.in_flight.remove(&name)
     }
 }
--- a/crates/admission/src/state/customer.rs
+++ b/crates/admission/src/state/customer.rs
@@ -1,6 +1,4 @@
 //! Customers: the tokens of their quota and ceiling, and what gateways reported and granted.
-use crate::id::CustomerId;
-use crate::mechanism::splitmix64::short_tag;
 use crate::mechanism::token_bucket::TokenBucket;
 use crate::messages::counts::ConsumedUnits;
 use crate::settings::PlanSettings;
@@ -296,8 +294,3 @@
         self.sampling = OwnerSampling { fraction, received_ms: now_ms };
     }
 }
-
-/// A customer's short name in messages.
-pub(crate) fn customer_tag(id: CustomerId) -> u32 {
-    short_tag(id.0)
-}
--- a/crates/admission/src/state/customer_table.rs
+++ b/crates/admission/src/state/customer_table.rs
@@ -1,4 +1,5 @@
 //! The customers that a gateway knows, and those of whom something is to be sent to peers.
+use crate::id::CustomerTag;
 use crate::settings::PlanSettings;
 use crate::state::customer::Customer;
 use std::collections::{BTreeMap, BTreeSet};
@@ -6,43 +7,43 @@
 /// What is known of customers, by tag.
 #[derive(Debug, Default)]
 pub(crate) struct CustomerTable {
-    by_tag: BTreeMap<u64, Customer>,
+    by_tag: BTreeMap<CustomerTag, Customer>,
     /// Customers of whom something is to be sent to peers.
-    unreported: BTreeSet<u64>,
+    unreported: BTreeSet<CustomerTag>,
     /// When idle customers were last evicted.
     evicted_ms: f64,
 }
 
 impl CustomerTable {
     /// A customer's record.
-    pub(crate) fn get(&self, tag: u64) -> Option<&Customer> {
+    pub(crate) fn get(&self, tag: CustomerTag) -> Option<&Customer> {
         self.by_tag.get(&tag)
     }
 
     /// A customer's record, to be changed.
-    pub(crate) fn get_mut(&mut self, tag: u64) -> Option<&mut Customer> {
+    pub(crate) fn get_mut(&mut self, tag: CustomerTag) -> Option<&mut Customer> {
         self.by_tag.get_mut(&tag)
     }
 
     /// A customer's record, made where there is none.
-    pub(crate) fn get_or_insert(&mut self, tag: u64, now_ms: f64) -> &mut Customer {
+    pub(crate) fn get_or_insert(&mut self, tag: CustomerTag, now_ms: f64) -> &mut Customer {
         self.by_tag.entry(tag).or_insert_with(|| Customer::new(now_ms))
     }
 
     /// Brings a customer's quota and ceiling up to now.
-    pub(crate) fn refill(&mut self, tag: u64, plan: &PlanSettings, now_ms: f64) {
+    pub(crate) fn refill(&mut self, tag: CustomerTag, plan: &PlanSettings, now_ms: f64) {
         if let Some(customer) = self.by_tag.get_mut(&tag) {
             customer.refill(plan, now_ms);
         }
     }
 
     /// Whether a customer's plan is known.
-    pub(crate) fn knows_plan(&self, tag: u64) -> bool {
+    pub(crate) fn knows_plan(&self, tag: CustomerTag) -> bool {
         self.by_tag.get(&tag).is_some_and(|customer| customer.plan().is_some())
     }
 
     /// Has a customer's count sent to peers in the next rounds.
-    pub(crate) fn schedule_report(&mut self, tag: u64, rounds: u8) {
+    pub(crate) fn schedule_report(&mut self, tag: CustomerTag, rounds: u8) {
         if let Some(customer) = self.by_tag.get_mut(&tag) {
             customer.schedule_report(rounds);
             self.unreported.insert(tag);
@@ -50,7 +51,7 @@
     }
 
     /// Has peers asked for units of a customer's ceiling in the next round.
-    pub(crate) fn schedule_ceiling_request(&mut self, tag: u64) {
+    pub(crate) fn schedule_ceiling_request(&mut self, tag: CustomerTag) {
         if let Some(customer) = self.by_tag.get_mut(&tag) {
             customer.request_ceiling();
             self.unreported.insert(tag);
@@ -58,7 +59,7 @@
     }
 
     /// Takes units of a customer's ceiling for a peer, to be sent in the next round.
-    pub(crate) fn schedule_ceiling_transfer(&mut self, tag: u64, peer: usize, units: f64) {
+    pub(crate) fn schedule_ceiling_transfer(&mut self, tag: CustomerTag, peer: usize, units: f64) {
         if let Some(customer) = self.by_tag.get_mut(&tag) {
             customer.transfer_ceiling(peer, units);
             self.unreported.insert(tag);
@@ -66,12 +67,12 @@
     }
 
     /// Customers of whom something is to be sent to peers.
-    pub(crate) fn unreported(&self) -> Vec<u64> {
+    pub(crate) fn unreported(&self) -> Vec<CustomerTag> {
         self.unreported.iter().copied().collect()
     }
 
     /// Nothing more of a customer is to be sent.
-    pub(crate) fn mark_reported(&mut self, tag: u64) {
+    pub(crate) fn mark_reported(&mut self, tag: CustomerTag) {
         self.unreported.remove(&tag);
     }
 
--- a/crates/admission/src/state/gateway_set.rs
+++ b/crates/admission/src/state/gateway_set.rs
@@ -1,4 +1,5 @@
 //! The set of gateways that a customer's requests come through.
+use crate::id::CustomerTag;
 use crate::mechanism::splitmix64::mix;
 
 /// Some gateways of the fleet, consecutive by number and counted round from the last to gateway 0.
@@ -18,8 +19,8 @@
 
 impl RankedGateway {
     /// The gateway's rank by rendezvous hashing: every gateway computes the same.
-    pub(crate) fn new(tag: u64, gateway: usize) -> Self {
-        RankedGateway { rank: mix(tag ^ mix(gateway as u64)), gateway }
+    pub(crate) fn new(tag: CustomerTag, gateway: usize) -> Self {
+        RankedGateway { rank: mix(tag.0 ^ mix(gateway as u64)), gateway }
     }
 }
 
@@ -56,7 +57,7 @@
     }
 
     /// The set's gateways with their ranks for a customer, in the order of their numbers.
-    pub(crate) fn rendezvous_ranking(&self, tag: u64) -> impl Iterator<Item = RankedGateway> {
+    pub(crate) fn rendezvous_ranking(&self, tag: CustomerTag) -> impl Iterator<Item = RankedGateway> {
         self.members().map(move |gateway| RankedGateway::new(tag, gateway))
     }
 }
--- a/crates/admission/src/state/request.rs
+++ b/crates/admission/src/state/request.rs
@@ -1,6 +1,6 @@
 //! Requests in work.
 use crate::event::{Outcome, Request};
-use crate::id::{EndpointId, RequestId};
+use crate::id::{CustomerTag, EndpointId, RequestId};
 use crate::state::attempt::{Attempt, AttemptRef, PendingAttempt};
 use crate::state::endpoint::Endpoint;
 use crate::state::quota_state::QuotaState;
@@ -12,7 +12,7 @@
     /// As it came in.
     pub(crate) request: Request,
     /// Its customer's tag, which names the customer's records.
-    pub(crate) tag: u64,
+    pub(crate) tag: CustomerTag,
     /// When its latency objective is reached, in milliseconds.
     pub(crate) objective_at_ms: f64,
     /// When its client gives up, in milliseconds.
@@ -38,7 +38,7 @@
     }
 
     /// A request just taken in.
-    pub(crate) fn new(request: Request, tag: u64, now_ms: f64, objective_ms: f64) -> Self {
+    pub(crate) fn new(request: Request, tag: CustomerTag, now_ms: f64, objective_ms: f64) -> Self {
         ActiveRequest {
             tag,
             objective_at_ms: now_ms + objective_ms,
