--- a/crates/admission/src/state/customer_table.rs
+++ b/crates/admission/src/state/customer_table.rs
@@ -86,18 +86,15 @@
         self.by_tag.len()
     }
 
-    /// Begins a round of eviction, where the last one lies the interval back; `false` where it does not.
-    pub(crate) fn begin_eviction(&mut self, now_ms: f64, interval_ms: f64) -> bool {
-        let is_due = now_ms - self.evicted_ms >= interval_ms;
-        if is_due {
-            self.evicted_ms = now_ms;
-        }
-        is_due
+    /// Time since idle customers were last evicted.
+    pub(crate) fn since_eviction_ms(&self, now_ms: f64) -> f64 {
+        now_ms - self.evicted_ms
     }
 
     /// Forgets customers that have nothing in flight and were not used for the time that `idle_limit_ms`
     /// gives for their plan.
     pub(crate) fn evict_idle(&mut self, now_ms: f64, idle_limit_ms: impl Fn(Option<usize>) -> f64) {
+        self.evicted_ms = now_ms;
         self.by_tag.retain(|_, customer| {
             customer.in_flight() > 0 || customer.idle_ms(now_ms) < idle_limit_ms(customer.plan())
         });
