--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -10,7 +10,7 @@
 };
 use crate::policy::retry::INITIAL_RETRY_TOKENS;
 use crate::policy::slow_start::SEND_RATE_SPAN_S;
-use crate::policy::upkeep::{EVICTION_INTERVAL_MS, UPKEEP_MS};
+use crate::policy::upkeep::UPKEEP_MS;
 use crate::settings::{Settings, SettingsError};
 use crate::state::{
     CustomerTable, EndpointSmoothing, EndpointTable, EventClock, FleetMeans, InFlightBand, LatencyModel,
@@ -160,7 +160,7 @@
 
     /// Forgets idle customers from time to time.
     fn evict_idle_customers_if_due(&mut self) {
-        if self.customers.begin_eviction(self.clock.now_ms(), EVICTION_INTERVAL_MS) {
+        if self.eviction_is_due() {
             self.evict_idle_customers();
         }
     }
--- a/crates/admission/src/lifecycle/requests.rs
+++ b/crates/admission/src/lifecycle/requests.rs
@@ -2,11 +2,11 @@
 use crate::action::Action;
 use crate::event::Request;
 use crate::gateway::Gateway;
-use crate::id::RequestId;
+use crate::id::{CustomerTag, RequestId};
 use crate::mechanism::virtual_finish_queue::FlowHead;
 use crate::messages::gossip::GossipMessage;
 use crate::messages::quota::{QuarterUnits, QuotaRelease};
-use crate::state::{customer_tag, ActiveRequest, QuotaState};
+use crate::state::{ActiveRequest, QuotaState};
 
 impl Gateway {
     /// Takes a request in: checks it, enters it into the records, and has it admitted, queued or rejected.
@@ -33,11 +33,7 @@
 
     /// Enters a request into the records.
     fn enter(&mut self, request: Request) {
-        let tag = if self.coordination.is_broadcast() {
-            u64::from(customer_tag(request.customer))
-        } else {
-            request.customer.0
-        };
+        let tag = self.customer_tag(request.customer);
         let objective_ms = self.settings.classes[request.class].latency_objective_ms;
         let objective_ms = objective_ms - self.already_waited_ms(request.class, request.time_left_ms);
         let active = ActiveRequest::new(request, tag, self.clock.now_ms(), objective_ms);
@@ -140,13 +136,13 @@
     fn send_release(
         &mut self,
         owner: usize,
-        customer: u64,
+        tag: CustomerTag,
         number: u32,
         units: f64,
         actions: &mut Vec<Action>,
     ) {
         let additional_units = QuarterUnits::nearest(units);
-        let release = QuotaRelease { customer, number, additional_units };
+        let release = QuotaRelease { customer: tag.0, number, additional_units };
         self.send_gossip(owner, GossipMessage::release(release), actions);
     }
 }
--- a/crates/admission/src/state/mod.rs
+++ b/crates/admission/src/state/mod.rs
@@ -30,7 +30,7 @@
 pub(crate) use counter_account::{
     CatchUp, CountedRequest, CounterAccount, CounterCall, CounterCalls, CounterEpoch,
 };
-pub(crate) use customer::{customer_tag, Customer, PeerCount};
+pub(crate) use customer::{Customer, PeerCount};
 pub(crate) use customer_table::CustomerTable;
 pub(crate) use endpoint::{Endpoint, EndpointSmoothing, InFlightAttempt};
 pub(crate) use endpoint_health::EndpointHealth;
