Read the handler's steps as head, body, dispatch, response

`handle` spelled out the health check and what happens to a request whose client has left. `is_healthy` and Connection::begin_request say so now, and the path of health checks is a constant.

--- a/crates/gateway/src/downstream/connection.rs
+++ b/crates/gateway/src/downstream/connection.rs
@@ -91,7 +91,7 @@
         self.role
     }
 
-    /// Whether its client sent a flood of bytes, so that the connection closes after its response.
+    /// Whether its client sent a flood of bytes. The connection then closes after its response.
     pub(super) fn is_flooded(&self) -> bool {
         self.is_flooded.get()
     }
@@ -107,6 +107,15 @@
         self.stage_since.set(Instant::now());
     }
 
+    /// Begins with a request that has come as a whole. Never returns if the client has left, which may have been long
+    /// before its request was read: what is dispatched may be sent at once.
+    pub(super) async fn begin_request(&self) {
+        if self.has_client_left() {
+            self.abandon().await;
+        }
+        self.enter(ConnectionStage::Active);
+    }
+
     /// Asks the connection's task to close once the request in progress has its response.
     pub(super) fn request_close(&self) {
         self.close_requested.notify_one();
@@ -135,7 +144,7 @@
     }
 
     /// Whether the client has closed its side or reset, however much of what it wrote is not read yet.
-    pub(super) fn has_client_left(&self) -> bool {
+    fn has_client_left(&self) -> bool {
         let stream = self.stream.borrow();
         let mut ready = pin!(stream.ready(Interest::READABLE));
         let ready = ready.as_mut().poll(&mut Context::from_waker(Waker::noop()));
--- a/crates/gateway/src/downstream/handler.rs
+++ b/crates/gateway/src/downstream/handler.rs
@@ -20,6 +20,8 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+/// The path of health checks.
+const HEALTH_PATH: &str = "/healthz";
 /// The body of any request but a connection's first must be here within this.
 const BODY_TIMEOUT: Duration = Duration::from_millis(2000);
 
@@ -65,6 +67,7 @@
         Ok(response)
     }
 
+    /// Takes a request through its steps: head, body, dispatch, response.
     async fn handle(
         &self,
         request: hyper::Request<Incoming>,
@@ -72,9 +75,8 @@
     ) -> Result<Response<Full<Bytes>>, RequestError> {
         let received_at = Instant::now();
         let (head, body) = request.into_parts();
-        if head.uri.path() == "/healthz" {
-            let is_healthy = self.dispatcher.has_ready_endpoint() && !self.is_draining.get();
-            return Ok(health_response(is_healthy));
+        if head.uri.path() == HEALTH_PATH {
+            return Ok(health_response(self.is_healthy()));
         }
         let mut request = parse_request(&head, &self.settings, self.dispatcher.names())?;
         if connection.role() == ConnectionRole::Refusing {
@@ -87,11 +89,7 @@
             let deadline = body_deadline(connection, received_at, request.time_left_ms);
             read_body(body, &head.method, deadline).await?
         };
-        // The client may have left long before its request was read. What is dispatched may be sent at once.
-        if connection.has_client_left() {
-            connection.abandon().await;
-        }
-        connection.enter(ConnectionStage::Active);
+        connection.begin_request().await;
         request.time_left_ms -= received_at.elapsed().as_secs_f64() * 1000.0;
         let id = request.id;
         let response = self.dispatcher.on_request(request, upstream_request(head, body)?);
@@ -100,6 +98,11 @@
         Ok(final_response(response, self.max_retry_after_ms))
     }
 
+    /// Whether a load balancer should send requests here.
+    fn is_healthy(&self) -> bool {
+        self.dispatcher.has_ready_endpoint() && !self.is_draining.get()
+    }
+
     /// Waits for the response to a request that was dispatched, or for its client to leave.
     async fn wait_for_response(
         &self,
