--- a/crates/admission/src/gateway.rs
+++ b/crates/admission/src/gateway.rs
@@ -1,6 +1,5 @@
 //! The gateway: takes an event and calls the parts in order.
 use crate::action::Action;
-use crate::coordination::gossip::Gossip;
 use crate::coordination::Coordination;
 use crate::event::Event;
 use crate::mechanism::splitmix64::{mix, SplitMix64};
@@ -17,13 +16,12 @@
 use crate::state::endpoint::EndpointSmoothing;
 use crate::state::endpoint_table::EndpointTable;
 use crate::state::event_clock::EventClock;
+use crate::state::fleet_means::FleetMeans;
 use crate::state::latency_model::LatencyModel;
 use crate::state::outlier_detector::OutlierDetector;
-use crate::state::peer::{Peer, PeerTable};
-use crate::state::quota_requests::{CounterCalls, QuotaRequests};
+use crate::state::recent_observations::RecentObservations;
 use crate::state::request::{RequestTable, RetryBudget};
 use crate::state::slow_start::SlowStart;
-use std::collections::BTreeMap;
 
 /// One gateway's decisions: takes events in and answers with actions. Each part owns the state of one
 /// concern.
@@ -45,10 +43,8 @@
     pub(crate) outliers: OutlierDetector,
     pub(crate) slow_start: SlowStart,
     pub(crate) retries: RetryBudget,
-    pub(crate) peers: PeerTable,
-    pub(crate) gossip: Gossip,
-    pub(crate) quota_requests: QuotaRequests,
-    pub(crate) counter_calls: CounterCalls,
+    pub(crate) fleet_means: FleetMeans,
+    pub(crate) recent_observations: RecentObservations,
 }
 
 /// Time between two rounds of upkeep: short beside any latency objective, so that nothing is noticed late.
@@ -65,20 +61,17 @@
     /// A gateway with no memory but its settings.
     pub fn new(settings: Settings, seed: u64, now_ms: f64) -> Result<Self, SettingsError> {
         settings.check()?;
-        let peers: BTreeMap<usize, Peer> =
-            (0..settings.gateways).filter(|p| *p != settings.me).map(|p| (p, Peer::unknown())).collect();
         let objectives_ms = settings.classes.iter().map(|class| class.latency_objective_ms);
         let mut gateway = Gateway {
             clock: EventClock::new(now_ms),
             incarnation: (mix(seed) & 0x3_ffff) as u32,
             random: SplitMix64::new(seed),
-            latency: LatencyModel::new(objectives_ms, INITIAL_OBJECTIVE_FRACTION, LATENCY_GAINS),
             endpoints: EndpointTable::new(EndpointSmoothing {
                 response_time_half_life_ms: RESPONSE_TIME_HALF_LIFE_MS,
                 send_rate_span_s: SEND_RATE_SPAN_S,
             }),
+            latency: LatencyModel::new(objectives_ms, INITIAL_OBJECTIVE_FRACTION, LATENCY_GAINS),
             retries: RetryBudget::new(MAX_RETRY_TOKENS / 2.0),
-            peers: PeerTable { by_index: peers, message_tokens: 10.0, ..PeerTable::default() },
             coordination: Coordination::from_settings(&settings),
             settings,
             ..Gateway::default()
@@ -95,7 +88,7 @@
         }
         self.handle(event, actions);
         self.dispatch(actions);
-        if !self.requests.active.is_empty() && self.clock.next_tick_is_beyond(UPKEEP_MS) {
+        if !self.requests.is_empty() && self.clock.next_tick_is_beyond(UPKEEP_MS) {
             self.schedule_tick(UPKEEP_MS, actions);
         }
     }
@@ -105,7 +98,7 @@
         let broadcast = self.coordination.is_broadcast();
         match event {
             Event::EndpointList { kind, entries } => {
-                self.endpoints.apply_list(kind, entries, self.clock.now_ms, &mut self.random)
+                self.endpoints.apply_list(kind, entries, self.clock.now_ms(), &mut self.random)
             }
             Event::Request(request) => self.on_request(request, actions),
             Event::Timer { .. } if broadcast || self.clock.tick_is_due() => self.upkeep(actions),
@@ -128,7 +121,7 @@
     /// A round of upkeep: what time alone brings about.
     fn upkeep(&mut self, actions: &mut Vec<Action>) {
         let broadcast = self.coordination.is_broadcast();
-        let idle = !broadcast && self.requests.active.is_empty();
+        let idle = !broadcast && self.requests.is_empty();
         self.schedule_tick(if idle { LARGE_FLEET_REVIEW_MS } else { UPKEEP_MS }, actions);
         if broadcast {
             self.update_typical_age();
@@ -144,9 +137,7 @@
             self.large_fleet_upkeep(actions);
         }
         self.step_watermark();
-        if broadcast {
-            self.report_counts_if_due(actions);
-        }
+        self.broadcast_counts_if_due(actions);
         self.evict_idle_customers_if_due();
     }
 
@@ -155,7 +146,7 @@
         if self.review_is_due() {
             self.update_means();
         }
-        let seconds = self.band.begin_refill(self.clock.now_ms);
+        let seconds = self.band.begin_refill(self.clock.now_ms());
         self.refill_dispatch_credit(seconds);
         self.refill_message_tokens(seconds);
         self.retry_quota_requests(actions);
@@ -163,21 +154,13 @@
 
     /// Whether a large fleet's gateway is to look at all endpoints again.
     fn review_is_due(&self) -> bool {
-        self.clock.now_ms - self.gossip.measured_ms >= LARGE_FLEET_REVIEW_MS
-    }
-
-    /// Sends this gateway's counts to its peers, where that is due.
-    fn report_counts_if_due(&mut self, actions: &mut Vec<Action>) {
-        if self.report_due() {
-            self.peers.reported_ms = self.clock.now_ms;
-            self.broadcast_counts(actions);
-        }
+        self.fleet_means.since_measured_ms(self.clock.now_ms()) >= LARGE_FLEET_REVIEW_MS
     }
 
     /// Forgets idle customers from time to time.
     fn evict_idle_customers_if_due(&mut self) {
-        if self.clock.now_ms - self.customers.evicted_ms >= EVICTION_INTERVAL_MS {
-            self.customers.evicted_ms = self.clock.now_ms;
+        if self.clock.now_ms() - self.customers.evicted_ms >= EVICTION_INTERVAL_MS {
+            self.customers.evicted_ms = self.clock.now_ms();
             self.evict_idle_customers();
         }
     }
--- a/crates/admission/src/policy/slow_start.rs
+++ b/crates/admission/src/policy/slow_start.rs
@@ -27,7 +27,7 @@
 impl Gateway {
     /// Part of its capacity that an endpoint has at least, by its age.
     pub(crate) fn warm_fraction(&self, endpoint: &Endpoint) -> f64 {
-        let (settings, now_ms) = (&self.settings, self.clock.now_ms);
+        let (settings, now_ms) = (&self.settings, self.clock.now_ms());
         let warm_up_ms = Some(settings.warm_up_ms).filter(|ms| *ms > 0.0);
         let (Some(age_ms), Some(warm_up_ms)) = (endpoint.age_ms(now_ms), warm_up_ms) else { return 1.0 };
         let progress = (age_ms / warm_up_ms).clamp(0.0, 1.0);
@@ -57,7 +57,7 @@
     pub(crate) fn warm_up_budget(&self, endpoint: &Endpoint) -> Option<WarmUpBudget> {
         let warm_fraction = Some(self.warm_fraction(endpoint)).filter(|fraction| *fraction < 1.0)?;
         let warm_rate = WARM_PEER_FRACTION * self.slow_start.warm_send_rate(endpoint.kind());
-        let response_ms = self.mean_response_ms().max(self.latency.typical_age_ms());
+        let response_ms = self.latency.mean_response_ms().max(self.latency.typical_age_ms());
         let even_rate = 1000.0 / response_ms / self.settings.gateways as f64;
         let window_s = SAVED_WINDOW_FRACTION * self.settings.overload_window_ms / 1000.0;
         let multiple = WARM_UP_BUDGET_FRACTION * self.settings.overload_multiple;
