--- a/crates/gateway/src/discovery/tests/fleet_recovery.rs
+++ b/crates/gateway/src/discovery/tests/fleet_recovery.rs
@@ -1,6 +1,6 @@
-use super::{schedule_for_requested_lists, silent_call, silent_watch, unreachable};
+use super::{schedule_for_requested_lists, silent_call, silent_watch, unreachable, LEASE_DURATION};
 use crate::discovery::error::DiscoveryError;
-use crate::discovery::list_lease::{LEASE_DURATION, MAX_REFUSAL_RENEWAL};
+use crate::discovery::list_lease::MAX_REFUSAL_RENEWAL;
 use crate::discovery::refresh_policy::INITIAL_BACKOFF;
 use crate::discovery::refresh_schedule::{CallPosition, RefreshSchedule};
 use std::cmp::Reverse;
--- a/crates/gateway/src/discovery/tests/list_lease.rs
+++ b/crates/gateway/src/discovery/tests/list_lease.rs
@@ -1,8 +1,9 @@
-use super::{policy, reset_watch, schedule_for_requested_lists, silent_call, silent_watch, unreachable};
+use super::{
+    policy, reset_watch, schedule_for_requested_lists, silent_call, silent_watch, unreachable, LEASE_DURATION,
+};
 use crate::discovery::error::DiscoveryError;
 use crate::discovery::list_lease::{
-    CHANGE_KNOWN_AFTER, CHANGE_KNOWN_AFTER_MOVE, LEASE_DURATION, LEASE_MARGIN, MAX_REFUSAL_RENEWAL,
-    REFUSAL_RENEWAL,
+    CHANGE_KNOWN_AFTER, CHANGE_KNOWN_AFTER_MOVE, LEASE_MARGIN, MAX_REFUSAL_RENEWAL, REFUSAL_RENEWAL,
 };
 use crate::discovery::refresh_policy::CONNECT_TIMEOUT;
 use crate::discovery::refresh_schedule::{CallPosition, CallTimes, RefreshSchedule, RESPONSE_ALLOWANCE};
--- a/crates/gateway/src/discovery/tests/mod.rs
+++ b/crates/gateway/src/discovery/tests/mod.rs
@@ -8,13 +8,18 @@
 mod refresh_schedule;
 
 use super::error::{CallError, DiscoveryError};
+use super::list_lease::{CHANGE_KNOWN_AFTER, LEASE_MARGIN};
 use super::refresh_policy::RefreshPolicy;
 use super::refresh_schedule::RefreshSchedule;
 use crate::http_connection::ExchangeError;
 use irishinge_settings::{DiscoveryMode, SocketSettings};
 use std::io;
+use std::time::Duration;
 use tokio::time::Instant;
 
+/// How long a list may be used; reckoned here, so that a change of the lease alone fails the tests.
+const LEASE_DURATION: Duration = CHANGE_KNOWN_AFTER.saturating_sub(LEASE_MARGIN);
+
 fn policy(mode: DiscoveryMode, gateways: usize, drain_grace_ms: f64) -> RefreshPolicy {
     let settings = SocketSettings {
         idle_connection_timeout_ms: 1000.0,
--- a/crates/gateway/src/discovery/tests/refresh_schedule.rs
+++ b/crates/gateway/src/discovery/tests/refresh_schedule.rs
@@ -1,8 +1,6 @@
-use super::{reset_watch, schedule_for_requested_lists, silent_call, silent_watch};
+use super::{reset_watch, schedule_for_requested_lists, silent_call, silent_watch, LEASE_DURATION};
 use crate::discovery::error::DiscoveryError;
-use crate::discovery::list_lease::{
-    CHANGE_KNOWN_AFTER, CHANGE_KNOWN_AFTER_MOVE, LEASE_DURATION, LEASE_MARGIN,
-};
+use crate::discovery::list_lease::{CHANGE_KNOWN_AFTER, CHANGE_KNOWN_AFTER_MOVE, LEASE_MARGIN};
 use crate::discovery::refresh_policy::{
     CONNECT_TIMEOUT, INITIAL_BACKOFF, MAX_BACKOFF_PER_GATEWAY, QUEUED_RESPONSE_TIMEOUT,
 };
