--- /dev/null
+++ b/crates/admission/src/state/attempt.rs
@@ -0,0 +1,90 @@
+//! Attempts of a request.
+use crate::event::Outcome;
+use crate::id::{EndpointId, RequestId};
+use crate::settings::DedupGroup;
+use crate::state::endpoint::Endpoint;
+
+/// An attempt of a request: what was sent, to which endpoint, and what became of it.
+
+#[derive(Debug, Clone)]
+pub(crate) struct Attempt {
+    pub(crate) endpoint: EndpointId,
+    /// When it was sent, in milliseconds.
+    pub(crate) sent_ms: f64,
+    /// The endpoint's zone when it was sent.
+    zone: usize,
+    /// The endpoint's cell when it was sent.
+    cell: u64,
+    state: AttemptState,
+}
+
+/// What became of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AttemptState {
+    /// It is in flight.
+    Pending,
+    /// It has ended, and the endpoint may have done the work.
+    MayHaveRun,
+    /// It has ended, and the endpoint did none of the work.
+    NotRun,
+}
+
+impl Attempt {
+    /// An attempt that is sent to an endpoint now.
+    pub(crate) fn new(endpoint: &Endpoint, now_ms: f64) -> Self {
+        Attempt {
+            endpoint: endpoint.id(),
+            sent_ms: now_ms,
+            zone: endpoint.zone(),
+            cell: endpoint.cell(),
+            state: AttemptState::Pending,
+        }
+    }
+
+    /// Whether it is in flight.
+    pub(crate) fn is_pending(&self) -> bool {
+        self.state == AttemptState::Pending
+    }
+
+    /// Marks it as ended.
+    pub(crate) fn end(&mut self, outcome: Outcome) {
+        self.state = match outcome {
+            Outcome::Overloaded | Outcome::ConnectFailed | Outcome::TooLate => AttemptState::NotRun,
+            Outcome::Ok | Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled => {
+                AttemptState::MayHaveRun
+            }
+        };
+    }
+
+    /// Whether the endpoint may have done the work, or may still do it.
+    pub(crate) fn is_risky(&self) -> bool {
+        self.state != AttemptState::NotRun
+    }
+
+    /// Whether an endpoint belongs to the group that drops a repeat of this attempt's idempotency key.
+    pub(crate) fn shares_keys_with(&self, endpoint: &Endpoint, group: DedupGroup) -> bool {
+        match group {
+            DedupGroup::All => true,
+            DedupGroup::Zone => self.zone == endpoint.zone(),
+            DedupGroup::Cell => self.cell == endpoint.cell(),
+        }
+    }
+}
+
+/// Names an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct AttemptRef {
+    /// The request.
+    pub(crate) request: RequestId,
+    /// The attempt's number among those of its request, from 0.
+    pub(crate) attempt: u32,
+}
+
+/// An attempt in flight.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PendingAttempt {
+    pub(crate) reference: AttemptRef,
+    pub(crate) class: usize,
+    pub(crate) endpoint: EndpointId,
+    pub(crate) sent_ms: f64,
+}
