Wait in tests until the gateway has closed a leaving client's connection

Two tests closed a client's connection and took five health checks for proof that the gateway had been told. Cause: the tests of one binary start processes, and between fork and exec such a process holds every socket of the test open too, so that the close does not go out.

--- a/crates/gateway/tests/it/client_disconnects.rs
+++ b/crates/gateway/tests/it/client_disconnects.rs
@@ -43,7 +43,7 @@
     let mut client = gateway.client();
     client.write(&request().text());
     let connection = counter.next_request().connection;
-    drop(client);
+    client.disconnect(&gateway);
     (0..5).for_each(|_| assert_eq!(gateway.client().health_status(), 200));
     counter.set_reply(respond("200 OK", "", "1"));
     counter.write(connection, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1");
@@ -65,7 +65,7 @@
     let mut client = gateway.client();
     client.write(&ClientRequest::new("once").text());
     (0..5).for_each(|_| assert_eq!(gateway.client().health_status(), 200));
-    drop(client);
+    client.disconnect(&gateway);
     (0..5).for_each(|_| assert_eq!(gateway.client().health_status(), 200));
     // The gateway's connection comes up now, by the next of its tries.
     let stream = listener.accept();
--- a/crates/gateway/tests/it/common/client.rs
+++ b/crates/gateway/tests/it/common/client.rs
@@ -1,6 +1,6 @@
 //! A client of the gateway, and the requests it writes.
 use super::http_message::{read_message, Message};
-use super::{unique_number, TEST_TIMEOUT};
+use super::{unique_number, GatewayProcess, TEST_TIMEOUT};
 use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
@@ -18,6 +18,13 @@
         Client { reader: BufReader::new(stream) }
     }
 
+    /// Closes the connection, and waits until the gateway has closed its end too.
+    pub(crate) fn disconnect(self, gateway: &GatewayProcess) {
+        let gateway_end = gateway.socket_of(self.reader.get_ref());
+        drop(self);
+        gateway.wait_until_closed(&gateway_end, "a close");
+    }
+
     pub(crate) fn write(&mut self, text: &str) {
         self.reader.get_mut().write_all(text.as_bytes()).expect("the gateway reads");
     }
--- a/crates/gateway/tests/it/common/gateway_process.rs
+++ b/crates/gateway/tests/it/common/gateway_process.rs
@@ -2,9 +2,10 @@
 use super::{config, endpoint_entry, unique_number, use_counter, Client, Discovery, ScriptedServer};
 use serde_json::Value;
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::thread;
+use std::thread::{self, yield_now};
+use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_irishinge");
 
@@ -85,6 +86,37 @@
         GatewayProcess::wait_until_it_listens(path, child)
     }
 
+    /// The gateway's end of a client's connection, as the process's descriptor names it.
+    pub(crate) fn socket_of(&self, client_end: &TcpStream) -> String {
+        let client_port = client_end.local_addr().expect("connected").port();
+        // By both addresses, as the kernel writes them.
+        let ends = format!(" 0100007F:{:04X} 0100007F:{client_port:04X} ", self.addr.port());
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+        let line = table.lines().find(|line| line.contains(&ends)).expect("the gateway's end");
+        let inode = line.split_whitespace().nth(9).expect("an inode");
+        assert_ne!(inode, "0", "the gateway has accepted it");
+        format!("socket:[{inode}]")
+    }
+
+    /// Waits until the gateway has closed one of its sockets. That a client has closed its end does not show that the
+    /// gateway was told: while another test starts a process, that process holds the client's end open too.
+    pub(crate) fn wait_until_closed(&self, socket: &str, what: &str) {
+        let start = Instant::now();
+        while self.has_descriptor(socket) {
+            assert!(start.elapsed() < Duration::from_secs(10), "{what}: the gateway does not see it");
+            yield_now();
+        }
+    }
+
+    fn has_descriptor(&self, name: &str) -> bool {
+        let mut descriptors =
+            std::fs::read_dir(format!("/proc/{}/fd", self.process_id())).expect("descriptors");
+        descriptors.any(|descriptor| {
+            let path = descriptor.expect("an entry").path();
+            std::fs::read_link(path).is_ok_and(|link| link.as_os_str() == name)
+        })
+    }
+
     fn wait_until_it_listens(config_path: String, mut child: Child) -> GatewayProcess {
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         let mut line = String::new();
--- a/crates/gateway/tests/it/disconnect_variants.rs
+++ b/crates/gateway/tests/it/disconnect_variants.rs
@@ -4,8 +4,7 @@
 use serde_json::{json, Value};
 use std::io::{BufReader, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::thread::yield_now;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// A way to disconnect, and what the client writes behind its request before it does.
 struct DisconnectKind {
@@ -49,18 +48,6 @@
         DisconnectingClient(stream)
     }
 
-    /// The gateway's end of the connection, as the process's descriptor names it.
-    fn gateway_end(&self, gateway: &GatewayProcess) -> String {
-        let client_port = self.0.local_addr().expect("connected").port();
-        // By both addresses, as the kernel writes them.
-        let ends = format!(" 0100007F:{:04X} 0100007F:{client_port:04X} ", gateway.addr.port());
-        let table = std::fs::read_to_string("/proc/net/tcp").expect("a table");
-        let line = table.lines().find(|l| l.contains(&ends)).expect("the gateway's end");
-        let inode = line.split_whitespace().nth(9).expect("an inode");
-        assert_ne!(inode, "0", "the gateway has accepted it");
-        format!("socket:[{inode}]")
-    }
-
     fn assert_unanswered(&self, kind: &DisconnectKind) {
         self.0.set_nonblocking(true).expect("a socket");
         let unanswered = self.0.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
@@ -69,30 +56,18 @@
 
     /// Disconnects while its request is active, and waits until the gateway has closed its end.
     fn disconnect(mut self, gateway: &GatewayProcess, kind: &DisconnectKind) {
-        let gateway_end = self.gateway_end(gateway);
+        let gateway_end = gateway.socket_of(&self.0);
         self.assert_unanswered(kind);
         // A flood is written for as long as the gateway takes it at once.
         let _ = self.0.write(&(kind.trailing_bytes)());
         (kind.disconnect)(&self.0);
         let kept = kind.keeps_reading.then(|| self.0.try_clone().expect("a clone"));
         drop(self.0);
-        let start = Instant::now();
-        while has_descriptor(gateway, &gateway_end) {
-            assert!(start.elapsed() < Duration::from_secs(10), "{}: the gateway does not see it", kind.name);
-            yield_now();
-        }
+        gateway.wait_until_closed(&gateway_end, kind.name);
         drop(kept);
     }
 }
 
-fn has_descriptor(gateway: &GatewayProcess, name: &str) -> bool {
-    let mut descriptors =
-        std::fs::read_dir(format!("/proc/{}/fd", gateway.process_id())).expect("descriptors");
-    descriptors.any(|descriptor| {
-        std::fs::read_link(descriptor.expect("an entry").path()).is_ok_and(|l| l.as_os_str() == name)
-    })
-}
-
 /// A gateway whose quotas bind nobody, so that a request's fate depends on its client alone.
 fn start_with_large_quota(
     endpoints: &[SocketAddr],
