--- a/crates/admission/src/coordination/broadcast.rs
+++ b/crates/admission/src/coordination/broadcast.rs
@@ -18,6 +18,7 @@
 /// What a gateway of a small fleet knows of the others.
 #[derive(Debug)]
 pub(crate) struct Broadcast {
+    /// The other gateways, by number.
     peers: BTreeMap<usize, BroadcastPeer>,
     /// When the last round of reports began.
     reported_ms: f64,
@@ -38,6 +39,7 @@
 
 /// Messages to each peer in one round of reports, without their heads.
 struct ReportRound {
+    /// Messages by the peer that they go to.
     messages: BTreeMap<usize, Vec<CountsMessage>>,
 }
 
--- a/crates/admission/src/coordination/gossip.rs
+++ b/crates/admission/src/coordination/gossip.rs
@@ -17,6 +17,7 @@
 /// What a gateway of a large fleet knows of the others, and what it is to send them.
 #[derive(Debug)]
 pub(crate) struct Gossip {
+    /// The other gateways, by number.
     peers: BTreeMap<usize, GossipPeer>,
     /// Quota requests that wait for a response.
     pub(crate) requests: QuotaRequests,
--- a/crates/admission/src/coordination/quota_grants.rs
+++ b/crates/admission/src/coordination/quota_grants.rs
@@ -76,6 +76,7 @@
         (gateways.contains(from) && gateways.contains(self.settings.me)).then_some(gateways)
     }
 
+    /// A quota request in the owner's terms: units bounded, steps of the wire as times.
     fn received_request(&self, from: usize, request: &QuotaRequest) -> ReceivedRequest {
         let units = f64::from(request.units).min(self.settings.max_units.max(1.0));
         let waits_until_ms = self.clock.now_ms() + request.wait_budget.ms();
--- a/crates/admission/src/mechanism/decaying_rate.rs
+++ b/crates/admission/src/mechanism/decaying_rate.rs
@@ -4,8 +4,9 @@
 /// own.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct DecayingRate {
+    /// The rate when it was last added to.
     per_second: f64,
-    /// When the rate was last added to.
+    /// When that was.
     added_ms: f64,
 }
 
--- a/crates/admission/src/messages/counts.rs
+++ b/crates/admission/src/messages/counts.rs
@@ -202,6 +202,7 @@
 }
 
 impl CountEntry {
+    /// Reads a count from a message; `None` where its digits are not all there.
     fn decode(bytes: &mut std::str::Bytes<'_>) -> Option<Self> {
         Some(CountEntry {
             tag: take(bytes, 4)?,
--- a/crates/admission/src/messages/gossip.rs
+++ b/crates/admission/src/messages/gossip.rs
@@ -63,12 +63,14 @@
         f64::from(self.rate) / RATE_STEPS
     }
 
+    /// Adds the means' digits to a message.
     fn encode(&self, text: &mut String) {
         put(text, self.stock.min(MAX_TWO_DIGITS), 2);
         put(text, self.watermark.min(MAX_TWO_DIGITS), 2);
         put(text, self.rate.min(MAX_TWO_DIGITS), 2);
     }
 
+    /// Reads the means from a message; `None` where their digits are not all there.
     fn decode(bytes: &mut std::str::Bytes<'_>) -> Option<Self> {
         Some(MeansOnWire { stock: take(bytes, 2)?, watermark: take(bytes, 2)?, rate: take(bytes, 2)? })
     }
--- a/crates/admission/src/messages/quota.rs
+++ b/crates/admission/src/messages/quota.rs
@@ -65,6 +65,7 @@
 }
 
 impl QuotaVerdict {
+    /// The number that stands for it on the wire.
     fn code(self) -> u32 {
         match self {
             QuotaVerdict::Granted => 0,
--- a/crates/admission/src/state/counter_account.rs
+++ b/crates/admission/src/state/counter_account.rs
@@ -18,6 +18,7 @@
 /// A request that the counter is called for.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct CountedRequest {
+    /// The request.
     pub(crate) id: RequestId,
     /// Units of the request itself.
     pub(crate) units: f64,
@@ -28,6 +29,7 @@
 /// By how much a count is raised to keep up with the clock.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct CatchUp {
+    /// Units to be added.
     pub(crate) units: f64,
     /// The total that showed the count to lie behind.
     pub(crate) seen_total: f64,
@@ -47,25 +49,31 @@
 /// The call in flight, with the corrections that it carries along.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct CallInFlight {
+    /// The call.
     pub(crate) call: CounterCall,
+    /// Corrections that it carries, in units.
     pub(crate) correction_units: f64,
 }
 
 /// Tokens of a customer as the counter last showed them.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct TokensSeen {
+    /// The tokens.
     tokens: f64,
+    /// When the counter showed them.
     at_ms: f64,
 }
 
 /// A customer's calls to the counter. One is in flight at a time, so that each reply belongs to one call.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct CounterAccount {
+    /// The call that a reply is awaited to.
     in_flight: Option<CallInFlight>,
     /// Calls to come, oldest first.
     queue: VecDeque<CounterCall>,
     /// Units by which the count is too low; below 0, too high. The next call adds them.
     correction_units: f64,
+    /// What the last reply showed.
     seen: Option<TokensSeen>,
 }
 
--- a/crates/admission/src/state/customer.rs
+++ b/crates/admission/src/state/customer.rs
@@ -18,12 +18,15 @@
     quota: TokenBucket,
     /// Units of this gateway's own fraction of its hard ceiling.
     ceiling: TokenBucket,
+    /// When a request of the customer came in here, or a report of it from a peer.
     last_used_ms: f64,
     /// Own attempts in flight.
     in_flight: u32,
+    /// What is reported of it in a broadcasting fleet.
     reports: CustomerReports,
     /// What this gateway granted to others as the owner of the customer's quota.
     pub(crate) grants: QuotaGrants,
+    /// What the quota's owner said, where that is another gateway.
     sampling: OwnerSampling,
     /// Its calls to the shared counter.
     pub(crate) counter: CounterAccount,
@@ -53,6 +56,7 @@
     pub(crate) consumed: ConsumedUnits,
     /// The peer's attempts in flight for the customer.
     pub(crate) in_flight: u32,
+    /// When the report came.
     pub(crate) received_ms: f64,
 }
 
@@ -68,7 +72,9 @@
 /// The fraction of a customer's requests that its quota's owner wants to be asked about.
 #[derive(Debug, Clone, Copy)]
 struct OwnerSampling {
+    /// The fraction, 0 to 1.
     fraction: f64,
+    /// When the owner gave it.
     received_ms: f64,
 }
 
--- a/crates/admission/src/state/customer_table.rs
+++ b/crates/admission/src/state/customer_table.rs
@@ -7,6 +7,7 @@
 /// What is known of customers, by tag.
 #[derive(Debug, Default)]
 pub(crate) struct CustomerTable {
+    /// Their records.
     by_tag: BTreeMap<CustomerTag, Customer>,
     /// Customers of whom something is to be sent to peers.
     unreported: BTreeSet<CustomerTag>,
--- a/crates/admission/src/state/fleet_means.rs
+++ b/crates/admission/src/state/fleet_means.rs
@@ -6,7 +6,9 @@
 /// peers, which this gateway's own figures go into, and as received, which smooths out those own figures.
 #[derive(Debug, Default)]
 pub(crate) struct FleetMeans {
+    /// The means that are passed on to peers.
     passed_on: GatewayMeans,
+    /// The means as received, which decisions go by.
     received: GatewayMeans,
     /// This gateway's own good responses a second.
     own_rate: DecayingRate,
--- a/crates/admission/src/state/gateway_set.rs
+++ b/crates/admission/src/state/gateway_set.rs
@@ -5,15 +5,20 @@
 /// Some gateways of the fleet, consecutive by number and counted round from the last to gateway 0.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct GatewaySet {
+    /// Number of the first gateway.
     first: usize,
+    /// How many gateways the set has.
     len: usize,
+    /// How many gateways the fleet has.
     fleet: usize,
 }
 
 /// A gateway and its rank for one customer. The lowest rank of a set owns the customer's quota.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct RankedGateway {
+    /// The rank, evenly spread over all gateways and customers.
     pub(crate) rank: u64,
+    /// The gateway's number.
     pub(crate) gateway: usize,
 }
 
--- a/crates/admission/src/state/quota_grants.rs
+++ b/crates/admission/src/state/quota_grants.rs
@@ -5,12 +5,16 @@
 /// A quota request as its owner knows it: who sent it, its number there, and until when it counts.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Grant {
+    /// The gateway that sent it.
     pub(crate) gateway: usize,
+    /// Its number there.
     pub(crate) number: u32,
+    /// Until when it counts.
     pub(crate) expires_ms: f64,
 }
 
 impl Grant {
+    /// Whether it is the quota request of this number from this gateway.
     fn is_for(&self, gateway: usize, number: u32) -> bool {
         self.gateway == gateway && self.number == number
     }
@@ -24,8 +28,9 @@
     granted: Vec<Grant>,
     /// Waiting for an active slot, oldest first.
     waiting: VecDeque<Grant>,
-    /// Units requested and units granted a second, smoothed.
+    /// Units requested a second, smoothed.
     requested_rate: DecayingRate,
+    /// Units granted a second, smoothed.
     granted_rate: DecayingRate,
 }
 
--- a/crates/admission/src/state/quota_requests.rs
+++ b/crates/admission/src/state/quota_requests.rs
@@ -11,14 +11,19 @@
 pub(crate) enum QuotaRoute {
     /// The owner is asked.
     AskOwner,
-    /// This gateway decides alone, whether the customer is likely within its quota or not.
-    DecideAlone { likely_within: bool },
+    /// This gateway decides alone.
+    DecideAlone {
+        /// The customer is most likely within its quota.
+        likely_within: bool,
+    },
 }
 
 /// Quota requests that wait for a response, by their number.
 #[derive(Debug, Default)]
 pub(crate) struct QuotaRequests {
+    /// The requests that they were sent for.
     pending: BTreeMap<u32, RequestId>,
+    /// The number that the next new quota request gets.
     next_number: u32,
 }
 
