Wrap a gateway's place among a customer's by intent, not by the build's profile

Cause: policy/dispatch.rs added a gateway's distance to the low 32 bits of a customer's id in u32. Release builds wrapped; a build with overflow checks, as the tests are, panicked for ids near the top of 32 bits. The new test open_limit::holds_for_a_customer_with_the_highest_id was seen to panic without the change.

--- a/crates/admission/src/policy/dispatch.rs
+++ b/crates/admission/src/policy/dispatch.rs
@@ -88,7 +88,7 @@
         let peers = customer.peer_activity(self.clock.now_ms(), PEER_TIMEOUT_MS);
         let spread = customer.gateways().len() as u32;
         let distance = self.settings.me + self.settings.gateways - customer.gateways().first();
-        let place = distance as u32 + tag.short();
+        let place = (distance as u32).wrapping_add(tag.short());
         let has_slot = place % spread < (4 * limit).div_ceil(3);
         let part = (limit / spread).max(u32::from(has_slot));
         let margin = if customer.in_flight() < part { 0 } else { peers.busy };
--- a/crates/admission/tests/it/open_limit.rs
+++ b/crates/admission/tests/it/open_limit.rs
@@ -55,3 +55,14 @@
         assert!(in_flight <= 3, "{in_flight} at {start}");
     }
 }
+
+/// Where gateways exchange no counts a customer is known by its whole id, whose low bits may be any.
+#[test]
+fn holds_for_a_customer_with_the_highest_id() {
+    let limits = PlanSettings { open_limit: 2, ..plan(0.0, 0.0) };
+    let settings = Settings { peer_messages_allowed: false, ..fleet_settings(40, limits) };
+    let mut gateway = SingleGateway::new(settings, 10);
+    gateway.customer = (1 << 33) - 1;
+    let sent = [gateway.submit().sends(), gateway.submit().sends(), gateway.submit().sends()];
+    assert_eq!(sent.iter().map(Vec::len).collect::<Vec<_>>(), vec![1, 1, 0]);
+}
