Name the HTTP headers once, in header_names.rs, in place of literals

Cause: the names of the protocol's own headers stood as string literals in upstream/request.rs, upstream/attempt.rs and downstream/request.rs, some of them four times, and nothing said who sends a header or in which unit. The names themselves are unchanged, and a look-up no longer parses its name.

The tests keep their literals, because they hold what is on the wire.

--- a/crates/gateway/src/downstream/request.rs
+++ b/crates/gateway/src/downstream/request.rs
@@ -1,17 +1,18 @@
 //! Parses the head of a request into what the admission library and the upstream side take.
 use super::metering::Metering;
 use super::request_error::RequestError;
+use crate::header_names::{AGAIN, BUDGET, CALL_CLASS, CALL_ID, CONTRACT, IDEMPOTENCY_KEY, METERING};
 use crate::upstream::UpstreamRequest;
 use bytes::Bytes;
-use hyper::header::{HeaderMap, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, HeaderName, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::Method;
 use irishinge_admission::{CustomerId, Idempotency, Request, RequestId, Settings};
 use irishinge_settings::Names;
 
 /// Headers that say what a request is. One that stands there twice says two things.
-const SINGLE_HEADERS: [&str; 7] =
-    ["host", "x-call-id", "x-call-class", "x-contract", "x-budget", "x-metering", "idempotency-key"];
+static SINGLE_HEADERS: [HeaderName; 7] =
+    [HOST, CALL_ID, CALL_CLASS, CONTRACT, BUDGET, METERING, IDEMPOTENCY_KEY];
 /// Customers are numbers below this.
 const CUSTOMER_ID_END: u64 = 1 << 33;
 
@@ -28,15 +29,15 @@
     let headers = &head.headers;
     let customer = parse_customer(head.uri.path())?;
     check_framing(headers)?;
-    let id = header(headers, "x-call-id").and_then(parse_hex).ok_or(RequestError::InvalidCallId)?;
-    let class = header(headers, "x-call-class").ok_or(RequestError::MissingClass)?;
+    let id = header(headers, CALL_ID).and_then(parse_hex).ok_or(RequestError::InvalidCallId)?;
+    let class = header(headers, CALL_CLASS).ok_or(RequestError::MissingClass)?;
     let class = names.class_index(class).map_err(|_| RequestError::UnknownClass)?;
-    let plan = header(headers, "x-contract").ok_or(RequestError::MissingPlan)?;
+    let plan = header(headers, CONTRACT).ok_or(RequestError::MissingPlan)?;
     let plan = names.plan_index(plan).map_err(|_| RequestError::UnknownPlan)?;
     let class_settings = &settings.classes[class];
     check_idempotency(head, class_settings.idempotency)?;
     let budget_s = parse_budget_s(headers)?;
-    let metering = header(headers, "x-metering").and_then(|text| Metering::parse(text, settings));
+    let metering = header(headers, METERING).and_then(|text| Metering::parse(text, settings));
     let metering = metering.ok_or(RequestError::InvalidMetering)?;
     Ok(Request {
         id: RequestId(id),
@@ -47,7 +48,7 @@
         units: metering.units,
         spread: metering.spread,
         first: metering.first,
-        repeat: headers.get("x-again").is_some_and(|value| value == "1"),
+        repeat: headers.get(AGAIN).is_some_and(|value| value == "1"),
         write: class_settings.idempotency != Idempotency::Idempotent,
     })
 }
@@ -61,8 +62,8 @@
     let headers = &mut head.headers;
     Ok(UpstreamRequest {
         host: headers.remove(HOST).ok_or(RequestError::MissingHost)?,
-        call_id: headers.remove("x-call-id").ok_or(RequestError::MissingCallId)?,
-        idempotency_key: headers.remove("idempotency-key"),
+        call_id: headers.remove(CALL_ID).ok_or(RequestError::MissingCallId)?,
+        idempotency_key: headers.remove(IDEMPOTENCY_KEY),
         content_type: headers.remove(CONTENT_TYPE),
         method: head.method,
         uri: head.uri,
@@ -83,7 +84,7 @@
     if headers.contains_key(TRANSFER_ENCODING) {
         return Err(RequestError::LengthRequired);
     }
-    if SINGLE_HEADERS.iter().any(|name| headers.get_all(*name).iter().nth(1).is_some()) {
+    if SINGLE_HEADERS.iter().any(|name| headers.get_all(name).iter().nth(1).is_some()) {
         return Err(RequestError::RepeatedHeader);
     }
     Ok(())
@@ -99,18 +100,18 @@
         return Err(RequestError::WrongMethod);
     }
     let needs_key = matches!(idempotency, Idempotency::IdempotencyKey { .. });
-    if needs_key && !head.headers.contains_key("idempotency-key") {
+    if needs_key && !head.headers.contains_key(IDEMPOTENCY_KEY) {
         return Err(RequestError::MissingIdempotencyKey);
     }
     Ok(())
 }
 
 fn parse_budget_s(headers: &HeaderMap) -> Result<f64, RequestError> {
-    let budget_s: Option<f64> = header(headers, "x-budget").and_then(|text| text.parse().ok());
+    let budget_s: Option<f64> = header(headers, BUDGET).and_then(|text| text.parse().ok());
     budget_s.filter(|s| s.is_finite() && *s > 0.0).ok_or(RequestError::InvalidBudget)
 }
 
-fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+fn header(headers: &HeaderMap, name: HeaderName) -> Option<&str> {
     headers.get(name)?.to_str().ok()
 }
 
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -10,6 +10,7 @@
 mod dispatcher;
 mod downstream;
 mod error_chain;
+mod header_names;
 mod http_connection;
 mod logging;
 mod peers;
--- a/crates/gateway/src/upstream/attempt.rs
+++ b/crates/gateway/src/upstream/attempt.rs
@@ -3,8 +3,10 @@
 use super::request::UpstreamRequest;
 use super::MAX_BODY_BYTES;
 use crate::connection_budget::PooledConnection;
+use crate::header_names::{LOAD_REPORT, REJECTED, SETTLED};
 use crate::http_connection::{ExchangeError, WriteStatus};
 use bytes::Bytes;
+use hyper::header::HeaderName;
 use hyper::{Response, StatusCode};
 use irishinge_admission::{EndpointId, Outcome};
 use std::cell::Cell;
@@ -28,17 +30,17 @@
 
     /// The units that the request really used (`X-Settled`), if the response states them.
     pub(crate) fn true_units(&self) -> Option<f64> {
-        let text = self.header("x-settled")?;
+        let text = self.header(SETTLED)?;
         text.trim().parse().ok().filter(|units: &f64| units.is_finite() && *units > 0.0)
     }
 
     /// The endpoint's load report (`X-Load-Report`), or nothing if the response has none.
     pub(crate) fn load(&self) -> Vec<(String, f64)> {
-        let report = self.header("x-load-report").map(serde_json::from_str::<BTreeMap<String, f64>>);
+        let report = self.header(LOAD_REPORT).map(serde_json::from_str::<BTreeMap<String, f64>>);
         report.and_then(Result::ok).into_iter().flatten().collect()
     }
 
-    fn header(&self, name: &str) -> Option<&str> {
+    fn header(&self, name: HeaderName) -> Option<&str> {
         let mut values = self.response.as_ref()?.headers().get_all(name).iter();
         // A header that is repeated is ambiguous and ignored.
         values.next().filter(|_| values.next().is_none())?.to_str().ok()
@@ -112,7 +114,7 @@
 }
 
 fn outcome_of(response: &Response<Bytes>) -> Outcome {
-    let rejected = response.headers().get("x-rejected").is_some_and(|value| value == "1");
+    let rejected = response.headers().get(REJECTED).is_some_and(|value| value == "1");
     match response.status() {
         StatusCode::OK => Outcome::Ok,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if rejected => Outcome::Overloaded,
--- a/crates/gateway/src/upstream/request.rs
+++ b/crates/gateway/src/upstream/request.rs
@@ -1,4 +1,5 @@
 //! A client's request as it is sent to endpoints.
+use crate::header_names::{BUDGET, CALL_ID, IDEMPOTENCY_KEY};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderValue, CONTENT_TYPE, HOST};
@@ -32,15 +33,15 @@
         *request.uri_mut() = self.uri.clone();
         let headers = request.headers_mut();
         headers.insert(HOST, self.host.clone());
-        headers.insert("x-call-id", self.call_id.clone());
+        headers.insert(CALL_ID, self.call_id.clone());
         if let Some(key) = &self.idempotency_key {
-            headers.insert("idempotency-key", key.clone());
+            headers.insert(IDEMPOTENCY_KEY, key.clone());
         }
         if let Some(content_type) = &self.content_type {
             headers.insert(CONTENT_TYPE, content_type.clone());
         }
         if let Ok(budget) = HeaderValue::from_str(&format!("{seconds_left:.3}")) {
-            headers.insert("x-budget", budget);
+            headers.insert(BUDGET, budget);
         }
         request
     }
