Keep idle connections in one struct, IdleConnections, for endpoints and the quota counter

Cause: upstream/pool.rs and quota_counter.rs each had a list of idle connections with its own record, freshness check and loop that takes one; they differ only in the reuse delay after surplus bytes. idle_connections.rs now holds the list with put, take, close_stale, close_oldest and close_all. The pool passes its reuse delay and its own check of a connection to take and close_stale; the counter allows every reuse.

The order of taking (most recently used first), the time-outs and the check of the socket are as they were.

--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -12,6 +12,7 @@
 mod error_chain;
 mod header_names;
 mod http_connection;
+mod idle_connections;
 mod logging;
 mod peers;
 mod quota_counter;
--- a/crates/gateway/src/quota_counter.rs
+++ b/crates/gateway/src/quota_counter.rs
@@ -3,6 +3,7 @@
 use crate::clock::duration_from_ms;
 use crate::connection_budget::{ConnectionBudget, PooledConnection};
 use crate::http_connection::HttpConnection;
+use crate::idle_connections::IdleConnections;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HOST;
@@ -20,23 +21,12 @@
 /// The maximum size of a response, which is one number.
 const MAX_BODY_BYTES: usize = 256;
 
-struct IdleConnection {
-    pooled: PooledConnection,
-    since: Instant,
-}
-
-impl IdleConnection {
-    fn is_fresh(&mut self) -> bool {
-        self.since.elapsed() < IDLE_TIMEOUT && self.pooled.connection.is_usable()
-    }
-}
-
 /// The client of the quota counter, if the fleet has one.
 pub(crate) struct QuotaCounter {
     addr: Cell<Option<SocketAddr>>,
     call_timeout: Duration,
     budget: ConnectionBudget,
-    idle: RefCell<Vec<IdleConnection>>,
+    idle: RefCell<IdleConnections>,
 }
 
 impl QuotaCounter {
@@ -46,20 +36,20 @@
             addr: Cell::new(addr),
             call_timeout: duration_from_ms(timeout_ms),
             budget: ConnectionBudget::new(MAX_CONNECTIONS),
-            idle: RefCell::default(),
+            idle: RefCell::new(IdleConnections::new(IDLE_TIMEOUT)),
         }
     }
 
     /// Sends calls to this address from now on. Calls in flight are not affected.
     pub(crate) fn set_addr(&self, addr: Option<SocketAddr>) {
         if self.addr.replace(addr) != addr {
-            self.idle.borrow_mut().clear();
+            self.idle.borrow_mut().close_all();
         }
     }
 
     /// Closes connections that have been idle for too long or that the counter has closed.
     pub(crate) fn close_stale_connections(&self) {
-        self.idle.borrow_mut().retain_mut(IdleConnection::is_fresh);
+        self.idle.borrow_mut().close_stale(HttpConnection::is_usable);
     }
 
     /// Adds `amount` to the total called `name`. A new total expires `ttl_ms` after its first call.
@@ -87,19 +77,22 @@
 
     /// Returns a free connection, or `None` if none comes up by `deadline` or too many are open.
     async fn acquire(&self, addr: SocketAddr, deadline: Instant) -> Option<PooledConnection> {
-        while let Some(mut idle) = { self.idle.borrow_mut().pop() } {
-            if idle.is_fresh() {
-                return Some(idle.pooled);
-            }
+        if let Some(pooled) = self.take_idle() {
+            return Some(pooled);
         }
         let permit = self.budget.try_acquire()?;
         let connection = timeout_at(deadline, HttpConnection::connect(addr)).await.ok()?.ok()?;
         Some(PooledConnection::new(connection, permit))
     }
 
+    fn take_idle(&self) -> Option<PooledConnection> {
+        let allows_reuse = |_since| true;
+        self.idle.borrow_mut().take(allows_reuse, HttpConnection::is_usable)
+    }
+
     fn release(&self, addr: SocketAddr, mut pooled: PooledConnection) {
         if self.addr.get() == Some(addr) && pooled.connection.is_usable() {
-            self.idle.borrow_mut().push(IdleConnection { pooled, since: Instant::now() });
+            self.idle.borrow_mut().put(pooled);
         }
     }
 }
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -4,6 +4,7 @@
 use crate::connection_budget::{ConnectionBudget, ConnectionPermit, PooledConnection};
 use crate::discovery::DiscoveredEndpoint;
 use crate::http_connection::HttpConnection;
+use crate::idle_connections::IdleConnections;
 use irishinge_admission::{EndpointId, EndpointState, ListKind};
 use irishinge_settings::SocketSettings;
 use std::cell::{Cell, RefCell};
@@ -19,16 +20,10 @@
 /// How often idle connections are checked.
 pub(crate) const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(1000);
 
-struct IdleConnection {
-    pooled: PooledConnection,
-    since: Instant,
-}
-
 struct Endpoint {
     addr: SocketAddr,
     state: EndpointState,
-    /// The most recently used connection is last.
-    idle: Vec<IdleConnection>,
+    idle: IdleConnections,
 }
 
 /// The known endpoints and the idle connections to them.
@@ -74,10 +69,10 @@
             let endpoint = endpoints.entry(entry.id).or_insert_with(|| Endpoint {
                 addr: *addr,
                 state: entry.state,
-                idle: Vec::new(),
+                idle: IdleConnections::new(self.idle_timeout),
             });
             if entry.state != EndpointState::Ready || endpoint.addr != *addr {
-                endpoint.idle.clear();
+                endpoint.idle.close_all();
             }
             endpoint.addr = *addr;
             endpoint.state = entry.state;
@@ -96,14 +91,14 @@
     /// Closes the idle connections to an endpoint.
     pub(crate) fn close_idle(&self, endpoint: EndpointId) {
         if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(&endpoint) {
-            endpoint.idle.clear();
+            endpoint.idle.close_all();
         }
     }
 
     /// Closes connections that have been idle for too long or that their endpoint has closed.
     pub(crate) fn close_stale_connections(&self) {
         for endpoint in self.endpoints.borrow_mut().values_mut() {
-            endpoint.idle.retain_mut(|idle| self.is_fresh(idle));
+            endpoint.idle.close_stale(|connection| self.is_usable(connection));
         }
     }
 
@@ -128,18 +123,8 @@
     fn take_idle(&self, endpoint: EndpointId) -> Option<PooledConnection> {
         let mut endpoints = self.endpoints.borrow_mut();
         let endpoint = endpoints.get_mut(&endpoint)?;
-        loop {
-            let reusable = |idle: &IdleConnection| self.reuse_delay.allows_reuse(idle.since, Instant::now());
-            let position = endpoint.idle.iter().rposition(reusable)?;
-            let mut idle = endpoint.idle.remove(position);
-            if self.is_fresh(&mut idle) {
-                return Some(idle.pooled);
-            }
-        }
-    }
-
-    fn is_fresh(&self, idle: &mut IdleConnection) -> bool {
-        idle.since.elapsed() < self.idle_timeout && self.is_usable(&mut idle.pooled.connection)
+        let allows_reuse = |since| self.reuse_delay.allows_reuse(since, Instant::now());
+        endpoint.idle.take(allows_reuse, |connection| self.is_usable(connection))
     }
 
     /// Whether a connection can carry another request, now or after the reuse delay.
@@ -156,7 +141,7 @@
         if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(&endpoint) {
             let accepts = endpoint.state == EndpointState::Ready && endpoint.addr == addr;
             if accepts && self.is_usable(&mut pooled.connection) {
-                endpoint.idle.push(IdleConnection { pooled, since: Instant::now() });
+                endpoint.idle.put(pooled);
             }
         }
     }
@@ -166,8 +151,8 @@
         if self.budget.is_exhausted() {
             let mut endpoints = self.endpoints.borrow_mut();
             let with_idle = endpoints.values_mut().filter(|endpoint| !endpoint.idle.is_empty());
-            let oldest = with_idle.min_by_key(|endpoint| endpoint.idle[0].since)?;
-            oldest.idle.remove(0);
+            let oldest = with_idle.min_by_key(|endpoint| endpoint.idle.oldest_since())?;
+            oldest.idle.close_oldest();
         }
         self.budget.try_acquire()
     }
