Call discovery's address addr, as the rest of the gateway does

Cause: discovery/ said `address` for its fields, variables and parameters where all other modules, as the standard library, say `addr`. Those in watch.rs and endpoint_list.rs are renamed; the fields and messages of the log and the JSON names are unchanged.

The field DiscoveredEndpoint::address keeps its name for now: assertions of a test name it, and tests are not touched here.

--- a/crates/gateway/src/discovery/endpoint_list.rs
+++ b/crates/gateway/src/discovery/endpoint_list.rs
@@ -26,7 +26,7 @@
 struct EndpointRecord {
     uid: String,
     #[serde(rename = "endpoint")]
-    address: SocketAddr,
+    addr: SocketAddr,
     #[serde(default, rename = "az")]
     zone: String,
     #[serde(default, rename = "model")]
@@ -106,7 +106,7 @@
             // With a start in the future, slow start would count a negative capacity.
             started_at_ms: has_start.then(|| self.started_at_ms.min(now_ms)),
         };
-        Ok(DiscoveredEndpoint { entry, address: self.address })
+        Ok(DiscoveredEndpoint { entry, address: self.addr })
     }
 }
 
--- a/crates/gateway/src/discovery/watch.rs
+++ b/crates/gateway/src/discovery/watch.rs
@@ -24,7 +24,7 @@
 /// The longest list that is read, in bytes.
 const MAX_LIST_BYTES: usize = 4 << 20;
 
-/// Keeps the endpoint list current, for good; `address` is discovery's, which a reload may change.
+/// Keeps the endpoint list current, for good; `addr` is discovery's, which a reload may change.
 ///
 /// Where lists are asked for, the watch starts from `known_revision`, so that discovery has only changes to write. It
 /// starts again with the whole list after an outage, at a new address and, where lists are pushed, on each
@@ -32,7 +32,7 @@
 /// answered.
 pub(crate) async fn watch_endpoint_list<O: EndpointListObserver + Clone + 'static>(
     observer: O,
-    mut address: watch::Receiver<SocketAddr>,
+    mut addr: watch::Receiver<SocketAddr>,
     known_revision: Option<u64>,
     policy: RefreshPolicy,
     seed: u64,
@@ -47,11 +47,11 @@
         spawn_local(report_lease_expiry(lease_ends, move || on_lease_expired(&observer)));
     }
     loop {
-        let current = *address.borrow_and_update();
+        let current = *addr.borrow_and_update();
         // A new address ends a call and a pause alike: the old discovery may never answer again.
         let has_moved = tokio::select! {
             () = list_watch.follow_until_error(current) => false,
-            Ok(()) = address.changed() => true,
+            Ok(()) = addr.changed() => true,
         };
         if has_moved {
             list_watch.on_address_change();
@@ -85,8 +85,8 @@
 
 impl<O: EndpointListObserver> EndpointListWatch<O> {
     /// Follows discovery at one address until that fails, then pauses.
-    async fn follow_until_error(&mut self, address: SocketAddr) {
-        let Err::<Infallible, DiscoveryError>(error) = self.follow(address).await;
+    async fn follow_until_error(&mut self, addr: SocketAddr) {
+        let Err::<Infallible, DiscoveryError>(error) = self.follow(addr).await;
         // Discovery that refuses calls is overloaded: asking for changes only costs it less.
         if !matches!(error, DiscoveryError::Refused) {
             self.revision = None;
@@ -94,7 +94,7 @@
         if std::mem::take(&mut self.is_healthy) {
             tracing::warn!(
                 target: target::DISCOVERY,
-                discovery = %address,
+                discovery = %addr,
                 reason = %ErrorChain(&error),
                 "discovery failed; the last endpoint list is kept"
             );
@@ -118,37 +118,36 @@
     }
 
     /// Calls discovery at one address over one connection until that fails.
-    async fn follow(&mut self, address: SocketAddr) -> Result<Infallible, DiscoveryError> {
+    async fn follow(&mut self, addr: SocketAddr) -> Result<Infallible, DiscoveryError> {
         let whole_list_first = self.schedule.policy().whole_list_first;
         if whole_list_first {
             self.revision = None;
         }
         let started = Instant::now();
-        let mut connection = self.connect(address, started).await?;
+        let mut connection = self.connect(addr, started).await?;
         // Where lists are pushed, the connection and the first call over it share one timeout.
         let called = if whole_list_first { started } else { Instant::now() };
-        let first = self.call(&mut connection, address, CallPosition::First, called).await;
+        let first = self.call(&mut connection, addr, CallPosition::First, called).await;
         let mut response = first.map_err(|error| match error {
             DiscoveryError::WatchInterrupted(cause) => DiscoveryError::NoList(cause),
             other => other,
         })?;
         loop {
-            self.accept(response, address)?;
-            response = self.call(&mut connection, address, CallPosition::Later, Instant::now()).await?;
+            self.accept(response, addr)?;
+            response = self.call(&mut connection, addr, CallPosition::Later, Instant::now()).await?;
         }
     }
 
-    async fn connect(&self, address: SocketAddr, started: Instant) -> Result<HttpConnection, DiscoveryError> {
+    async fn connect(&self, addr: SocketAddr, started: Instant) -> Result<HttpConnection, DiscoveryError> {
         let unreachable = |cause| DiscoveryError::Unreachable { attempted_at: started, cause };
-        let connected =
-            timeout(self.schedule.policy().connect_timeout, HttpConnection::connect(address)).await;
+        let connected = timeout(self.schedule.policy().connect_timeout, HttpConnection::connect(addr)).await;
         connected
             .map_err(|_| unreachable(CallError::ConnectTimedOut))?
             .map_err(|error| unreachable(CallError::ConnectFailed(error)))
     }
 
     /// Takes a list in and reports it.
-    fn accept(&mut self, response: ListResponse, address: SocketAddr) -> Result<(), DiscoveryError> {
+    fn accept(&mut self, response: ListResponse, addr: SocketAddr) -> Result<(), DiscoveryError> {
         let ListResponse { list, delay } = response;
         // A response older than the version asked from was overtaken, or versions have begun anew. Its changes may be
         // to another list than the known one, so only the whole list helps.
@@ -161,7 +160,7 @@
         if !std::mem::replace(&mut self.is_healthy, true) {
             tracing::info!(
                 target: target::DISCOVERY,
-                discovery = %address,
+                discovery = %addr,
                 "discovery answers again; endpoint list current"
             );
         }
@@ -174,7 +173,7 @@
     async fn call(
         &self,
         connection: &mut HttpConnection,
-        address: SocketAddr,
+        addr: SocketAddr,
         position: CallPosition,
         started: Instant,
     ) -> Result<ListResponse, DiscoveryError> {
@@ -185,7 +184,7 @@
             }
             None => ("/v1/servers".to_string(), Duration::ZERO),
         };
-        let request = Request::get(path).header(HOST, address.to_string()).body(Full::new(Bytes::new()));
+        let request = Request::get(path).header(HOST, addr.to_string()).body(Full::new(Bytes::new()));
         let request = request.map_err(|error| DiscoveryError::WatchInterrupted(error.into()))?;
         let deadline = started + wait + times.response_timeout;
         let response = timeout_at(deadline, connection.exchange(request, MAX_LIST_BYTES)).await;
