--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -4,8 +4,8 @@
 
 /// A monotonic clock that counts Unix milliseconds.
 ///
-/// It is anchored to the system's time of day once, so that discovery's `boot_ms` can be compared with it. After that
-/// it follows the monotonic clock, because the time of day may be set back.
+/// It is anchored to the system's time of day once, so that discovery's `boot_ms` can be compared with it.
+/// After that it follows the monotonic clock, because the time of day may be set back.
 #[derive(Clone, Copy)]
 pub(crate) struct Clock {
     start: Instant,
--- a/crates/gateway/src/clock/tests.rs
+++ b/crates/gateway/src/clock/tests.rs
@@ -1,3 +1,4 @@
+//! The tests of the conversion between times and milliseconds.
 use super::*;
 
 #[test]
--- a/crates/gateway/src/connection_budget/tests.rs
+++ b/crates/gateway/src/connection_budget/tests.rs
@@ -1,3 +1,4 @@
+//! The tests of the permits for connections.
 use super::*;
 
 #[test]
--- a/crates/gateway/src/descriptor_budget.rs
+++ b/crates/gateway/src/descriptor_budget.rs
@@ -1,15 +1,17 @@
-//! Divides the file descriptors that the process may hold (`limits.sockets`), so that clients cannot exhaust those that
-//! connections to endpoints need, and neither can exhaust those that the process itself needs.
+//! Divides the file descriptors that the process may hold (`limits.sockets`), so that clients cannot exhaust
+//! those that connections to endpoints need, and neither can exhaust those that the process itself needs.
 use crate::{downstream, quota_counter};
 
-/// The share of the unreserved descriptors that clients' connections get. Connections to endpoints get the rest.
+/// The share of the unreserved descriptors that clients' connections get. Connections to endpoints get the
+/// rest.
 const DOWNSTREAM_FRACTION: f64 = 0.6;
 
 /// Descriptors that are kept out of the division between clients and endpoints.
 struct Reserved {
     /// Standard input, output and error.
     standard_streams: usize,
-    /// Those of the runtime: two for epoll, one for its waker, and three ends of the signal handler's socket pair.
+    /// Those of the runtime: two for epoll, one for its waker, and three ends of the signal handler's socket
+    /// pair.
     runtime: usize,
     /// The clients' listener and the peers' socket.
     listeners: usize,
--- a/crates/gateway/src/descriptor_budget/tests.rs
+++ b/crates/gateway/src/descriptor_budget/tests.rs
@@ -1,3 +1,4 @@
+//! The tests of how file descriptors are divided.
 use super::*;
 
 #[test]
--- a/crates/gateway/src/discovery/backoff.rs
+++ b/crates/gateway/src/discovery/backoff.rs
@@ -3,8 +3,8 @@
 
 /// A refusal widens the window by this factor.
 const WIDENING_FACTOR: f64 = 1.7;
-/// A list narrows the window by this factor only. If a list reset it, a fleet larger than discovery can serve would
-/// keep discovery's queue full.
+/// A list narrows the window by this factor only. If a list reset it, a fleet larger than discovery can serve
+/// would keep discovery's queue full.
 const NARROWING_FACTOR: f64 = 0.75;
 
 /// The window that pauses are drawn from.
--- a/crates/gateway/src/discovery/endpoint_list.rs
+++ b/crates/gateway/src/discovery/endpoint_list.rs
@@ -1,4 +1,5 @@
-//! The endpoint list as discovery writes it, and its endpoints as the admission library and the pool take them.
+//! The endpoint list as discovery writes it, and its endpoints as the admission library and the pool take
+//! them.
 use crate::logging::target;
 use irishinge_admission::{EndpointEntry, EndpointId, EndpointState};
 use irishinge_settings::Names;
@@ -7,7 +8,8 @@
 use std::net::SocketAddr;
 use thiserror::Error;
 
-/// The endpoint list, or the changes to it, in discovery's JSON. The configuration's `known` has the same form.
+/// The endpoint list, or the changes to it, in discovery's JSON. The configuration's `known` has the same
+/// form.
 #[derive(Deserialize)]
 pub(crate) struct EndpointList {
     /// The version of the list.
@@ -64,8 +66,8 @@
 
     /// The endpoints of the list, at `now_ms` in Unix milliseconds.
     ///
-    /// A record that cannot be used is logged and left out. Its endpoint then counts as absent from a whole list,
-    /// and nothing is sent to it.
+    /// A record that cannot be used is logged and left out. Its endpoint then counts as absent from a whole
+    /// list, and nothing is sent to it.
     pub(crate) fn endpoints(self, names: &Names, now_ms: f64) -> Vec<DiscoveredEndpoint> {
         let parse = |record| match EndpointRecord::parse(record).and_then(|r| r.into_endpoint(names, now_ms))
         {
@@ -110,7 +112,8 @@
     }
 }
 
-/// The FNV-1a hash of the uid: an endpoint's id must be the same at every gateway, whatever its address there.
+/// The FNV-1a hash of the uid: an endpoint's id must be the same at every gateway, whatever its address
+/// there.
 fn endpoint_id(uid: &str) -> EndpointId {
     let mut hasher = fnv::FnvHasher::default();
     hasher.write(uid.as_bytes());
--- a/crates/gateway/src/discovery/error.rs
+++ b/crates/gateway/src/discovery/error.rs
@@ -1,5 +1,5 @@
-//! Why a call to discovery brought no list: [`DiscoveryError`] says what it tells of discovery, which decides on the
-//! next call and on the lease; [`CallError`] says what went wrong.
+//! Why a call to discovery brought no list: [`DiscoveryError`] says what it tells of discovery, which decides
+//! on the next call and on the lease; [`CallError`] says what went wrong.
 use crate::http_connection::ExchangeError;
 use std::io;
 use thiserror::Error;
--- a/crates/gateway/src/discovery/list_lease.rs
+++ b/crates/gateway/src/discovery/list_lease.rs
@@ -12,12 +12,12 @@
 pub(super) const LEASE_DURATION: Duration = CHANGE_KNOWN_AFTER.saturating_sub(LEASE_MARGIN);
 /// How long it may be used after discovery's address has changed, at most.
 const LEASE_DURATION_AFTER_MOVE: Duration = CHANGE_KNOWN_AFTER_MOVE.saturating_sub(LEASE_MARGIN);
-/// What refuses calls may be overloaded, or a proxy in front of a discovery that is down: a gateway cannot tell. So a
-/// refusal renews the lease as an outage does. For so long, part of the drain grace included: the longest pause, and
-/// the next refusal 2 s late.
+/// What refuses calls may be overloaded, or a proxy in front of a discovery that is down: a gateway cannot
+/// tell. So a refusal renews the lease as an outage does. For so long, part of the drain grace included: the
+/// longest pause, and the next refusal 2 s late.
 pub(super) const REFUSAL_RENEWAL: Duration = Duration::from_millis(7000);
-/// Refusals renew the lease up to so long after the last list: an outage of ten seconds, the wait of the watch before
-/// it, and the calls after it.
+/// Refusals renew the lease up to so long after the last list: an outage of ten seconds, the wait of the
+/// watch before it, and the calls after it.
 pub(super) const MAX_REFUSAL_RENEWAL: Duration = Duration::from_millis(20_000);
 
 /// Until when the list may be used. Once it has expired, only a new list helps.
@@ -26,8 +26,8 @@
     expires_at: Instant,
     /// Refusals renew the lease up to then.
     max_refusal_renewal_at: Instant,
-    /// Discovery was reached since the last list, but gave none. What it had by then counts as known in time, so that
-    /// an outage afterwards renews nothing.
+    /// Discovery was reached since the last list, but gave none. What it had by then counts as known in time,
+    /// so that an outage afterwards renews nothing.
     reached_without_list: bool,
 }
 
@@ -68,8 +68,8 @@
         self.max_refusal_renewal_at = self.expires_at;
     }
 
-    /// Renews the lease where nothing was reached by an attempt that began at `attempted_at`: changes do not count as
-    /// known while discovery cannot be reached.
+    /// Renews the lease where nothing was reached by an attempt that began at `attempted_at`: changes do not
+    /// count as known while discovery cannot be reached.
     pub(super) fn renew_in_outage(&mut self, attempted_at: Instant, now: Instant) {
         if !self.reached_without_list && self.is_valid(now) {
             self.expires_at = self.expires_at.max(attempted_at + self.duration);
--- a/crates/gateway/src/discovery/observer.rs
+++ b/crates/gateway/src/discovery/observer.rs
@@ -8,7 +8,8 @@
     /// Discovery has answered with the whole list or with the changes to it.
     fn list_received(&self, kind: ListKind, list: EndpointList);
 
-    /// The list may be used until `until`. Called at the start, at each renewal and where the lease is cut short.
+    /// The list may be used until `until`. Called at the start, at each renewal and where the lease is cut
+    /// short.
     fn lease_updated(&self, until: Instant);
 
     /// The lease has run out: nothing may be sent by the list until the next one is received.
--- a/crates/gateway/src/discovery/refresh_policy.rs
+++ b/crates/gateway/src/discovery/refresh_policy.rs
@@ -1,26 +1,29 @@
-//! The times of a watch, by how lists come: pushed by an agent on the gateway's own machine, or asked for from one
-//! service for the whole fleet.
+//! The times of a watch, by how lists come: pushed by an agent on the gateway's own machine, or asked for
+//! from one service for the whole fleet.
 use super::list_lease::LEASE_DURATION;
 use crate::clock::duration_from_ms;
 use irishinge_settings::{DiscoveryMode, SocketSettings};
 use std::time::Duration;
 
-/// Where lists are pushed, the agent answers at once and at no cost, and a change counts as known as soon as the
-/// agent has it. So after any failure the list must be here again well inside the drain grace. These fractions of
-/// the grace are the wait of a watch, the response timeout beyond it, and the longest pause after a failed call.
+/// Where lists are pushed, the agent answers at once and at no cost, and a change counts as known as soon as
+/// the agent has it. So after any failure the list must be here again well inside the drain grace. These
+/// fractions of the grace are the wait of a watch, the response timeout beyond it, and the longest pause
+/// after a failed call.
 const PUSHED_WAIT_FRACTION: f64 = 0.4;
 const PUSHED_TIMEOUT_FRACTION: f64 = 0.2;
 const PUSHED_PAUSE_FRACTION: f64 = 0.05;
-/// The grace that the fractions are taken of is bounded: a long grace must not slow the watch down, and a short one
-/// must leave time for an answer.
+/// The grace that the fractions are taken of is bounded: a long grace must not slow the watch down, and a
+/// short one must leave time for an answer.
 const MAX_GRACE: Duration = Duration::from_millis(2500);
 const MIN_GRACE: Duration = Duration::from_millis(250);
 
-/// Where lists are asked for, how long after its wait a watch may stay unanswered. A watch may have been silent from
-/// its first moment, so its wait leaves room for this, for a pause, and for the response to the next call.
+/// Where lists are asked for, how long after its wait a watch may stay unanswered. A watch may have been
+/// silent from its first moment, so its wait leaves room for this, for a pause, and for the response to the
+/// next call.
 pub(super) const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Discovery queues calls, for 2 s as far as observed, before it refuses them, and still works through those that
-/// were given up. So a first call, or any call while discovery is overloaded, is not given up before that.
+/// Discovery queues calls, for 2 s as far as observed, before it refuses them, and still works through those
+/// that were given up. So a first call, or any call while discovery is overloaded, is not given up before
+/// that.
 pub(super) const QUEUED_RESPONSE_TIMEOUT: Duration = Duration::from_millis(2200);
 /// Time for one lost packet of the handshake to be sent again.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(1150);
--- a/crates/gateway/src/discovery/refresh_schedule.rs
+++ b/crates/gateway/src/discovery/refresh_schedule.rs
@@ -8,16 +8,17 @@
 
 /// Room for a connection and a response before the list expires, where discovery is not overloaded.
 pub(super) const RESPONSE_ALLOWANCE: Duration = Duration::from_millis(1250);
-/// The same while discovery is overloaded: watches wait for longer, which is fewer calls, and leave so much for
-/// their responses to wait in discovery's queue.
+/// The same while discovery is overloaded: watches wait for longer, which is fewer calls, and leave so much
+/// for their responses to wait in discovery's queue.
 const OVERLOADED_RESPONSE_ALLOWANCE: Duration = Duration::from_millis(1000);
 /// A response that is later than this has waited in a queue: discovery is overloaded.
 const OVERLOADED_DELAY: Duration = Duration::from_millis(250);
-/// After a watch that broke, the window of pauses leaves room for a response before the list expires, but is never
-/// narrower than this, since the watches of the whole fleet may have broken at once.
+/// After a watch that broke, the window of pauses leaves room for a response before the list expires, but is
+/// never narrower than this, since the watches of the whole fleet may have broken at once.
 pub(super) const MIN_RETRY_WINDOW: Duration = Duration::from_millis(250);
-/// The widest window after a refusal while the list may be used. A call that was refused just before discovery came
-/// back, this pause and a response then end before changes count as known and the drain grace is over.
+/// The widest window after a refusal while the list may be used. A call that was refused just before
+/// discovery came back, this pause and a response then end before changes count as known and the drain grace
+/// is over.
 pub(super) const MAX_REFUSAL_BACKOFF: Duration = Duration::from_millis(4250);
 
 /// Which call on a connection.
@@ -75,7 +76,8 @@
         let may_be_queued = position == CallPosition::First || self.is_overloaded;
         let response_timeout =
             if may_be_queued { policy.queued_response_timeout } else { policy.response_timeout };
-        // Longer waits are fewer calls. A gateway whose list expires meanwhile sends nothing until the response.
+        // Longer waits are fewer calls. A gateway whose list expires meanwhile sends nothing until the
+        // response.
         let allowance = if self.is_overloaded {
             OVERLOADED_RESPONSE_ALLOWANCE
         } else {
@@ -121,7 +123,8 @@
                 let list_is_valid = lease.is_valid(now);
                 self.pause_after_refusal(list_is_valid)
             }
-            // Silence may be an outage, whose end must not be missed. The response timeout limits the rate of calls.
+            // Silence may be an outage, whose end must not be missed. The response timeout limits the rate of
+            // calls.
             DiscoveryError::NoList(_) => {
                 self.is_overloaded = true;
                 lease.record_reached_without_list();
--- a/crates/gateway/src/discovery/tests/endpoint_list.rs
+++ b/crates/gateway/src/discovery/tests/endpoint_list.rs
@@ -1,3 +1,4 @@
+//! The endpoint list in discovery's JSON: each field, and records that cannot be read.
 use crate::discovery::endpoint_list::{DiscoveredEndpoint, EndpointList};
 use irishinge_admission::{EndpointId, EndpointState};
 use irishinge_settings::Names;
@@ -52,7 +53,8 @@
     assert_eq!((entry.state, entry.started_at_ms), (EndpointState::Ready, Some(5000.0)));
 }
 
-/// All gateways, of this version and of earlier ones, must agree on an endpoint's id: it is the FNV-1a hash of its uid.
+/// All gateways, of this version and of earlier ones, must agree on an endpoint's id: it is the FNV-1a hash
+/// of its uid.
 #[test]
 fn the_id_is_the_fnv_1a_hash_of_the_uid() {
     for (uid, id) in
--- a/crates/gateway/src/discovery/tests/error.rs
+++ b/crates/gateway/src/discovery/tests/error.rs
@@ -1,3 +1,4 @@
+//! The text of discovery errors in the log.
 use super::{reset_watch, silent_call, silent_watch, unreachable};
 use crate::discovery::error::{CallError, DiscoveryError};
 use crate::error_chain::ErrorChain;
--- a/crates/gateway/src/discovery/tests/fleet_recovery.rs
+++ b/crates/gateway/src/discovery/tests/fleet_recovery.rs
@@ -1,3 +1,4 @@
+//! Simulations of a whole fleet whose discovery returns after an outage or is slow at the start.
 use super::{schedule_for_requested_lists, silent_call, silent_watch, unreachable, LEASE_DURATION};
 use crate::discovery::error::DiscoveryError;
 use crate::discovery::list_lease::MAX_REFUSAL_RENEWAL;
@@ -22,7 +23,8 @@
     Refuses,
     /// The same, but such a call gets no response.
     IsSilent,
-    /// The queue holds 4 s of work. A call that has waited 2 s is refused then, and worked through all the same.
+    /// The queue holds 4 s of work. A call that has waited 2 s is refused then, and worked through all the
+    /// same.
     WorksThrough,
 }
 
@@ -60,8 +62,9 @@
     took_s: f64,
 }
 
-/// A fleet whose discovery, unreachable for long, returns at 0 with a fixed capacity. Each call takes a place in the
-/// queue. A watch is answered when its wait is over, counted from when its turn came; the next follows at once.
+/// A fleet whose discovery, unreachable for long, returns at 0 with a fixed capacity. Each call takes a place
+/// in the queue. A watch is answered when its wait is over, counted from when its turn came; the next follows
+/// at once.
 struct FleetSimulation {
     base: Instant,
     calls_per_second: f64,
@@ -259,8 +262,9 @@
     }
 }
 
-/// When each gateway of a fleet that starts at once has its first response, in seconds, from a discovery that serves
-/// a call in `service_s` and works through those, too, that were given up after 2 s. `None`: not within 30 s.
+/// When each gateway of a fleet that starts at once has its first response, in seconds, from a discovery that
+/// serves a call in `service_s` and works through those, too, that were given up after 2 s. `None`: not
+/// within 30 s.
 fn first_responses(gateways: usize, service_s: f64) -> Vec<Option<f64>> {
     let start = Instant::now();
     let mut schedules: Vec<RefreshSchedule> =
--- a/crates/gateway/src/discovery/tests/lease_expiry.rs
+++ b/crates/gateway/src/discovery/tests/lease_expiry.rs
@@ -1,3 +1,4 @@
+//! The report that the lease of the list has expired.
 use crate::discovery::lease_expiry::report_lease_expiry;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::Arc;
@@ -5,8 +6,8 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, Instant};
 
-/// In simulated time: once for each expiry, not while the lease is renewed, and not where it is renewed at the very
-/// moment of expiry.
+/// In simulated time: once for each expiry, not while the lease is renewed, and not where it is renewed at
+/// the very moment of expiry.
 #[tokio::test(start_paused = true)]
 async fn lease_expiry_is_reported_once_until_the_lease_is_renewed() {
     let second = Duration::from_secs(1);
--- a/crates/gateway/src/discovery/tests/list_lease.rs
+++ b/crates/gateway/src/discovery/tests/list_lease.rs
@@ -1,3 +1,4 @@
+//! How long the endpoint list may be used in outages and after refusals.
 use super::{
     policy, reset_watch, schedule_for_requested_lists, silent_call, silent_watch, unreachable, LEASE_DURATION,
 };
@@ -71,9 +72,9 @@
     assert_eq!(schedule.list_expires_at(), None);
 }
 
-/// An outage of ten seconds in which a proxy refuses calls, at once or after 2 s as observed: the list stays valid,
-/// calls stay frequent, and the first one after it is answered before the list expires. In an outage without end the
-/// list does expire, and only a list helps.
+/// An outage of ten seconds in which a proxy refuses calls, at once or after 2 s as observed: the list stays
+/// valid, calls stay frequent, and the first one after it is answered before the list expires. In an outage
+/// without end the list does expire, and only a list helps.
 #[test]
 fn lease_is_renewed_by_refusals_for_as_long_as_an_outage_and_no_longer() {
     const MIN_GRACE: Duration = Duration::from_secs(2);
--- a/crates/gateway/src/discovery/tests/refresh_policy.rs
+++ b/crates/gateway/src/discovery/tests/refresh_policy.rs
@@ -1,9 +1,10 @@
+//! The times of a watch on pushed lists, against the drain grace.
 use super::policy;
 use irishinge_settings::DiscoveryMode;
 use std::time::Duration;
 
-/// The worst case from a watch that falls silent to the next list: the watch has just been opened, the pause is the
-/// longest, and the connection and the list take their whole timeout.
+/// The worst case from a watch that falls silent to the next list: the watch has just been opened, the pause
+/// is the longest, and the connection and the list take their whole timeout.
 #[test]
 fn pushed_list_is_refreshed_within_the_grace_after_any_failure_of_the_watch() {
     for grace_ms in [250.0, 1000.0, 2000.0, 2500.0, 10_000.0] {
@@ -15,7 +16,8 @@
             let back = policy.max_backoff.max(policy.initial_backoff) + timeout;
             let room = Duration::from_secs_f64(grace_ms / 1000.0).mul_f64(0.9);
             assert!(notice + back < room, "{grace_ms}: {notice:?} and {back:?}");
-            // The same where a first call has just been left silent, at discovery's return or at a new address.
+            // The same where a first call has just been left silent, at discovery's return or at a new
+            // address.
             assert!(timeout + back < room, "{grace_ms}: {timeout:?} and {back:?}");
             assert!(policy.whole_list_first, "versions may have begun anew");
         }
--- a/crates/gateway/src/discovery/tests/refresh_schedule.rs
+++ b/crates/gateway/src/discovery/tests/refresh_schedule.rs
@@ -1,3 +1,4 @@
+//! The times of calls against the lease of the list, and the backoff window after refusals.
 use super::{reset_watch, schedule_for_requested_lists, silent_call, silent_watch, LEASE_DURATION};
 use crate::discovery::error::DiscoveryError;
 use crate::discovery::list_lease::{CHANGE_KNOWN_AFTER, CHANGE_KNOWN_AFTER_MOVE, LEASE_MARGIN};
@@ -10,8 +11,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// A watch that has only just been opened falls silent. The response to the next call comes before the list expires,
-/// even after the longest pause, unless discovery is overloaded. The same holds for a watch that breaks.
+/// A watch that has only just been opened falls silent. The response to the next call comes before the list
+/// expires, even after the longest pause, unless discovery is overloaded. The same holds for a watch that
+/// breaks.
 #[test]
 fn requested_list_is_refreshed_before_its_lease_expires() {
     let start = Instant::now();
--- a/crates/gateway/src/discovery/watch.rs
+++ b/crates/gateway/src/discovery/watch.rs
@@ -1,5 +1,5 @@
-//! The watch that keeps the endpoint list current: one call after another over one connection to discovery, each
-//! held back by discovery until something changes or the wait is over.
+//! The watch that keeps the endpoint list current: one call after another over one connection to discovery,
+//! each held back by discovery until something changes or the wait is over.
 use super::endpoint_list::EndpointList;
 use super::error::{CallError, DiscoveryError};
 use super::lease_expiry::report_lease_expiry;
@@ -26,10 +26,10 @@
 
 /// Keeps the endpoint list current, for good; `addr` is discovery's, which a reload may change.
 ///
-/// Where lists are asked for, the watch starts from `known_revision`, so that discovery has only changes to write. It
-/// starts again with the whole list after an outage, at a new address and, where lists are pushed, on each
-/// connection. A list that is asked for is on a lease: when that runs out, nothing may be sent until discovery has
-/// answered.
+/// Where lists are asked for, the watch starts from `known_revision`, so that discovery has only changes to
+/// write. It starts again with the whole list after an outage, at a new address and, where lists are pushed,
+/// on each connection. A list that is asked for is on a lease: when that runs out, nothing may be sent until
+/// discovery has answered.
 pub(crate) async fn watch_endpoint_list<O: EndpointListObserver + Clone + 'static>(
     observer: O,
     mut addr: watch::Receiver<SocketAddr>,
@@ -149,8 +149,8 @@
     /// Takes a list in and reports it.
     fn accept(&mut self, response: ListResponse, addr: SocketAddr) -> Result<(), DiscoveryError> {
         let ListResponse { list, delay } = response;
-        // A response older than the version asked from was overtaken, or versions have begun anew. Its changes may be
-        // to another list than the known one, so only the whole list helps.
+        // A response older than the version asked from was overtaken, or versions have begun anew. Its
+        // changes may be to another list than the known one, so only the whole list helps.
         if self.revision.is_some_and(|known| list.revision < known) {
             return Err(DiscoveryError::WatchInterrupted(CallError::RevisionWentBack));
         }
@@ -169,7 +169,8 @@
         Ok(())
     }
 
-    /// Makes one call, for what is newer than the known version or for the whole list. Its timeout runs from `started`.
+    /// Makes one call, for what is newer than the known version or for the whole list. Its timeout runs from
+    /// `started`.
     async fn call(
         &self,
         connection: &mut HttpConnection,
--- a/crates/gateway/src/dispatcher/mod.rs
+++ b/crates/gateway/src/dispatcher/mod.rs
@@ -1,5 +1,5 @@
-//! Connects the decision library to the sockets. The dispatcher is the only owner of the library's `Gateway`: it passes
-//! events to it, carries out its actions in order, and holds the active calls with their attempts.
+//! Connects the decision library to the sockets. The dispatcher is the only owner of the library's `Gateway`:
+//! it passes events to it, carries out its actions in order, and holds the active calls with their attempts.
 mod actions;
 mod active_call;
 #[cfg(test)]
@@ -23,8 +23,8 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
 
-/// How long before a request's deadline the dispatcher responds itself. The decision library normally responds sooner;
-/// this guarantees that every request gets a response, whatever the library does.
+/// How long before a request's deadline the dispatcher responds itself. The decision library normally
+/// responds sooner; this guarantees that every request gets a response, whatever the library does.
 const RESPONSE_GUARD_MS: f64 = 5.0;
 
 /// The state that events change.
@@ -93,8 +93,8 @@
 
     /// Starts a call and returns the channel that its final response arrives on.
     ///
-    /// Returns `None` if a call with the same id is active: executing the same request twice could have its effect
-    /// twice.
+    /// Returns `None` if a call with the same id is active: executing the same request twice could have its
+    /// effect twice.
     pub(crate) fn on_request(
         self: &Rc<Self>,
         request: Request,
@@ -189,8 +189,8 @@
         }
     }
 
-    /// Passes an event to the decision library and carries out its actions, and so on with the events that the actions
-    /// cause at once.
+    /// Passes an event to the decision library and carries out its actions, and so on with the events that
+    /// the actions cause at once.
     fn on_event(self: &Rc<Self>, event: Event) {
         let mut state = self.state.borrow_mut();
         let mut actions = Vec::new();
--- a/crates/gateway/src/dispatcher/tests.rs
+++ b/crates/gateway/src/dispatcher/tests.rs
@@ -1,3 +1,4 @@
+//! The tests of the dispatcher's timers.
 use super::timers::{Due, Rearm, TimerQueue};
 use irishinge_admission::RequestId;
 use std::time::Duration;
--- a/crates/gateway/src/downstream/connection.rs
+++ b/crates/gateway/src/downstream/connection.rs
@@ -12,14 +12,15 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, Instant};
 
-/// A new client's first request, head and body, must be here within this: the client is owed an error or a close
-/// within 3 s of connecting.
+/// A new client's first request, head and body, must be here within this: the client is owed an error or a
+/// close within 3 s of connecting.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(2500);
-/// How often unread bytes behind a request in progress are looked at for whether they are a flood yet. Only they call
-/// for a timer: the socket reports further bytes by itself, and, where none are unread, a client that leaves.
+/// How often unread bytes behind a request in progress are looked at for whether they are a flood yet. Only
+/// they call for a timer: the socket reports further bytes by itself, and, where none are unread, a client
+/// that leaves.
 const FLOOD_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// The pause between two rounds of discarding. A client that leaves must be noticed at once, however much of what it
-/// wrote is still on its way: at this rate both ends' full buffers are emptied in some 40 ms.
+/// The pause between two rounds of discarding. A client that leaves must be noticed at once, however much of
+/// what it wrote is still on its way: at this rate both ends' full buffers are emptied in some 40 ms.
 const DISCARD_INTERVAL: Duration = Duration::from_millis(5);
 
 /// How far a connection has come. The order is the one in which connections make room.
@@ -107,8 +108,8 @@
         self.stage_since.set(Instant::now());
     }
 
-    /// Begins with a request that has come as a whole. Never returns if the client has left, which may have been long
-    /// before its request was read: what is dispatched may be sent at once.
+    /// Begins with a request that has come as a whole. Never returns if the client has left, which may have
+    /// been long before its request was read: what is dispatched may be sent at once.
     pub(super) async fn begin_request(&self) {
         if self.has_client_left() {
             self.abandon().await;
@@ -126,8 +127,8 @@
         self.close_requested.notified().await;
     }
 
-    /// Closes the connection, which carries no request, to make room for another. One that is idle may be reading a
-    /// request at this moment, and then still answers it.
+    /// Closes the connection, which carries no request, to make room for another. One that is idle may be
+    /// reading a request at this moment, and then still answers it.
     pub(super) fn evict(&self) {
         self.stage.set(match self.stage.get() {
             ConnectionStage::AwaitingFirstRequest => ConnectionStage::Discarded,
@@ -151,8 +152,8 @@
         matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
 
-    /// Waits until the client has left while its request is in progress. hyper notices that only where nothing came
-    /// behind the request, since it reads no further.
+    /// Waits until the client has left while its request is in progress. hyper notices that only where
+    /// nothing came behind the request, since it reads no further.
     ///
     /// Cancel safe: what was discarded is lost either way.
     pub(super) async fn client_left(&self) {
--- a/crates/gateway/src/downstream/connection_table.rs
+++ b/crates/gateway/src/downstream/connection_table.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
-/// A usual client writes its first request as soon as it is connected: one that has been silent for so long is the
-/// first to make room.
+/// A usual client writes its first request as soon as it is connected: one that has been silent for so long
+/// is the first to make room.
 const MIN_SILENCE: Duration = Duration::from_millis(20);
 /// A connection that has served may be closed once it has been idle for so long.
 const MIN_IDLE: Duration = Duration::from_secs(2);
@@ -72,8 +72,8 @@
         }
     }
 
-    /// Makes room for a new connection: closes one that connected and stays silent, else one that has served and
-    /// stood idle for long, else whichever has carried no request for longest.
+    /// Makes room for a new connection: closes one that connected and stays silent, else one that has served
+    /// and stood idle for long, else whichever has carried no request for longest.
     pub(super) fn evict_one(&self) -> Eviction {
         let connections = self.connections.borrow();
         let order = |connection: &Connection| {
--- a/crates/gateway/src/downstream/flood.rs
+++ b/crates/gateway/src/downstream/flood.rs
@@ -1,5 +1,5 @@
-//! Bytes that a client sends behind a request in progress: when they are a flood, and how they are discarded. While
-//! they fill the socket, nobody could see the client leave.
+//! Bytes that a client sends behind a request in progress: when they are a flood, and how they are discarded.
+//! While they fill the socket, nobody could see the client leave.
 use socket2::SockRef;
 use std::io;
 use std::mem::MaybeUninit;
@@ -8,7 +8,8 @@
 
 /// So many unread bytes behind a request in progress are a flood: usual clients send one request at a time.
 pub(super) const MIN_FLOOD_BYTES: usize = 64 * 1024;
-/// Reads in one round of discarding, each of up to [`MIN_FLOOD_BYTES`]; other connections get their turn in between.
+/// Reads in one round of discarding, each of up to [`MIN_FLOOD_BYTES`]; other connections get their turn in
+/// between.
 const READS_PER_ROUND: usize = 16;
 
 /// What a round of discarding came to.
--- a/crates/gateway/src/downstream/listener.rs
+++ b/crates/gateway/src/downstream/listener.rs
@@ -9,8 +9,8 @@
 use tokio::task::yield_now;
 use tokio::time::sleep;
 
-/// Connections that are accepted beyond the bound to refuse their requests, so that their clients are not left
-/// without a response.
+/// Connections that are accepted beyond the bound to refuse their requests, so that their clients are not
+/// left without a response.
 pub(crate) const MAX_REFUSING_CONNECTIONS: usize = 8;
 /// The pause after a failed accept: without a free descriptor, it would fail again at once.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
@@ -36,9 +36,9 @@
         }
     }
 
-    /// Serves a new connection if there is room. Beyond the bound, a connection that carries no request makes room.
-    /// Where all carry one, requests over a few further connections are refused, and the rest are closed: left
-    /// unaccepted, their clients would wait in vain.
+    /// Serves a new connection if there is room. Beyond the bound, a connection that carries no request makes
+    /// room. Where all carry one, requests over a few further connections are refused, and the rest are
+    /// closed: left unaccepted, their clients would wait in vain.
     async fn admit(self: &Rc<Self>, stream: TcpStream) {
         let open = self.connections().len();
         let is_full = open >= self.max_connections() && self.connections().evict_one() == Eviction::NoneFree;
--- a/crates/gateway/src/downstream/metering.rs
+++ b/crates/gateway/src/downstream/metering.rs
@@ -13,8 +13,8 @@
 }
 
 impl Metering {
-    /// Parses `units=2,spread=3,first=1`, in any order; unknown fields are skipped. None where a field is missing,
-    /// malformed, repeated or out of the settings' bounds.
+    /// Parses `units=2,spread=3,first=1`, in any order; unknown fields are skipped. None where a field is
+    /// missing, malformed, repeated or out of the settings' bounds.
     pub(super) fn parse(text: &str, settings: &Settings) -> Option<Self> {
         let (mut units, mut spread, mut first) = (None, None, None);
         for field in text.split(',') {
--- a/crates/gateway/src/downstream/mod.rs
+++ b/crates/gateway/src/downstream/mod.rs
@@ -3,10 +3,10 @@
 //! - [`listener`]: accepts connections, within a bound.
 //! - [`server`]: serves each accepted connection, and drains them all at the end.
 //! - [`connection_table`]: the open connections, and which one makes room for a new one.
-//! - [`connection`]: one connection's stage, and how the departure of its client is noticed; [`flood`] discards what a
-//!   client sends without waiting for a response.
-//! - [`handler`]: takes a request from its head to its response: [`request`] and [`metering`] parse it, [`response`]
-//!   writes what the dispatcher decided.
+//! - [`connection`]: one connection's stage, and how the departure of its client is noticed; [`flood`]
+//!   discards what a client sends without waiting for a response.
+//! - [`handler`]: takes a request from its head to its response: [`request`] and [`metering`] parse it,
+//!   [`response`] writes what the dispatcher decided.
 mod connection;
 mod connection_table;
 mod flood;
--- a/crates/gateway/src/downstream/request.rs
+++ b/crates/gateway/src/downstream/request.rs
@@ -78,8 +78,8 @@
     customer.map(CustomerId).ok_or(RequestError::InvalidCustomer)
 }
 
-/// Clients declare a body's length. One declared in two ways may hide a second request in the body, and hyper leaves
-/// only the transfer encoding of the two to be seen here.
+/// Clients declare a body's length. One declared in two ways may hide a second request in the body, and hyper
+/// leaves only the transfer encoding of the two to be seen here.
 fn check_framing(headers: &HeaderMap) -> Result<(), RequestError> {
     if headers.contains_key(TRANSFER_ENCODING) {
         return Err(RequestError::LengthRequired);
--- a/crates/gateway/src/downstream/response.rs
+++ b/crates/gateway/src/downstream/response.rs
@@ -16,7 +16,8 @@
     text_response(if is_healthy { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
 }
 
-/// The response that the dispatcher decided on. `Retry-After` is at most `max_retry_after_ms`, and left out without.
+/// The response that the dispatcher decided on. `Retry-After` is at most `max_retry_after_ms`, and left out
+/// without.
 pub(super) fn final_response(
     response: FinalResponse,
     max_retry_after_ms: Option<f64>,
--- a/crates/gateway/src/downstream/server.rs
+++ b/crates/gateway/src/downstream/server.rs
@@ -58,8 +58,8 @@
         self.max_connections
     }
 
-    /// Has connections close once they have answered what they have taken. Those that are new, or come later, close
-    /// with their first response.
+    /// Has connections close once they have answered what they have taken. Those that are new, or come later,
+    /// close with their first response.
     pub(crate) fn drain(&self) {
         self.handler.start_draining();
         self.connections.request_close_of_used();
--- a/crates/gateway/src/downstream/tests/client_departure.rs
+++ b/crates/gateway/src/downstream/tests/client_departure.rs
@@ -1,3 +1,4 @@
+//! How soon it is noticed that a client has left.
 use super::active_connection;
 use crate::downstream::flood::MIN_FLOOD_BYTES;
 use socket2::SockRef;
@@ -26,8 +27,8 @@
     std::mem::forget(client);
 }
 
-/// How long it takes, in simulated time, to notice that a client leaves. It had written `before` when the wait for it
-/// began, and then wrote `behind` bytes.
+/// How long it takes, in simulated time, to notice that a client leaves. It had written `before` when the
+/// wait for it began, and then wrote `behind` bytes.
 async fn noticed_after(leave: Leave, before: &[u8], behind: usize) -> Duration {
     let (connection, mut client) = active_connection().await;
     client.write_all(before).expect("the socket takes it");
--- a/crates/gateway/src/downstream/tests/eviction.rs
+++ b/crates/gateway/src/downstream/tests/eviction.rs
@@ -1,3 +1,4 @@
+//! Which connection makes room for a new one.
 use super::socket_pair;
 use crate::downstream::connection::{Connection, ConnectionRole, ConnectionStage};
 use crate::downstream::connection_table::{ConnectionTable, Eviction};
--- a/crates/gateway/src/downstream/tests/flood.rs
+++ b/crates/gateway/src/downstream/tests/flood.rs
@@ -1,3 +1,4 @@
+//! When unread bytes are a flood, and how they are discarded.
 use super::{active_connection, socket_pair};
 use crate::downstream::flood::{discard, is_flood, Discarded, MIN_FLOOD_BYTES};
 use std::io::Write;
--- a/crates/gateway/src/downstream/tests/metering.rs
+++ b/crates/gateway/src/downstream/tests/metering.rs
@@ -1,3 +1,4 @@
+//! Parsing of the metering header.
 use super::settings;
 use crate::downstream::metering::Metering;
 
--- a/crates/gateway/src/downstream/tests/request_errors.rs
+++ b/crates/gateway/src/downstream/tests/request_errors.rs
@@ -1,3 +1,4 @@
+//! The status and text of each request error.
 use crate::downstream::request_error::RequestError;
 
 /// The status and the body of each error are part of the wire.
--- a/crates/gateway/src/downstream/tests/request_parsing.rs
+++ b/crates/gateway/src/downstream/tests/request_parsing.rs
@@ -1,3 +1,4 @@
+//! Parsing of a request's head: headers, path and method, and what goes on to endpoints.
 use super::{names, settings};
 use crate::downstream::request::{parse_request, upstream_request};
 use crate::downstream::request_error::RequestError;
--- a/crates/gateway/src/error_chain/tests.rs
+++ b/crates/gateway/src/error_chain/tests.rs
@@ -1,3 +1,4 @@
+//! The tests of the line that an operator sees when the gateway cannot start.
 use super::*;
 use crate::config::{ConfigError, InvalidConfig};
 use crate::startup::StartupError;
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -10,8 +10,8 @@
 /// The customer's plan, by its name in the settings. Sent by the client.
 pub(crate) const CONTRACT: HeaderName = HeaderName::from_static("x-contract");
 
-/// How long the sender waits for the response, in seconds with decimals. Sent by the client, and by the gateway to
-/// the endpoint with the time that is left.
+/// How long the sender waits for the response, in seconds with decimals. Sent by the client, and by the
+/// gateway to the endpoint with the time that is left.
 pub(crate) const BUDGET: HeaderName = HeaderName::from_static("x-budget");
 
 /// The units that a request takes from its quota, and the customer's set of gateways. Sent by the client.
@@ -20,8 +20,8 @@
 /// `1` marks a client's retry. Sent by the client, where clients mark retries.
 pub(crate) const AGAIN: HeaderName = HeaderName::from_static("x-again");
 
-/// The key by which an endpoint recognizes a request that it has already executed. Sent by the client, passed on
-/// to the endpoint.
+/// The key by which an endpoint recognizes a request that it has already executed. Sent by the client, passed
+/// on to the endpoint.
 pub(crate) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// The units that the request really used. Sent by the endpoint, where units are settled afterwards.
--- a/crates/gateway/src/http_connection/mod.rs
+++ b/crates/gateway/src/http_connection/mod.rs
@@ -1,7 +1,8 @@
-//! An HTTP/1.1 client connection that carries one request at a time, for endpoints, discovery and the quota counter.
+//! An HTTP/1.1 client connection that carries one request at a time, for endpoints, discovery and the quota
+//! counter.
 //!
-//! The connection and the request are driven by the same future. Dropping that future closes the socket at once, so no
-//! request outlives its attempt, and nothing is ever sent again.
+//! The connection and the request are driven by the same future. Dropping that future closes the socket at
+//! once, so no request outlives its attempt, and nothing is ever sent again.
 mod observed_stream;
 
 use self::observed_stream::{ExchangeState, ObservedStream};
@@ -28,8 +29,8 @@
 
 /// The maximum size of a response's head.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
-/// How long a response may take to arrive once it has begun. Endpoints write a response in one go, so one that is
-/// incomplete after this time will never be completed.
+/// How long a response may take to arrive once it has begun. Endpoints write a response in one go, so one
+/// that is incomplete after this time will never be completed.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(250);
 /// The maximum number of interim (1xx) responses before the final one.
 const MAX_INTERIM_RESPONSES: u32 = 8;
@@ -53,8 +54,8 @@
     state: Rc<ExchangeState>,
 }
 
-/// Tells whether any byte of a connection's current request has been written, even after its exchange was dropped. A
-/// partly written request counts as written, because it may have been processed.
+/// Tells whether any byte of a connection's current request has been written, even after its exchange was
+/// dropped. A partly written request counts as written, because it may have been processed.
 pub(crate) struct WriteStatus(Rc<ExchangeState>);
 
 impl WriteStatus {
@@ -88,8 +89,9 @@
 
     /// Whether the connection can carry another request.
     ///
-    /// The far end may have closed it, or may have sent surplus bytes after its last response, which would be taken for
-    /// the next one. The runtime may not have noticed either yet, so this looks at the socket itself too.
+    /// The far end may have closed it, or may have sent surplus bytes after its last response, which would be
+    /// taken for the next one. The runtime may not have noticed either yet, so this looks at the socket
+    /// itself too.
     pub(crate) fn is_usable(&mut self) -> bool {
         let mut cx = Context::from_waker(Waker::noop());
         self.state.response_begun.set(false);
@@ -129,8 +131,8 @@
             if let Poll::Ready(response) = response.as_mut().poll(cx) {
                 return Poll::Ready(response.ok_or_else(|| failure(state)));
             }
-            // The driver writes the queued request, and reads a response that the second poll below picks up. Once it
-            // has ended, it must not be polled again.
+            // The driver writes the queued request, and reads a response that the second poll below picks up.
+            // Once it has ended, it must not be polled again.
             if !driver_ended {
                 driver_ended = driver.as_mut().poll(cx).is_ready();
             }
--- a/crates/gateway/src/idle_connections.rs
+++ b/crates/gateway/src/idle_connections.rs
@@ -37,8 +37,8 @@
         self.connections.push(IdleConnection { pooled, since: Instant::now() });
     }
 
-    /// Takes the most recently used of the connections that `allows_reuse`, given since when they have been idle. Those
-    /// that are found stale on the way are closed.
+    /// Takes the most recently used of the connections that `allows_reuse`, given since when they have been
+    /// idle. Those that are found stale on the way are closed.
     pub(crate) fn take(
         &mut self,
         allows_reuse: impl Fn(Instant) -> bool,
--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -1,9 +1,9 @@
-//! Writes log lines to standard error, at most [`MAX_LINES_PER_SECOND`] of them, so that a fault that recurs with every
-//! request cannot fill the disk. A line over the limit is dropped before it is formatted, and the next line that is
-//! written is preceded by the number dropped. `docs/LOGS.md` lists every line.
+//! Writes log lines to standard error, at most [`MAX_LINES_PER_SECOND`] of them, so that a fault that recurs
+//! with every request cannot fill the disk. A line over the limit is dropped before it is formatted, and the
+//! next line that is written is preceded by the number dropped. `docs/LOGS.md` lists every line.
 //!
-//! A line has the form `irishinge: LEVEL TARGET: MESSAGE FIELD=VALUE...`. It has no colours, and no time: the process
-//! supervisor adds that.
+//! A line has the form `irishinge: LEVEL TARGET: MESSAGE FIELD=VALUE...`. It has no colours, and no time: the
+//! process supervisor adds that.
 use std::fmt;
 use std::io;
 use std::sync::{Arc, Mutex, PoisonError};
--- a/crates/gateway/src/logging/tests.rs
+++ b/crates/gateway/src/logging/tests.rs
@@ -1,3 +1,4 @@
+//! The tests of the log: the form of a line, the limit on lines, and their documentation.
 use super::*;
 use std::cell::Cell;
 use std::path::Path;
@@ -59,7 +60,8 @@
         }
     });
     let lines = kept.text().lines().count() as u32;
-    // A machine that stands still for a second may begin another period, whose first line tells of the dropped ones.
+    // A machine that stands still for a second may begin another period, whose first line tells of the
+    // dropped ones.
     let periods = lines.div_ceil(MAX_LINES_PER_SECOND + 1);
     assert!(lines <= periods * (MAX_LINES_PER_SECOND + 1) && periods <= 2, "{lines} lines");
     assert_eq!(formatted.get(), 2 * kept.text().matches("field=counted").count() as u32);
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,7 +1,9 @@
-//! irishinge: an API gateway. It accepts clients' requests over HTTP/1.1 and sends them to the endpoints that discovery
-//! publishes. The decision library (`irishinge-admission`) decides whether, when and where each request is sent.
+//! irishinge: an API gateway. It accepts clients' requests over HTTP/1.1 and sends them to the endpoints that
+//! discovery publishes. The decision library (`irishinge-admission`) decides whether, when and where each
+//! request is sent.
 //!
-//! The process reloads its configuration on SIGHUP and shuts down on SIGTERM. `docs/LOGS.md` lists its log lines.
+//! The process reloads its configuration on SIGHUP and shuts down on SIGTERM. `docs/LOGS.md` lists its log
+//! lines.
 mod clock;
 mod config;
 mod connection_budget;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -14,9 +14,9 @@
 
 /// A token bucket for the messages that this gateway sends to all of its peers together.
 ///
-/// If no gateway sends more messages than one gateway accepts, it is unlikely that any gateway receives more than it
-/// accepts. Equal limits for each peer would not work: in a large fleet a gateway sends many messages to the few peers
-/// that own its customers' quotas, and none to the rest.
+/// If no gateway sends more messages than one gateway accepts, it is unlikely that any gateway receives more
+/// than it accepts. Equal limits for each peer would not work: in a large fleet a gateway sends many messages
+/// to the few peers that own its customers' quotas, and none to the rest.
 struct SendRateLimit {
     per_second: f64,
     tokens: f64,
@@ -68,7 +68,8 @@
 }
 
 impl Peers {
-    /// Binds the socket to `listen`, if given. `accepted_per_second` is the number of messages that a gateway accepts.
+    /// Binds the socket to `listen`, if given. `accepted_per_second` is the number of messages that a gateway
+    /// accepts.
     ///
     /// # Errors
     ///
@@ -125,8 +126,8 @@
         }
     }
 
-    /// Passes peers' messages to `handler`. Datagrams from other senders and invalid ones are ignored. Never returns,
-    /// except where there is no socket.
+    /// Passes peers' messages to `handler`. Datagrams from other senders and invalid ones are ignored. Never
+    /// returns, except where there is no socket.
     pub(crate) async fn receive(&self, handler: impl PeerMessageHandler) {
         let Some(socket) = &self.socket else { return };
         let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
--- a/crates/gateway/src/quota_counter.rs
+++ b/crates/gateway/src/quota_counter.rs
@@ -1,5 +1,5 @@
-//! The client of the quota counter, the service that counts the units used over the whole fleet. It holds a few
-//! connections, each with one call at a time.
+//! The client of the quota counter, the service that counts the units used over the whole fleet. It holds a
+//! few connections, each with one call at a time.
 use crate::clock::duration_from_ms;
 use crate::connection_budget::{ConnectionBudget, PooledConnection};
 use crate::http_connection::HttpConnection;
--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -10,8 +10,8 @@
 
 /// Reads the configuration again on each SIGHUP.
 ///
-/// Only the addresses of discovery and of the quota counter can change while the process runs. If the file cannot be
-/// used, the previous configuration stays in force.
+/// Only the addresses of discovery and of the quota counter can change while the process runs. If the file
+/// cannot be used, the previous configuration stays in force.
 pub(crate) async fn reload_on_hangup(
     mut hangup: Signal,
     discovery_addr: watch::Sender<SocketAddr>,
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -9,8 +9,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout_at, Instant};
 
-/// How long new connections are accepted after SIGTERM. Clients keep connecting for up to 0.4 s. A request that arrives
-/// on such a connection more than 0.7 s after SIGTERM may be cut off by SIGKILL.
+/// How long new connections are accepted after SIGTERM. Clients keep connecting for up to 0.4 s. A request
+/// that arrives on such a connection more than 0.7 s after SIGTERM may be cut off by SIGKILL.
 const ACCEPT_FOR: Duration = Duration::from_millis(600);
 /// SIGKILL arrives no sooner than this after the longest deadline of any class.
 const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
--- a/crates/gateway/src/shutdown/tests.rs
+++ b/crates/gateway/src/shutdown/tests.rs
@@ -1,3 +1,4 @@
+//! The tests of the times of a shutdown.
 use super::*;
 use irishinge_admission::{ClassSettings, Idempotency};
 
--- a/crates/gateway/src/startup.rs
+++ b/crates/gateway/src/startup.rs
@@ -1,4 +1,5 @@
-//! Startup: builds the parts of the gateway from the configuration, lowest layer first, and starts their tasks.
+//! Startup: builds the parts of the gateway from the configuration, lowest layer first, and starts their
+//! tasks.
 use crate::clock::Clock;
 use crate::config::{Config, ConfigError};
 use crate::descriptor_budget::DescriptorBudget;
@@ -60,7 +61,8 @@
     pub shutdown: Shutdown,
 }
 
-/// Starts the gateway. Its tasks run on the current `LocalSet` and accept connections as soon as the caller awaits.
+/// Starts the gateway. Its tasks run on the current `LocalSet` and accept connections as soon as the caller
+/// awaits.
 ///
 /// # Errors
 ///
@@ -105,7 +107,8 @@
     Ok(RunningGateway { discovery_addr, dispatcher, shutdown })
 }
 
-/// Applies the endpoint list that was known before a restart, and returns the revision that discovery continues from.
+/// Applies the endpoint list that was known before a restart, and returns the revision that discovery
+/// continues from.
 fn restore_known_list(dispatcher: &Rc<Dispatcher>, known: Option<EndpointList>) -> Option<u64> {
     let known = known?;
     // An empty list is not worth continuing from.
--- a/crates/gateway/src/upstream/attempt.rs
+++ b/crates/gateway/src/upstream/attempt.rs
@@ -48,8 +48,8 @@
 }
 
 impl UpstreamPool {
-    /// Makes one attempt, which ends by `deadline`. Once the connection is established, `is_wanted` decides whether the
-    /// request is still to be sent.
+    /// Makes one attempt, which ends by `deadline`. Once the connection is established, `is_wanted` decides
+    /// whether the request is still to be sent.
     ///
     /// Dropping the future cancels the attempt: it closes the connection.
     pub(crate) async fn attempt(
@@ -96,9 +96,9 @@
         }
     }
 
-    /// Decides whether the request is still to be sent once the connection is established. Meanwhile the list may have
-    /// expired or the endpoint may be draining. The client may have disconnected, or may have the response of another
-    /// attempt if the settings forbid cancelling.
+    /// Decides whether the request is still to be sent once the connection is established. Meanwhile the list
+    /// may have expired or the endpoint may be draining. The client may have disconnected, or may have the
+    /// response of another attempt if the settings forbid cancelling.
     fn reason_not_to_send(
         &self,
         endpoint: EndpointId,
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -13,9 +13,9 @@
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
 
-/// Idle connections are closed after this fraction of the endpoint's own idle timeout. A request that is sent while the
-/// endpoint closes the connection ends with a reset, and may have been processed. A lower fraction would cost a large
-/// fleet, whose gateways use each endpoint only every few seconds, additional handshakes.
+/// Idle connections are closed after this fraction of the endpoint's own idle timeout. A request that is sent
+/// while the endpoint closes the connection ends with a reset, and may have been processed. A lower fraction
+/// would cost a large fleet, whose gateways use each endpoint only every few seconds, additional handshakes.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.8;
 /// How often idle connections are checked.
 pub(crate) const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(1000);
@@ -108,8 +108,8 @@
         endpoints.get(&endpoint).filter(|e| e.state == EndpointState::Ready).map(|e| e.addr)
     }
 
-    /// Returns an idle connection to an endpoint, or else a new one. Returns `None` if a new one cannot be established
-    /// in time or all permitted connections are in use.
+    /// Returns an idle connection to an endpoint, or else a new one. Returns `None` if a new one cannot be
+    /// established in time or all permitted connections are in use.
     pub(super) async fn acquire(&self, endpoint: EndpointId, addr: SocketAddr) -> Option<PooledConnection> {
         if let Some(pooled) = self.take_idle(endpoint) {
             return Some(pooled);
@@ -136,7 +136,8 @@
         usable
     }
 
-    /// Returns a connection to the pool, or closes it if it is not usable or its endpoint accepts no more requests.
+    /// Returns a connection to the pool, or closes it if it is not usable or its endpoint accepts no more
+    /// requests.
     pub(super) fn release(&self, endpoint: EndpointId, addr: SocketAddr, mut pooled: PooledConnection) {
         if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(&endpoint) {
             let accepts = endpoint.state == EndpointState::Ready && endpoint.addr == addr;
@@ -146,7 +147,8 @@
         }
     }
 
-    /// Returns a permit for one more connection. If the budget is exhausted, the longest idle connection is closed.
+    /// Returns a permit for one more connection. If the budget is exhausted, the longest idle connection is
+    /// closed.
     fn acquire_permit(&self) -> Option<ConnectionPermit> {
         if self.budget.is_exhausted() {
             let mut endpoints = self.endpoints.borrow_mut();
--- a/crates/gateway/src/upstream/reuse_delay.rs
+++ b/crates/gateway/src/upstream/reuse_delay.rs
@@ -1,8 +1,9 @@
 //! Protection against responses that arrive twice.
 //!
-//! A second copy may arrive some milliseconds after the first. If the next request has been written by then, the copy
-//! would be taken for its response. So once any connection has received surplus bytes, all connections pause after each
-//! response before they are reused. A permanent pause would cost a large fleet additional handshakes.
+//! A second copy may arrive some milliseconds after the first. If the next request has been written by then,
+//! the copy would be taken for its response. So once any connection has received surplus bytes, all
+//! connections pause after each response before they are reused. A permanent pause would cost a large fleet
+//! additional handshakes.
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/crates/gateway/src/upstream/tests.rs
+++ b/crates/gateway/src/upstream/tests.rs
@@ -1,3 +1,4 @@
+//! The tests of the upstream side: the delay before reuse, surplus bytes, and expired endpoint lists.
 use super::reuse_delay::{ReuseDelay, DELAY_PERIOD, REUSE_DELAY};
 use super::*;
 use crate::discovery::DiscoveredEndpoint;
@@ -50,7 +51,8 @@
     assert!(reuse_delay.allows_reuse(later, later), "it is over");
 }
 
-/// The surplus is there when the connection becomes idle, or arrives while it is idle, or is no response at all.
+/// The surplus is there when the connection becomes idle, or arrives while it is idle, or is no response at
+/// all.
 #[tokio::test]
 async fn surplus_bytes_begin_the_reuse_delay_whenever_they_arrive() {
     for more in [false, true] {
@@ -78,8 +80,8 @@
     }
 }
 
-/// The list expires while a connection comes up, or just before a pooled one is used: nothing is written, and the
-/// endpoint is not blamed.
+/// The list expires while a connection comes up, or just before a pooled one is used: nothing is written, and
+/// the endpoint is not blamed.
 #[tokio::test]
 async fn nothing_is_sent_by_an_expired_list() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
