Test the idle connections directly: which is taken, and which are closed

Cause: the list of idle connections that the pool and the quota counter share was held only by the tests on the whole gateway. Five tests now hold it alone: the most recently used connection is taken first, one that may not be reused yet stays, and those that are idle for too long, closed at the far end or the longest idle are closed.

--- a/crates/gateway/src/idle_connections.rs
+++ b/crates/gateway/src/idle_connections.rs
@@ -78,3 +78,6 @@
 ) -> bool {
     idle.since.elapsed() < timeout && is_usable(&mut idle.pooled.connection)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/idle_connections/tests.rs
@@ -0,0 +1,91 @@
+//! The tests of idle connections: which is taken, and which are closed.
+use super::*;
+use crate::connection_budget::ConnectionBudget;
+use std::io::Read;
+use std::net::TcpStream;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+const TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Puts `count` new connections, the oldest first. Returns their far ends.
+async fn put_connections(idle: &mut IdleConnections, count: usize) -> Vec<TcpStream> {
+    let budget = ConnectionBudget::new(count);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    let mut far_ends = Vec::new();
+    for _ in 0..count {
+        let (connection, accepted) = tokio::join!(HttpConnection::connect(addr), listener.accept());
+        let permit = budget.try_acquire().expect("a permit");
+        idle.put(PooledConnection::new(connection.expect("a connection"), permit));
+        let far_end = accepted.expect("a connection").0.into_std().expect("a socket");
+        far_end.set_nonblocking(false).expect("a socket");
+        far_end.set_read_timeout(Some(Duration::from_secs(1))).expect("a socket");
+        far_ends.push(far_end);
+        sleep(Duration::from_millis(2)).await;
+    }
+    far_ends
+}
+
+fn is_closed(far_end: &mut TcpStream) -> bool {
+    matches!(far_end.read(&mut [0; 16]), Ok(0))
+}
+
+#[tokio::test]
+async fn most_recently_used_connection_is_taken_first() {
+    let mut idle = IdleConnections::new(TIMEOUT);
+    let far_ends = put_connections(&mut idle, 3).await;
+    for mut far_end in far_ends.into_iter().rev() {
+        drop(idle.take(|_| true, HttpConnection::is_usable).expect("a connection"));
+        assert!(is_closed(&mut far_end));
+    }
+    assert!(idle.take(|_| true, HttpConnection::is_usable).is_none());
+}
+
+#[tokio::test]
+async fn connection_that_may_not_be_reused_yet_stays_idle() {
+    let mut idle = IdleConnections::new(TIMEOUT);
+    let mut far_ends = put_connections(&mut idle, 2).await;
+    let oldest = idle.oldest_since().expect("a connection");
+    drop(idle.take(|since| since <= oldest, HttpConnection::is_usable).expect("a connection"));
+    assert!(is_closed(&mut far_ends[0]));
+    assert!(idle.take(|since| since <= oldest, HttpConnection::is_usable).is_none());
+    assert!(idle.take(|_| true, HttpConnection::is_usable).is_some(), "the other one is kept");
+}
+
+#[tokio::test]
+async fn connection_that_is_idle_for_too_long_is_closed_and_not_taken() {
+    let mut idle = IdleConnections::new(Duration::from_millis(1));
+    let mut far_ends = put_connections(&mut idle, 2).await;
+    assert!(idle.take(|_| true, HttpConnection::is_usable).is_none());
+    assert!(idle.is_empty());
+    assert!(is_closed(&mut far_ends[0]) && is_closed(&mut far_ends[1]));
+}
+
+#[tokio::test]
+async fn connection_that_the_far_end_has_closed_is_stale() {
+    let mut idle = IdleConnections::new(TIMEOUT);
+    let far_ends = put_connections(&mut idle, 1).await;
+    idle.close_stale(HttpConnection::is_usable);
+    assert!(!idle.is_empty(), "it is still open");
+    drop(far_ends);
+    // The close may take a moment to arrive.
+    for _ in 0..1000 {
+        idle.close_stale(HttpConnection::is_usable);
+        if idle.is_empty() {
+            return;
+        }
+        sleep(Duration::from_millis(1)).await;
+    }
+    panic!("the connection is still idle");
+}
+
+#[tokio::test]
+async fn longest_idle_connection_is_closed_to_make_room() {
+    let mut idle = IdleConnections::new(TIMEOUT);
+    let mut far_ends = put_connections(&mut idle, 2).await;
+    idle.close_oldest();
+    assert!(is_closed(&mut far_ends[0]));
+    drop(idle.take(|_| true, HttpConnection::is_usable).expect("the other one"));
+    assert!(is_closed(&mut far_ends[1]));
+}
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -1,4 +1,4 @@
-//! The tests of the messages between gateways: the limit on sending, and several messages in a row to one peer.
+//! The tests of the messages between gateways: the limit on sending, and several messages to one peer.
 use super::*;
 
 #[test]
