Let the quota state of a request say whether it counts and whether its quota is ample

Whether a request counts to its quota, whether that quota is ample and who decides stood in three fields of the active request, open to the crate and set together in five places. The quota state now carries what belongs to each case: the local bucket its outcome, a grant and a counted admission whether the quota is ample, and an admission that the counter was not asked about is a case of its own. The state and the settled units are private to the record, the state is replaced as a whole, and settled units are only added to.

--- a/crates/admission/src/coordination/counter_calls.rs
+++ b/crates/admission/src/coordination/counter_calls.rs
@@ -31,13 +31,11 @@
         let over = most.is_some_and(|tokens| tokens < request.units);
         let sampled = if over { None } else { self.sample_for_counter(id, request.units, request.repeat) };
         let Some(active) = self.requests.get_mut(id) else { return };
-        active.within_quota = !over;
-        active.ample = true;
-        active.quota = match sampled {
+        active.set_quota(match sampled {
             Some(_) => QuotaState::AwaitingCounter,
             None if over => over_quota(&plan),
-            None => QuotaState::AdmittedByCounter { asked: false },
-        };
+            None => QuotaState::AdmittedUncounted,
+        });
         if let Some(counted) = sampled {
             self.queue_counter_call(tag, CounterCall::Request(counted));
         }
@@ -156,8 +154,8 @@
         let active = self.requests.get_mut(request.id).filter(|active| active.awaits_counter());
         let taken = match active {
             Some(active) => {
-                decide_by_count(active, plan, request.units, tokens);
-                active.within_quota
+                active.set_quota(decide_by_count(plan, request.units, tokens));
+                active.quota().is_within_quota()
             }
             None => false,
         };
--- a/crates/admission/src/coordination/quota_requests.rs
+++ b/crates/admission/src/coordination/quota_requests.rs
@@ -30,7 +30,7 @@
             Coordination::Counter(_) => self.request_from_counter(id, actions),
             Coordination::Broadcast(_) | Coordination::Isolated => {
                 let Some(active) = self.requests.get_mut(id) else { return };
-                active.within_quota = true;
+                active.set_quota(QuotaState::LocalBucket { within_quota: true });
                 let (tag, plan) = (active.tag, active.request.plan);
                 let gateways =
                     GatewaySet::new(active.request.first, active.request.spread, self.settings.gateways);
@@ -45,7 +45,7 @@
         let Some(active) = self.requests.get(id) else { return };
         let now_ms = self.clock.now_ms();
         let wait_budget = WaitBudget::from_ms(self.grant_useful_until_ms(active) - now_ms);
-        let (tag, previous) = (active.tag, active.quota);
+        let (tag, previous) = (active.tag, active.quota());
         let request = active.request.clone();
         let gateways = GatewaySet::new(request.first, request.spread, self.settings.gateways);
         let customer = self.customer_entry(tag, request.plan, gateways);
@@ -86,7 +86,8 @@
             gossip.spend_message_token();
         }
         let number = request.number;
-        active.quota = QuotaState::AwaitingOwner { owner, number, at_ms: self.clock.now_ms(), tries };
+        let at_ms = self.clock.now_ms();
+        active.set_quota(QuotaState::AwaitingOwner { owner, number, at_ms, tries });
         gossip.requests.insert(number, id);
         self.send_gossip(owner, GossipMessage::request(request), actions);
     }
@@ -114,7 +115,7 @@
         let wait_ms = response_wait_ms(&self.settings);
         let missed = gossip.requests.waiting().filter_map(|id| {
             let active = self.requests.get(id)?;
-            let QuotaState::AwaitingOwner { owner, at_ms, tries, .. } = active.quota else { return None };
+            let QuotaState::AwaitingOwner { owner, at_ms, tries, .. } = active.quota() else { return None };
             (self.clock.now_ms() - at_ms > wait_ms).then_some(MissedResponse { id, owner, tries })
         });
         missed.collect()
@@ -126,19 +127,16 @@
         let Some(gossip) = self.coordination.gossip_mut() else { return };
         let Some(id) = gossip.requests.get(number) else { return };
         let Some(active) = self.requests.get_mut(id) else { return gossip.requests.remove(number) };
-        if !active.quota.awaits_response(from, number) {
+        if !active.quota().awaits_response(from, number) {
             return;
         }
-        active.quota = match response.verdict {
-            QuotaVerdict::Granted | QuotaVerdict::GrantedAmple => {
-                QuotaState::GrantedByOwner { owner: from, number }
-            }
+        active.set_quota(match response.verdict {
+            QuotaVerdict::Granted => QuotaState::GrantedByOwner { owner: from, number, ample: false },
+            QuotaVerdict::GrantedAmple => QuotaState::GrantedByOwner { owner: from, number, ample: true },
             QuotaVerdict::Queued => QuotaState::QueuedAtOwner { owner: from, number },
             QuotaVerdict::OverQuotaAllowed => QuotaState::OverQuota { within_ceiling: true },
             QuotaVerdict::OverQuota => QuotaState::OverQuota { within_ceiling: false },
-        };
-        active.within_quota = matches!(active.quota, QuotaState::GrantedByOwner { .. });
-        active.ample = response.verdict == QuotaVerdict::GrantedAmple;
+        });
         if response.verdict != QuotaVerdict::Queued {
             gossip.requests.remove(number);
         }
--- a/crates/admission/src/lifecycle/attempts.rs
+++ b/crates/admission/src/lifecycle/attempts.rs
@@ -7,7 +7,7 @@
 use crate::policy::dispatch::ATTEMPT_TIMEOUT_OBJECTIVES;
 use crate::policy::in_flight_band::MAX_CREDIT_OVERDRAFT;
 use crate::policy::retry::{MAX_RETRY_TOKENS, RETRY_TOKENS_PER_REQUEST};
-use crate::state::{AttemptRef, InFlightAttempt, QuotaState};
+use crate::state::{AttemptRef, InFlightAttempt};
 
 /// Shortest time-out of an attempt: the host needs one above 0.
 const MIN_TIMEOUT_MS: f64 = 1.0;
@@ -48,20 +48,20 @@
     /// Counts a new attempt to its customer, where the quota is not held by another gateway: its slot, and
     /// with the first attempt the request's units.
     fn count_attempt(&mut self, id: RequestId, is_first: bool) {
-        let Some(active) = self.requests.get(id).filter(|a| a.quota.holds_slot_here()) else {
+        let Some(active) = self.requests.get(id).filter(|a| a.quota().holds_slot_here()) else {
             return;
         };
         let Some(customer) = self.customers.get_mut(active.tag) else { return };
         let plan = &self.settings.plans[active.request.plan];
-        let own_bucket = active.quota == QuotaState::LocalBucket;
+        let first_within_quota = is_first && active.quota().is_within_quota();
         customer.start_attempt();
         if is_first {
             customer.consume_ceiling(active.request.units);
         }
-        if is_first && active.within_quota && plan.rate_per_second > 0.0 && own_bucket {
+        if first_within_quota && plan.rate_per_second > 0.0 && active.quota().is_local_bucket() {
             customer.consume_quota(active.request.units);
         }
-        if plan.open_limit > 0 || (is_first && active.within_quota) {
+        if plan.open_limit > 0 || first_within_quota {
             self.customers.schedule_report(active.tag, REPORT_ROUNDS);
         }
     }
@@ -90,15 +90,15 @@
     fn settle_attempt(&mut self, end: &AttemptEnd) {
         let Some(active) = self.requests.get_mut(end.request) else { return };
         let plan = &self.settings.plans[active.request.plan];
-        let has_quota = active.within_quota && plan.rate_per_second > 0.0;
+        let has_quota = active.quota().is_within_quota() && plan.rate_per_second > 0.0;
         // No request can count more than `max_units`: such a figure is corrupt.
         let true_units = end.true_units.filter(|units| has_quota && *units <= self.settings.max_units);
         let excess = true_units.map_or(0.0, |units| units - active.request.units);
-        let own_bucket = active.quota == QuotaState::LocalBucket;
+        let own_bucket = active.quota().is_local_bucket();
         if !own_bucket {
-            active.settled_units += excess;
+            active.settle(excess);
         }
-        if !active.quota.holds_slot_here() {
+        if !active.quota().holds_slot_here() {
             return;
         }
         let Some(customer) = self.customers.get_mut(active.tag) else { return };
--- a/crates/admission/src/lifecycle/requests.rs
+++ b/crates/admission/src/lifecycle/requests.rs
@@ -107,15 +107,15 @@
     fn report_request_end(&mut self, active: &ActiveRequest, actions: &mut Vec<Action>) {
         let unsent = active.is_unsent();
         let unused = -active.request.units;
-        match active.quota {
-            QuotaState::AdmittedByCounter { asked: true } => self.settle_counted(active, actions),
-            QuotaState::GrantedByOwner { owner, number } if unsent => {
+        match active.quota() {
+            QuotaState::AdmittedByCounter { .. } => self.settle_counted(active, actions),
+            QuotaState::GrantedByOwner { owner, number, .. } if unsent => {
                 self.send_release(owner, active.tag, number, unused, actions)
             }
-            QuotaState::GrantedByOwner { owner, number } => {
+            QuotaState::GrantedByOwner { owner, number, ample } => {
                 let holds_slot = self.settings.plans[active.request.plan].open_limit > 0;
-                if holds_slot || active.settled_units != 0.0 && !active.ample {
-                    self.send_release(owner, active.tag, number, active.settled_units, actions);
+                if holds_slot || active.settled_units() != 0.0 && !ample {
+                    self.send_release(owner, active.tag, number, active.settled_units(), actions);
                 }
             }
             QuotaState::QueuedAtOwner { owner, number } | QuotaState::AwaitingOwner { owner, number, .. } => {
@@ -124,10 +124,10 @@
                 }
                 self.send_release(owner, active.tag, number, unused, actions);
             }
-            QuotaState::LocalBucket
+            QuotaState::LocalBucket { .. }
             | QuotaState::OverQuota { .. }
             | QuotaState::AwaitingCounter
-            | QuotaState::AdmittedByCounter { asked: false } => {}
+            | QuotaState::AdmittedUncounted => {}
         }
     }
 
--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -5,7 +5,7 @@
 use crate::mechanism::common_value::VoteLimits;
 use crate::policy::dispatch::MIN_WEIGHT;
 use crate::policy::upkeep::UPKEEP_MS;
-use crate::state::{ActiveRequest, GatewaySet, OwnBucketCheck, QuotaDecision};
+use crate::state::{ActiveRequest, GatewaySet, OwnBucketCheck, QuotaDecision, QuotaState};
 
 /// For this long after its start a gateway spends only its part of each burst: its peers' use is unknown.
 const STARTUP_MS: f64 = 1000.0;
@@ -83,7 +83,7 @@
             may_exceed: plan.pays_over_quota() && ceiling_met,
             retry_after_ms: Some(wait_ms).filter(|ms| ms.is_finite()),
         };
-        self.requests.get_mut(id)?.within_quota = check.is_met;
+        self.requests.get_mut(id)?.set_quota(QuotaState::LocalBucket { within_quota: check.is_met });
         Some(check)
     }
 
--- a/crates/admission/src/policy/dispatch.rs
+++ b/crates/admission/src/policy/dispatch.rs
@@ -5,7 +5,7 @@
 use crate::mechanism::virtual_finish_queue::FlowHead;
 use crate::policy::coordination::PEER_TIMEOUT_MS;
 use crate::settings::PlanSettings;
-use crate::state::{Customer, QuotaDecision, QuotaState};
+use crate::state::{Customer, QuotaDecision};
 
 /// Time-out of an attempt, in latency objectives. Later responses have little value, but while the endpoint
 /// may still work the attempt belongs to the stock: a shorter time-out let in more than endpoints could do.
@@ -40,8 +40,7 @@
 
     /// Whether a request over its quota may still be sent: where its plan pays for that and there is room.
     pub(crate) fn may_send_over_quota(&self, id: RequestId) -> bool {
-        let within_ceiling = QuotaState::OverQuota { within_ceiling: true };
-        self.requests.get(id).is_some_and(|active| active.quota == within_ceiling)
+        self.requests.get(id).is_some_and(|active| active.quota().may_exceed_quota())
             && self.band_position(id).under_lower
     }
 
@@ -59,15 +58,14 @@
     /// Whether quota, open limit and this gateway's part of the ceiling let a request be sent now.
     pub(crate) fn quota_decision(&mut self, id: RequestId) -> QuotaDecision {
         let Some(active) = self.requests.get(id) else { return QuotaDecision::OverQuota };
-        if let Some(decision) = active.quota.decision() {
+        if let Some(decision) = active.quota().decision() {
             return decision;
         }
-        let own_bucket = active.quota == QuotaState::LocalBucket;
         let (tag, units) = (active.tag, active.request.units);
         let plan = &self.settings.plans[active.request.plan];
         self.customers.refill(tag, plan, self.clock.now_ms());
         let Some(customer) = self.customers.get(tag) else { return QuotaDecision::OverQuota };
-        if own_bucket && plan.rate_per_second > 0.0 && customer.quota_tokens() < units {
+        if active.quota().is_local_bucket() && plan.rate_per_second > 0.0 && customer.quota_tokens() < units {
             return QuotaDecision::OverQuota;
         }
         if plan.open_limit > 0 && self.open_limit_reached(plan.open_limit, customer, tag) {
--- a/crates/admission/src/policy/quota_counter.rs
+++ b/crates/admission/src/policy/quota_counter.rs
@@ -77,11 +77,13 @@
 }
 
 /// Decides on a request that waits for the counter, given the customer's tokens before it.
-pub(crate) fn decide_by_count(active: &mut ActiveRequest, plan: &PlanSettings, units: f64, tokens: f64) {
-    active.within_quota = tokens >= units;
-    active.ample = tokens > AMPLE_FRACTION * plan.burst_units;
-    let admitted = QuotaState::AdmittedByCounter { asked: true };
-    active.quota = if active.within_quota { admitted } else { over_quota(plan) };
+pub(crate) fn decide_by_count(plan: &PlanSettings, units: f64, tokens: f64) -> QuotaState {
+    let ample = tokens > AMPLE_FRACTION * plan.burst_units;
+    if tokens >= units {
+        QuotaState::AdmittedByCounter { ample }
+    } else {
+        over_quota(plan)
+    }
 }
 
 /// Tokens to assume where the counter gave no total. Most customers are well inside their quota, and those
@@ -104,9 +106,8 @@
 /// Units by which the count is wrong once a request that was sent has ended. The true units, where the tokens
 /// were few, wait for the customer's next call: guesses are as often too high as too low.
 pub(crate) fn settlement_units(active: &ActiveRequest) -> f64 {
-    if active.ample {
-        0.0
-    } else {
-        active.settled_units
+    match active.quota() {
+        QuotaState::AdmittedByCounter { ample: false } => active.settled_units(),
+        _ => 0.0,
     }
 }
--- a/crates/admission/src/policy/quota_owner.rs
+++ b/crates/admission/src/policy/quota_owner.rs
@@ -84,9 +84,9 @@
         let room = self.band_is_ungated();
         let Some(active) = self.requests.get_mut(id) else { return };
         let no_ceiling = self.settings.plans[active.request.plan].ceiling_rate_per_second <= 0.0;
-        active.within_quota = likely_within && room && no_ceiling;
+        let within_quota = likely_within && room && no_ceiling;
         let over_quota = QuotaState::OverQuota { within_ceiling: false };
-        active.quota = if active.within_quota { QuotaState::LocalBucket } else { over_quota };
+        active.set_quota(if within_quota { QuotaState::LocalBucket { within_quota } } else { over_quota });
     }
 
     /// How long a grant counts beyond the time that its request may wait: as long as an attempt may take.
--- a/crates/admission/src/state/quota_state.rs
+++ b/crates/admission/src/state/quota_state.rs
@@ -1,30 +1,33 @@
 //! Where a request stands with its customer's quota.
 
 /// Who decides whether a request is within its customer's quota, and what was decided.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum QuotaState {
     /// This gateway's own token bucket decides; nobody is asked.
-    #[default]
-    LocalBucket,
+    LocalBucket { within_quota: bool },
     /// The quota's owner was asked and has not answered.
     AwaitingOwner { owner: usize, number: u32, at_ms: f64, tries: u32 },
     /// The owner keeps the request waiting until the customer has a free slot.
     QueuedAtOwner { owner: usize, number: u32 },
-    /// The owner granted it.
-    GrantedByOwner { owner: usize, number: u32 },
+    /// The owner granted it. Where the quota is ample, the true units need not be reported.
+    GrantedByOwner { owner: usize, number: u32, ample: bool },
     /// It is over the quota. Within the ceiling it may still be sent while there is room.
     OverQuota { within_ceiling: bool },
     /// The quota counter was asked and has not answered.
     AwaitingCounter,
-    /// It may be sent: the counter said so, or was not asked about it.
-    AdmittedByCounter { asked: bool },
+    /// The counter's total admitted it. Where the quota is ample, the true units need not be reported.
+    AdmittedByCounter { ample: bool },
+    /// It may be sent, though the counter was not asked about it.
+    AdmittedUncounted,
 }
 
 impl QuotaState {
     /// What has been decided already; `None` where this gateway's own records are still to be checked.
     pub(crate) fn decision(&self) -> Option<QuotaDecision> {
         match self {
-            QuotaState::LocalBucket | QuotaState::AdmittedByCounter { .. } => None,
+            QuotaState::LocalBucket { .. }
+            | QuotaState::AdmittedByCounter { .. }
+            | QuotaState::AdmittedUncounted => None,
             QuotaState::GrantedByOwner { .. } => Some(QuotaDecision::Admit),
             QuotaState::OverQuota { .. } => Some(QuotaDecision::OverQuota),
             QuotaState::AwaitingOwner { .. }
@@ -36,7 +39,32 @@
     /// Whether the request's attempts count to its customer at this gateway; else the quota's owner counts
     /// them.
     pub(crate) fn holds_slot_here(&self) -> bool {
-        matches!(self, QuotaState::LocalBucket | QuotaState::AdmittedByCounter { .. })
+        self.is_local_bucket()
+            || matches!(self, QuotaState::AdmittedByCounter { .. } | QuotaState::AdmittedUncounted)
+    }
+
+    /// Whether this gateway's own token bucket decides.
+    pub(crate) fn is_local_bucket(&self) -> bool {
+        matches!(self, QuotaState::LocalBucket { .. })
+    }
+
+    /// Whether the request counts to its customer's quota.
+    pub(crate) fn is_within_quota(&self) -> bool {
+        match self {
+            QuotaState::LocalBucket { within_quota } => *within_quota,
+            QuotaState::GrantedByOwner { .. }
+            | QuotaState::AdmittedByCounter { .. }
+            | QuotaState::AdmittedUncounted => true,
+            QuotaState::AwaitingOwner { .. }
+            | QuotaState::QueuedAtOwner { .. }
+            | QuotaState::OverQuota { .. }
+            | QuotaState::AwaitingCounter => false,
+        }
+    }
+
+    /// Whether the request is over its quota, but may still be sent while there is room.
+    pub(crate) fn may_exceed_quota(&self) -> bool {
+        matches!(self, QuotaState::OverQuota { within_ceiling: true })
     }
 
     /// Whether a response of this owner to the quota request of this number is awaited.
--- a/crates/admission/src/state/request.rs
+++ b/crates/admission/src/state/request.rs
@@ -19,14 +19,10 @@
     attempts: Vec<Attempt>,
     /// It has its final answer, or its client has gone.
     closed: bool,
-    /// It counts to its customer's quota.
-    pub(crate) within_quota: bool,
     /// Where it stands with the quota.
-    pub(crate) quota: QuotaState,
+    quota: QuotaState,
     /// Units by which the true figure passed the estimate, where the quota is not held here.
-    pub(crate) settled_units: f64,
-    /// So much of the quota is left that the true units need not be reported.
-    pub(crate) ample: bool,
+    settled_units: f64,
 }
 
 impl ActiveRequest {
@@ -43,14 +39,32 @@
             deadline_ms: now_ms + request.time_left_ms,
             attempts: Vec::new(),
             closed: false,
-            within_quota: false,
-            quota: QuotaState::LocalBucket,
+            quota: QuotaState::LocalBucket { within_quota: false },
             settled_units: 0.0,
-            ample: false,
             request,
         }
     }
 
+    /// Where it stands with the quota.
+    pub(crate) fn quota(&self) -> QuotaState {
+        self.quota
+    }
+
+    /// Enters where it stands with the quota now.
+    pub(crate) fn set_quota(&mut self, quota: QuotaState) {
+        self.quota = quota;
+    }
+
+    /// Adds the units by which an ended attempt passed the estimate, for whoever holds the quota.
+    pub(crate) fn settle(&mut self, excess_units: f64) {
+        self.settled_units += excess_units;
+    }
+
+    /// Units by which its attempts passed the estimate, where the quota is not held here.
+    pub(crate) fn settled_units(&self) -> f64 {
+        self.settled_units
+    }
+
     /// How many attempts were sent.
     pub(crate) fn attempt_count(&self) -> usize {
         self.attempts.len()
