Name the remaining unnamed figures of the decisions and move mechanics out of policy

The least time-out of an attempt stood outside the policy files, and the ratio of slot holders to slots, the least baseline of a kind and some guards of divisions had no name. The first now stands beside the time-out of an attempt, and the others are named constants with their reasons; the guards of a mean capacity and of the rate requested moved to the records that give the divisor. The guard of the observed answers per endpoint is gone: below it the limit was cut to its maximum in any case, so that the result is the same without it.

--- a/crates/admission/src/coordination/observations.rs
+++ b/crates/admission/src/coordination/observations.rs
@@ -10,7 +10,7 @@
     OBSERVATION_SPAN_S, OBSERVED_RESPONSE_TIME_GAIN, SCOPED_EJECTION,
 };
 use crate::policy::quota_owner::QUOTA_RATE_SPAN_S;
-use crate::state::EjectionScope;
+use crate::state::{EjectionScope, PendingAttempt};
 
 impl Gateway {
     /// Records what an own attempt's end shows of its endpoint.
@@ -35,6 +35,17 @@
         self.record_observation(end.endpoint, kind);
     }
 
+    /// Large fleets: reports own attempts that have begun to take long since the last round of upkeep.
+    pub(crate) fn report_long_attempts(&mut self) {
+        if self.coordination.is_broadcast() {
+            return;
+        }
+        let turned_long = self.requests.pending_attempts().filter(|pending| self.turned_long(pending));
+        for PendingAttempt { endpoint, class, .. } in turned_long.collect::<Vec<_>>() {
+            self.record_observation(endpoint, ObservationKind::Failed { class });
+        }
+    }
+
     /// Applies an own observation and keeps it for the next messages.
     pub(crate) fn record_observation(&mut self, endpoint: EndpointId, kind: ObservationKind) {
         let observation = Observation { endpoint: short_tag(endpoint.0), kind };
--- a/crates/admission/src/lifecycle/attempts.rs
+++ b/crates/admission/src/lifecycle/attempts.rs
@@ -4,14 +4,11 @@
 use crate::gateway::Gateway;
 use crate::id::{EndpointId, RequestId};
 use crate::policy::coordination::REPORT_ROUNDS;
-use crate::policy::dispatch::ATTEMPT_TIMEOUT_OBJECTIVES;
+use crate::policy::dispatch::{ATTEMPT_TIMEOUT_OBJECTIVES, MIN_ATTEMPT_TIMEOUT_MS};
 use crate::policy::in_flight_band::MAX_CREDIT_OVERDRAFT;
 use crate::policy::retry::{MAX_RETRY_TOKENS, RETRY_TOKENS_PER_REQUEST};
 use crate::state::{AttemptRef, InFlightAttempt};
 
-/// Shortest time-out of an attempt: the host needs one above 0.
-const MIN_TIMEOUT_MS: f64 = 1.0;
-
 impl Gateway {
     /// Starts a request's next attempt, at this endpoint, and enters it in all records.
     pub(crate) fn send(&mut self, id: RequestId, endpoint_id: EndpointId, actions: &mut Vec<Action>) {
@@ -21,7 +18,8 @@
         }
         let objective_ms = self.settings.classes[active.request.class].latency_objective_ms;
         let time_left_ms = active.deadline_ms - self.clock.now_ms();
-        let timeout_ms = (ATTEMPT_TIMEOUT_OBJECTIVES * objective_ms).min(time_left_ms).max(MIN_TIMEOUT_MS);
+        let timeout_ms =
+            (ATTEMPT_TIMEOUT_OBJECTIVES * objective_ms).min(time_left_ms).max(MIN_ATTEMPT_TIMEOUT_MS);
         let is_first = active.is_unsent();
         self.band.spend_dispatch_credit(MAX_CREDIT_OVERDRAFT);
         if is_first {
--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -77,11 +77,10 @@
         let customer = self.customer_entry(tag, request.plan, gateways);
         let room = customer.quota_tokens() - reserved - withheld;
         let ceiling_met = plan.ceiling_rate_per_second <= 0.0 || customer.ceiling_tokens() >= request.units;
-        let wait_ms = 1000.0 * (request.units - room).max(0.0) / plan.rate_per_second;
         let check = OwnBucketCheck {
             is_met: plan.rate_per_second <= 0.0 || room >= request.units,
             may_exceed: plan.pays_over_quota() && ceiling_met,
-            retry_after_ms: Some(wait_ms).filter(|ms| ms.is_finite()),
+            retry_after_ms: plan.refill_time_ms(request.units - room),
         };
         self.requests.get_mut(id)?.set_quota(QuotaState::LocalBucket { within_quota: check.is_met });
         Some(check)
--- a/crates/admission/src/policy/dispatch.rs
+++ b/crates/admission/src/policy/dispatch.rs
@@ -11,6 +11,14 @@
 /// may still work the attempt belongs to the stock: a shorter time-out let in more than endpoints could do.
 pub(crate) const ATTEMPT_TIMEOUT_OBJECTIVES: f64 = 2.0;
 
+/// Shortest time-out of an attempt: the host needs one above 0.
+pub(crate) const MIN_ATTEMPT_TIMEOUT_MS: f64 = 1.0;
+
+/// Where gateways outnumber a customer's slots, so many of them have a part for so many slots: a third more
+/// than there are slots, since few are busy at once.
+const SLOT_HOLDERS: u32 = 4;
+const SLOTS_HELD: u32 = 3;
+
 /// Least weight of a class or a plan in the queue: one of weight 0 is still served.
 pub(crate) const MIN_WEIGHT: f64 = 0.01;
 
@@ -80,14 +88,12 @@
 
     /// Whether a customer has as many attempts in flight as its plan allows. Peers' attempts are heard of
     /// late: beyond this gateway's part of the limit each peer that was lately busy for the customer may have
-    /// one more than it reported. Where gateways outnumber slots only some have a part: a third more of them
-    /// than there are slots, since few are busy at once.
+    /// one more than it reported.
     fn open_limit_reached(&self, limit: u32, customer: &Customer, tag: CustomerTag) -> bool {
         let peers = customer.peer_activity(self.clock.now_ms(), PEER_TIMEOUT_MS);
         let spread = customer.gateways().len() as u32;
-        let distance = self.settings.me + self.settings.gateways - customer.gateways().first();
-        let place = (distance as u32).wrapping_add(tag.short());
-        let has_slot = place % spread < (4 * limit).div_ceil(3);
+        let place = customer.gateways().place(tag, self.settings.me);
+        let has_slot = place < (SLOT_HOLDERS * limit).div_ceil(SLOTS_HELD);
         let part = (limit / spread).max(u32::from(has_slot));
         let margin = if customer.in_flight() < part { 0 } else { peers.busy };
         customer.in_flight() + peers.in_flight + margin >= limit
--- a/crates/admission/src/policy/endpoint_selection.rs
+++ b/crates/admission/src/policy/endpoint_selection.rs
@@ -128,7 +128,7 @@
         let capacity = |c: &Candidate<'_>| if c.is_healthy() { self.send_fraction(c.endpoint) } else { 0.0 };
         let capacities = candidates.iter().map(|c| (c.endpoint.zone(), capacity(c)));
         let zones = ZoneCapacity::new(capacities, self.settings.zone);
-        let fraction = MAX_LOCAL_FRACTION * zones.local / zones.mean.max(1e-9);
+        let fraction = MAX_LOCAL_FRACTION * zones.local / zones.mean;
         fraction.clamp(1.0 / PROBE_DIVISOR, MAX_LOCAL_FRACTION)
     }
 }
--- a/crates/admission/src/policy/in_flight_band.rs
+++ b/crates/admission/src/policy/in_flight_band.rs
@@ -59,6 +59,9 @@
 const CREDIT_OVERDRAFT: f64 = 1.5;
 pub(crate) const MAX_CREDIT_OVERDRAFT: f64 = 1.0;
 
+/// A priority weight of 0 counts as this where it divides.
+const MIN_WEIGHT_DIVISOR: f64 = 1e-9;
+
 impl Gateway {
     /// The watermark that the band starts with and never falls below.
     pub(crate) fn watermark_floor(&self) -> f64 {
@@ -134,7 +137,7 @@
         let lowest = self.settings.lowest_priority_weight();
         let active = self.requests.get(id);
         let own = active.map_or(lowest, |a| self.settings.classes[a.request.class].priority_weight);
-        1.0 - CREDIT_OVERDRAFT * (1.0 - lowest / own.max(1e-9)).max(0.0)
+        1.0 - CREDIT_OVERDRAFT * (1.0 - lowest / own.max(MIN_WEIGHT_DIVISOR)).max(0.0)
     }
 
     /// Adds the dispatch credit of some seconds: this gateway's even part of the band per mean response time.
--- a/crates/admission/src/policy/outlier_detection.rs
+++ b/crates/admission/src/policy/outlier_detection.rs
@@ -38,6 +38,9 @@
 /// same, and small differences would send them all to the same few.
 pub(crate) const CLEARLY_SLOW: f64 = 1.6;
 
+/// The usual relative response time of a kind counts as this at least.
+const MIN_KIND_BASELINE: f64 = 0.1;
+
 /// Observations of endpoints in a message, at most, and kept for the next ones.
 pub(crate) const MAX_OBSERVATIONS: usize = 3;
 
@@ -86,7 +89,7 @@
         let now_ms = self.clock.now_ms();
         let observed = self.outliers.observed_responses_per_second(now_ms, OBSERVATION_SPAN_S);
         let per_endpoint = observed / self.endpoints.len().max(1) as f64;
-        let limit_ms = (1000.0 * UNRESPONSIVE_OBSERVATIONS / per_endpoint.max(1e-3)).min(MAX_UNRESPONSIVE_MS);
+        let limit_ms = (1000.0 * UNRESPONSIVE_OBSERVATIONS / per_endpoint).min(MAX_UNRESPONSIVE_MS);
         !self.coordination.is_broadcast()
             && endpoint.observed.missed_responses() >= MIN_MISSED_RESPONSES
             && endpoint.observed.unanswered_ms(now_ms) > limit_ms
@@ -140,7 +143,7 @@
 
     /// How far an endpoint's response time, as the fleet observes it, is beyond what is usual of its kind.
     pub(crate) fn kind_deviation(&self, endpoint: &Endpoint) -> KindDeviation {
-        let baseline = self.latency.kind_baseline(endpoint.kind()).max(0.1);
+        let baseline = self.latency.kind_baseline(endpoint.kind()).max(MIN_KIND_BASELINE);
         let observed = endpoint.response_time.observed(self.clock.now_ms(), baseline);
         KindDeviation { baseline, excess: (observed / baseline / CLEARLY_SLOW).max(1.0) }
     }
--- a/crates/admission/src/policy/quota_owner.rs
+++ b/crates/admission/src/policy/quota_owner.rs
@@ -7,7 +7,7 @@
 use crate::policy::dispatch::ATTEMPT_TIMEOUT_OBJECTIVES;
 use crate::policy::quota_counter::AMPLE_FRACTION;
 use crate::settings::{PlanSettings, Settings};
-use crate::state::{ActiveRequest, Customer, GatewaySet, QuotaRoute, QuotaState, RankedGateway};
+use crate::state::{ActiveRequest, Customer, GatewaySet, QuotaRoute, QuotaState};
 
 /// How long a gateway waits for an owner's response: this fraction of the shortest latency objective, and
 /// this time at least.
@@ -100,8 +100,7 @@
         if self.coordination.gossip().is_none() || gateways.len() == 1 {
             return 1.0 / gateways.len() as f64;
         }
-        let own = RankedGateway::new(tag, self.settings.me);
-        match gateways.rendezvous_ranking(tag).filter(|g| g.rank < own.rank).count() {
+        match gateways.ranking_position(tag, self.settings.me) {
             0 => OWNER_CEILING_FRACTION,
             1 => 1.0 - OWNER_CEILING_FRACTION,
             _ => 0.0,
@@ -166,5 +165,5 @@
     let requested = customer.grants.requested_per_second(now_ms, QUOTA_RATE_SPAN_S);
     let granted = customer.grants.granted_per_second(now_ms, QUOTA_RATE_SPAN_S);
     let wanted = SAMPLING_HEADROOM * granted.max(plan.rate_per_second);
-    (wanted / requested.max(1e-9)).clamp(MIN_SAMPLING_FRACTION, 1.0)
+    (wanted / requested).clamp(MIN_SAMPLING_FRACTION, 1.0)
 }
--- a/crates/admission/src/policy/retry.rs
+++ b/crates/admission/src/policy/retry.rs
@@ -2,7 +2,6 @@
 use crate::action::Action;
 use crate::gateway::Gateway;
 use crate::id::RequestId;
-use crate::messages::observation::ObservationKind;
 use crate::policy::upkeep::UPKEEP_MS;
 use crate::settings::Idempotency;
 use crate::state::{ActiveRequest, AttemptRef, EjectionScope, Endpoint, PendingAttempt};
@@ -49,8 +48,7 @@
     /// Makes a further attempt where class, time and the retry budget allow one.
     pub(crate) fn retry(&mut self, id: RequestId, actions: &mut Vec<Action>) -> bool {
         let Some(active) = self.requests.get(id) else { return false };
-        let exhausted = active.attempt_count() >= self.settings.max_attempts as usize;
-        if active.is_closed() || exhausted || self.cannot_meet_deadline(active) {
+        if !active.may_attempt_again(self.settings.max_attempts) || self.cannot_meet_deadline(active) {
             return false;
         }
         let cost = if active.may_have_run() { RISKY_RETRY_COST } else { SAFE_RETRY_COST };
@@ -69,10 +67,12 @@
         if self.outliers.is_correlated_failure() {
             return;
         }
-        for AttemptRef { request, attempt } in self.stalled_attempts() {
+        let stalled = self.stalled_attempts();
+        self.report_long_attempts();
+        for AttemptRef { request, attempt } in stalled {
             let Some(active) = self.requests.get(request) else { continue };
-            let exhausted = active.attempt_count() >= self.settings.max_attempts as usize;
-            if active.is_closed() || exhausted || active.pending_attempts().count() > 1 {
+            let is_hedged = active.pending_attempts().count() > 1;
+            if !active.may_attempt_again(self.settings.max_attempts) || is_hedged {
                 continue;
             }
             let idempotency = self.settings.classes[active.request.class].idempotency;
@@ -86,20 +86,16 @@
     }
 
     /// Own attempts that their endpoint is taken to leave unanswered. A small fleet goes by the endpoint
-    /// alone. In a large one a gateway sends an endpoint too little for that and reports long attempts.
-    fn stalled_attempts(&mut self) -> Vec<AttemptRef> {
+    /// alone. In a large one a gateway sends an endpoint too little for that, and goes by their age.
+    fn stalled_attempts(&self) -> Vec<AttemptRef> {
         if self.coordination.is_broadcast() {
             let outliers = self.endpoints.iter().filter(|endpoint| self.is_outlier(endpoint));
             let in_flight = outliers.flat_map(|endpoint| endpoint.in_flight());
-            return in_flight.map(|a| AttemptRef { request: a.request, attempt: a.attempt }).collect();
+            in_flight.map(|a| AttemptRef { request: a.request, attempt: a.attempt }).collect()
+        } else {
+            let pending = self.requests.pending_attempts();
+            pending.filter(|p| self.is_stalled(p)).map(|p| p.reference).collect()
         }
-        let pending = || self.requests.pending_attempts();
-        let stalled = pending().filter(|p| self.is_stalled(p)).map(|p| p.reference).collect();
-        let long: Vec<_> = pending().filter(|p| self.turned_long(p)).map(|p| (p.endpoint, p.class)).collect();
-        for (endpoint, class) in long {
-            self.record_observation(endpoint, ObservationKind::Failed { class });
-        }
-        stalled
     }
 
     /// Whether an attempt is taken for stalled in a large fleet.
@@ -113,7 +109,7 @@
     }
 
     /// Whether an attempt has begun to take long since the last round of upkeep.
-    fn turned_long(&self, pending: &PendingAttempt) -> bool {
+    pub(crate) fn turned_long(&self, pending: &PendingAttempt) -> bool {
         let limit_ms = self.long_response_ms(pending.class);
         let age_ms = self.clock.now_ms() - pending.sent_ms;
         self.endpoints.get(pending.endpoint).is_some() && age_ms > limit_ms && age_ms < limit_ms + UPKEEP_MS
--- a/crates/admission/src/settings.rs
+++ b/crates/admission/src/settings.rs
@@ -78,6 +78,12 @@
 }
 
 impl PlanSettings {
+    /// The time in which the quota's token bucket gains so many units; `None` where it never does.
+    pub(crate) fn refill_time_ms(&self, units: f64) -> Option<f64> {
+        let time_ms = 1000.0 * units.max(0.0) / self.rate_per_second;
+        time_ms.is_finite().then_some(time_ms)
+    }
+
     /// Whether use beyond the quota earns more than it costs. Plans with a limit on open requests allow none.
     pub(crate) fn pays_over_quota(&self) -> bool {
         self.over_quota_value > self.over_quota_cost && self.open_limit == 0
--- a/crates/admission/src/state/candidate.rs
+++ b/crates/admission/src/state/candidate.rs
@@ -22,12 +22,15 @@
     }
 }
 
+/// Keeps divisions by a mean capacity finite.
+const MIN_MEAN_CAPACITY: f64 = 1e-9;
+
 /// Work that the candidates of a zone can take, in parts of a warm endpoint's.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct ZoneCapacity {
     /// That of the local zone.
     pub(crate) local: f64,
-    /// The mean of all zones with candidates.
+    /// The mean of all zones with candidates, as a divisor: never 0.
     pub(crate) mean: f64,
 }
 
@@ -38,9 +41,10 @@
         for (zone, capacity) in capacities {
             *by_zone.entry(zone).or_insert(0.0) += capacity;
         }
+        let mean = by_zone.values().sum::<f64>() / by_zone.len().max(1) as f64;
         ZoneCapacity {
             local: by_zone.get(&local_zone).copied().unwrap_or(0.0),
-            mean: by_zone.values().sum::<f64>() / by_zone.len().max(1) as f64,
+            mean: mean.max(MIN_MEAN_CAPACITY),
         }
     }
 }
--- a/crates/admission/src/state/gateway_set.rs
+++ b/crates/admission/src/state/gateway_set.rs
@@ -15,16 +15,16 @@
 
 /// A gateway and its rank for one customer. The lowest rank of a set owns the customer's quota.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct RankedGateway {
+struct RankedGateway {
     /// The rank, evenly spread over all gateways and customers.
-    pub(crate) rank: u64,
+    rank: u64,
     /// The gateway's number.
-    pub(crate) gateway: usize,
+    gateway: usize,
 }
 
 impl RankedGateway {
     /// The gateway's rank by rendezvous hashing: every gateway computes the same.
-    pub(crate) fn new(tag: CustomerTag, gateway: usize) -> Self {
+    fn new(tag: CustomerTag, gateway: usize) -> Self {
         RankedGateway { rank: mix(tag.0 ^ mix(gateway as u64)), gateway }
     }
 }
@@ -55,6 +55,13 @@
         (gateway + self.fleet - self.first) % self.fleet < self.len
     }
 
+    /// A gateway's place among the set for a customer. It turns with the customer's tag, so that the first
+    /// places fall to other gateways for other customers.
+    pub(crate) fn place(&self, tag: CustomerTag, gateway: usize) -> u32 {
+        let distance = gateway + self.fleet - self.first;
+        (distance as u32).wrapping_add(tag.short()) % self.len as u32
+    }
+
     /// The set's gateways.
     pub(crate) fn members(&self) -> impl Iterator<Item = usize> {
         let GatewaySet { first, len, fleet } = *self;
@@ -62,10 +69,16 @@
     }
 
     /// The set's gateways with their ranks for a customer, in the order of their numbers.
-    pub(crate) fn rendezvous_ranking(&self, tag: CustomerTag) -> impl Iterator<Item = RankedGateway> {
+    fn rendezvous_ranking(&self, tag: CustomerTag) -> impl Iterator<Item = RankedGateway> {
         self.members().map(move |gateway| RankedGateway::new(tag, gateway))
     }
 
+    /// How many of the set's gateways come before a gateway in a customer's ranking.
+    pub(crate) fn ranking_position(&self, tag: CustomerTag, gateway: usize) -> usize {
+        let rank = RankedGateway::new(tag, gateway).rank;
+        self.rendezvous_ranking(tag).filter(|other| other.rank < rank).count()
+    }
+
     /// The owner of a customer's quota: the first in the ranking that is not suspected to be down. `None`
     /// where all are.
     pub(crate) fn owner(&self, tag: CustomerTag, is_suspected: impl Fn(usize) -> bool) -> Option<usize> {
--- a/crates/admission/src/state/mod.rs
+++ b/crates/admission/src/state/mod.rs
@@ -37,7 +37,7 @@
 pub(crate) use endpoint_table::EndpointTable;
 pub(crate) use event_clock::EventClock;
 pub(crate) use fleet_means::{FleetMeans, GatewayMeans};
-pub(crate) use gateway_set::{GatewaySet, RankedGateway};
+pub(crate) use gateway_set::GatewaySet;
 pub(crate) use latency_model::{LatencyGains, LatencyModel};
 pub(crate) use observed_health::{EjectionScope, ObservedHealth};
 pub(crate) use outlier_detector::OutlierDetector;
--- a/crates/admission/src/state/quota_grants.rs
+++ b/crates/admission/src/state/quota_grants.rs
@@ -2,6 +2,9 @@
 use crate::mechanism::decaying_rate::DecayingRate;
 use std::collections::VecDeque;
 
+/// Keeps divisions by the units requested finite.
+const MIN_REQUESTED_PER_SECOND: f64 = 1e-9;
+
 /// A quota request as its owner knows it: who sent it, its number there, and until when it counts.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Grant {
@@ -91,9 +94,9 @@
         self.waiting.pop_front()
     }
 
-    /// Units requested a second.
+    /// Units requested a second, as a divisor: never 0.
     pub(crate) fn requested_per_second(&self, now_ms: f64, span_s: f64) -> f64 {
-        self.requested_rate.now(now_ms, span_s)
+        self.requested_rate.now(now_ms, span_s).max(MIN_REQUESTED_PER_SECOND)
     }
 
     /// Units granted a second.
