Give the numbers of quota requests a type of their own

The number that a quota request has at its sender was a bare integer in messages, states and records, and its width of 12 bits stood both in the codec and in the table of pending requests. The type now holds the width, what follows a number, and its digits in a message.

--- a/crates/admission/src/coordination/quota_grants.rs
+++ b/crates/admission/src/coordination/quota_grants.rs
@@ -3,7 +3,9 @@
 use crate::gateway::Gateway;
 use crate::id::CustomerTag;
 use crate::messages::gossip::GossipMessage;
-use crate::messages::quota::{QuotaRelease, QuotaRequest, QuotaResponse, QuotaVerdict, SamplingFraction};
+use crate::messages::quota::{
+    QuotaRelease, QuotaRequest, QuotaRequestNumber, QuotaResponse, QuotaVerdict, SamplingFraction,
+};
 use crate::policy::quota_owner::{
     has_free_slot, quota_is_ample, verdict, wanted_sampling_fraction, QUOTA_RATE_SPAN_S,
 };
@@ -16,7 +18,7 @@
     /// The gateway that sent it.
     gateway: usize,
     /// Its number there.
-    number: u32,
+    number: QuotaRequestNumber,
     /// Units, at most what a request may count.
     units: f64,
     /// Units of all requests that it stands for.
--- a/crates/admission/src/lifecycle/requests.rs
+++ b/crates/admission/src/lifecycle/requests.rs
@@ -5,7 +5,7 @@
 use crate::id::{CustomerTag, RequestId};
 use crate::mechanism::virtual_finish_queue::FlowHead;
 use crate::messages::gossip::GossipMessage;
-use crate::messages::quota::{QuarterUnits, QuotaRelease};
+use crate::messages::quota::{QuarterUnits, QuotaRelease, QuotaRequestNumber};
 use crate::state::{ActiveRequest, QuotaState};
 
 impl Gateway {
@@ -137,7 +137,7 @@
         &mut self,
         owner: usize,
         tag: CustomerTag,
-        number: u32,
+        number: QuotaRequestNumber,
         units: f64,
         actions: &mut Vec<Action>,
     ) {
--- a/crates/admission/src/messages/quota.rs
+++ b/crates/admission/src/messages/quota.rs
@@ -19,8 +19,8 @@
     pub first_gateway: u32,
     /// How many gateways these are; the rest follow the first, counted round.
     pub gateways: u32,
-    /// The quota request's number at its sender; the wire has the low 12 bits.
-    pub number: u32,
+    /// The quota request's number at its sender.
+    pub number: QuotaRequestNumber,
     /// How long a response is of use.
     pub wait_budget: WaitBudget,
     /// Fraction of such requests that the sender asks about.
@@ -31,7 +31,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct QuotaResponse {
     /// The quota request's number at its sender.
-    pub number: u32,
+    pub number: QuotaRequestNumber,
     /// What was decided.
     pub verdict: QuotaVerdict,
     /// Fraction of such requests that the owner wants to be asked about.
@@ -44,7 +44,7 @@
     /// The customer's full id.
     pub customer: u64,
     /// Number of the quota request.
-    pub number: u32,
+    pub number: QuotaRequestNumber,
     /// What the request took beyond the units granted; below 0 gives some back.
     pub additional_units: QuarterUnits,
 }
@@ -88,6 +88,27 @@
     }
 }
 
+/// A quota request's number at its sender. It has the 12 bits of the wire, and begins again at 0 after them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub(crate) struct QuotaRequestNumber(u32);
+
+impl QuotaRequestNumber {
+    /// The number of the sender's next new quota request.
+    pub(crate) fn next(self) -> Self {
+        QuotaRequestNumber((self.0 + 1) & MAX_TWO_DIGITS)
+    }
+
+    /// Adds the number's digits to a message.
+    fn encode(self, text: &mut String) {
+        put(text, self.0, 2);
+    }
+
+    /// Reads a number from a message; `None` where its digits are not all there.
+    fn decode(bytes: &mut std::str::Bytes<'_>) -> Option<Self> {
+        take(bytes, 2).map(QuotaRequestNumber)
+    }
+}
+
 /// A fraction of requests, in 63rds as one digit holds them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct SamplingFraction(u32);
@@ -168,7 +189,7 @@
         put(text, self.units.min(MAX_ONE_DIGIT), 1);
         put(text, self.first_gateway.min(MAX_TWO_DIGITS), 2);
         put(text, self.gateways.min(MAX_TWO_DIGITS), 2);
-        put(text, self.number & MAX_TWO_DIGITS, 2);
+        self.number.encode(text);
         put(text, self.wait_budget.0.min(MAX_TWO_DIGITS), 2);
         put(text, self.sampling_fraction.0.min(MAX_ONE_DIGIT), 1);
     }
@@ -181,7 +202,7 @@
             units: take(bytes, 1)?,
             first_gateway: take(bytes, 2)?,
             gateways: take(bytes, 2)?,
-            number: take(bytes, 2)?,
+            number: QuotaRequestNumber::decode(bytes)?,
             wait_budget: WaitBudget(take(bytes, 2)?),
             sampling_fraction: SamplingFraction(take(bytes, 1)?),
         })
@@ -191,7 +212,7 @@
 impl QuotaResponse {
     /// Adds the response's digits to a message.
     pub(crate) fn encode(&self, text: &mut String) {
-        put(text, self.number & MAX_TWO_DIGITS, 2);
+        self.number.encode(text);
         put(text, self.verdict.code(), 1);
         put(text, self.sampling_fraction.0.min(MAX_ONE_DIGIT), 1);
     }
@@ -199,7 +220,7 @@
     /// Reads a response from a message; `None` where its digits are not all there.
     pub(crate) fn decode(bytes: &mut std::str::Bytes<'_>) -> Option<Self> {
         Some(QuotaResponse {
-            number: take(bytes, 2)?,
+            number: QuotaRequestNumber::decode(bytes)?,
             verdict: QuotaVerdict::from_code(take(bytes, 1)?),
             sampling_fraction: SamplingFraction(take(bytes, 1)?),
         })
@@ -210,7 +231,7 @@
     /// Adds the release's digits to a message.
     pub(crate) fn encode(&self, text: &mut String) {
         put_long(text, self.customer);
-        put(text, self.number & MAX_TWO_DIGITS, 2);
+        self.number.encode(text);
         let max = MAX_TWO_DIGITS as i32 - QuarterUnits::OFFSET;
         let quarters = self.additional_units.0.clamp(-QuarterUnits::OFFSET, max);
         put(text, (quarters + QuarterUnits::OFFSET) as u32, 2);
@@ -220,7 +241,7 @@
     pub(crate) fn decode(bytes: &mut std::str::Bytes<'_>) -> Option<Self> {
         Some(QuotaRelease {
             customer: take_long(bytes)?,
-            number: take(bytes, 2)?,
+            number: QuotaRequestNumber::decode(bytes)?,
             additional_units: QuarterUnits(take(bytes, 2)? as i32 - QuarterUnits::OFFSET),
         })
     }
--- a/crates/admission/src/state/quota_grants.rs
+++ b/crates/admission/src/state/quota_grants.rs
@@ -1,5 +1,6 @@
 //! What the owner of a customer's quota has granted to the other gateways.
 use crate::mechanism::decaying_rate::DecayingRate;
+use crate::messages::quota::QuotaRequestNumber;
 use std::collections::VecDeque;
 
 /// Keeps divisions by the units requested finite.
@@ -11,14 +12,14 @@
     /// The gateway that sent it.
     pub(crate) gateway: usize,
     /// Its number there.
-    pub(crate) number: u32,
+    pub(crate) number: QuotaRequestNumber,
     /// Until when it counts.
     pub(crate) expires_ms: f64,
 }
 
 impl Grant {
     /// Whether it is the quota request of this number from this gateway.
-    fn is_for(&self, gateway: usize, number: u32) -> bool {
+    fn is_for(&self, gateway: usize, number: QuotaRequestNumber) -> bool {
         self.gateway == gateway && self.number == number
     }
 }
@@ -45,12 +46,12 @@
     }
 
     /// Whether a request has been granted.
-    pub(crate) fn is_granted(&self, gateway: usize, number: u32) -> bool {
+    pub(crate) fn is_granted(&self, gateway: usize, number: QuotaRequestNumber) -> bool {
         self.granted.iter().any(|g| g.is_for(gateway, number))
     }
 
     /// Whether a request waits for an active slot.
-    pub(crate) fn is_waiting(&self, gateway: usize, number: u32) -> bool {
+    pub(crate) fn is_waiting(&self, gateway: usize, number: QuotaRequestNumber) -> bool {
         self.waiting.iter().any(|g| g.is_for(gateway, number))
     }
 
@@ -81,10 +82,12 @@
     }
 
     /// Takes out a request that has ended or is no longer wanted, and says whether it had been granted.
-    pub(crate) fn release(&mut self, gateway: usize, number: u32) -> bool {
+    pub(crate) fn release(&mut self, gateway: usize, number: QuotaRequestNumber) -> bool {
         self.waiting.retain(|g| !g.is_for(gateway, number));
-        let Some(at) = self.granted.iter().position(|g| g.is_for(gateway, number)) else { return false };
-        self.granted.swap_remove(at);
+        let Some(position) = self.granted.iter().position(|g| g.is_for(gateway, number)) else {
+            return false;
+        };
+        self.granted.swap_remove(position);
         true
     }
 
--- a/crates/admission/src/state/quota_requests.rs
+++ b/crates/admission/src/state/quota_requests.rs
@@ -1,11 +1,9 @@
 //! Quota requests that this gateway sent to owners and that wait for a response.
 use crate::id::RequestId;
+use crate::messages::quota::QuotaRequestNumber;
 use crate::state::QuotaState;
 use std::collections::BTreeMap;
 
-/// Numbers of quota requests have 12 bits in messages.
-const NUMBER_MASK: u32 = 0xfff;
-
 /// Who decides on a request's quota.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum QuotaRoute {
@@ -22,15 +20,15 @@
 #[derive(Debug, Default)]
 pub(crate) struct QuotaRequests {
     /// The requests that they were sent for.
-    pending: BTreeMap<u32, RequestId>,
+    pending: BTreeMap<QuotaRequestNumber, RequestId>,
     /// The number that the next new quota request gets.
-    next_number: u32,
+    next_number: QuotaRequestNumber,
 }
 
 impl QuotaRequests {
     /// The number of a quota request to an owner, given where the request stands. The same owner gets the
     /// same number again: had its response been lost, it would else grant twice.
-    pub(crate) fn number_for(&mut self, state: QuotaState, to: usize) -> u32 {
+    pub(crate) fn number_for(&mut self, state: QuotaState, to: usize) -> QuotaRequestNumber {
         match state {
             QuotaState::AwaitingOwner { owner, number, .. } if owner == to => return number,
             QuotaState::AwaitingOwner { number, .. } => self.remove(number),
@@ -40,20 +38,20 @@
     }
 
     /// Enters a quota request that is sent, whether with a new number or again with an old one.
-    pub(crate) fn insert(&mut self, number: u32, request: RequestId) {
+    pub(crate) fn insert(&mut self, number: QuotaRequestNumber, request: RequestId) {
         if number == self.next_number {
-            self.next_number = (number + 1) & NUMBER_MASK;
+            self.next_number = number.next();
         }
         self.pending.insert(number, request);
     }
 
     /// The request that a quota request was sent for.
-    pub(crate) fn get(&self, number: u32) -> Option<RequestId> {
+    pub(crate) fn get(&self, number: QuotaRequestNumber) -> Option<RequestId> {
         self.pending.get(&number).copied()
     }
 
     /// Takes out a quota request that no response is awaited for.
-    pub(crate) fn remove(&mut self, number: u32) {
+    pub(crate) fn remove(&mut self, number: QuotaRequestNumber) {
         self.pending.remove(&number);
     }
 
--- a/crates/admission/src/state/quota_state.rs
+++ b/crates/admission/src/state/quota_state.rs
@@ -1,4 +1,5 @@
 //! Where a request stands with its customer's quota.
+use crate::messages::quota::QuotaRequestNumber;
 
 /// Who decides whether a request is within its customer's quota, and what was decided.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -6,11 +7,11 @@
     /// This gateway's own token bucket decides; nobody is asked.
     LocalBucket { within_quota: bool },
     /// The quota's owner was asked and has not answered.
-    AwaitingOwner { owner: usize, number: u32, at_ms: f64, tries: u32 },
+    AwaitingOwner { owner: usize, number: QuotaRequestNumber, at_ms: f64, tries: u32 },
     /// The owner keeps the request waiting until the customer has a free slot.
-    QueuedAtOwner { owner: usize, number: u32 },
+    QueuedAtOwner { owner: usize, number: QuotaRequestNumber },
     /// The owner granted it. Where the quota is ample, the true units need not be reported.
-    GrantedByOwner { owner: usize, number: u32, ample: bool },
+    GrantedByOwner { owner: usize, number: QuotaRequestNumber, ample: bool },
     /// It is over the quota. Within the ceiling it may still be sent while there is room.
     OverQuota { within_ceiling: bool },
     /// The quota counter was asked and has not answered.
@@ -68,7 +69,7 @@
     }
 
     /// Whether a response of this owner to the quota request of this number is awaited.
-    pub(crate) fn awaits_response(&self, from: usize, response_to: u32) -> bool {
+    pub(crate) fn awaits_response(&self, from: usize, response_to: QuotaRequestNumber) -> bool {
         match *self {
             QuotaState::AwaitingOwner { owner, number, .. } | QuotaState::QueuedAtOwner { owner, number } => {
                 owner == from && number == response_to
