Keep the largest numbers of base-64 digits and a request's gateways in one place each

The largest numbers that one and two digits hold stood in three codecs, and four callers built the gateways of a request from its fields. The digits' module now holds the first, and the gateway set builds itself from a request.

--- a/crates/admission/src/coordination/counter_calls.rs
+++ b/crates/admission/src/coordination/counter_calls.rs
@@ -21,7 +21,7 @@
         let tag = active.tag;
         let request = active.request.clone();
         let now_ms = self.clock.now_ms();
-        let gateways = GatewaySet::new(request.first, request.spread, self.settings.gateways);
+        let gateways = GatewaySet::of_request(&request, self.settings.gateways);
         let plan = self.settings.plans[request.plan].clone();
         let customer = self.customer_entry(tag, request.plan, gateways);
         if plan.rate_per_second <= 0.0 {
--- a/crates/admission/src/coordination/quota_requests.rs
+++ b/crates/admission/src/coordination/quota_requests.rs
@@ -32,8 +32,7 @@
                 let Some(active) = self.requests.get_mut(id) else { return };
                 active.set_quota(QuotaState::LocalBucket { within_quota: true });
                 let (tag, plan) = (active.tag, active.request.plan);
-                let gateways =
-                    GatewaySet::new(active.request.first, active.request.spread, self.settings.gateways);
+                let gateways = GatewaySet::of_request(&active.request, self.settings.gateways);
                 self.customer_entry(tag, plan, gateways);
             }
         }
@@ -47,7 +46,7 @@
         let wait_budget = WaitBudget::from_ms(self.grant_useful_until_ms(active) - now_ms);
         let (tag, previous) = (active.tag, active.quota());
         let request = active.request.clone();
-        let gateways = GatewaySet::new(request.first, request.spread, self.settings.gateways);
+        let gateways = GatewaySet::of_request(&request, self.settings.gateways);
         let customer = self.customer_entry(tag, request.plan, gateways);
         let sampling_fraction =
             SamplingFraction::nearest_above_zero(customer.sampling_fraction_now(now_ms, SAMPLING_TTL_MS));
--- a/crates/admission/src/messages/base64_digits.rs
+++ b/crates/admission/src/messages/base64_digits.rs
@@ -7,6 +7,10 @@
 /// Bits that a digit holds.
 const DIGIT_BITS: u32 = 6;
 
+/// Largest numbers that one digit and two digits hold.
+pub(crate) const MAX_ONE_DIGIT: u32 = 63;
+pub(crate) const MAX_TWO_DIGITS: u32 = 4095;
+
 /// Low bits of a 64-bit number that go into each of its last two parts, of five digits each. The first part
 /// has the four bits left, in one digit.
 const LONG_PART_BITS: u32 = 30;
@@ -16,7 +20,7 @@
 /// Adds the low bits of a number as `digits` digits, the highest first.
 pub(crate) fn put(text: &mut String, value: u32, digits: u32) {
     for place in (0..digits).rev() {
-        text.push(DIGITS[(value >> (DIGIT_BITS * place) & 63) as usize] as char);
+        text.push(DIGITS[(value >> (DIGIT_BITS * place) & MAX_ONE_DIGIT) as usize] as char);
     }
 }
 
--- a/crates/admission/src/messages/counts.rs
+++ b/crates/admission/src/messages/counts.rs
@@ -1,5 +1,5 @@
 //! The counts message: what each gateway of a small fleet sends every other.
-use crate::messages::base64_digits::{put, take};
+use crate::messages::base64_digits::{put, take, MAX_ONE_DIGIT, MAX_TWO_DIGITS};
 
 /// First character of every counts message.
 const VERSION: char = 'h';
@@ -13,10 +13,6 @@
 /// Bytes that all entries of one customer take at most.
 pub(crate) const MAX_CUSTOMER_LEN: usize = COUNT_LEN + CEILING_REQUEST_LEN + CEILING_TRANSFER_LEN;
 
-/// Largest numbers that one digit and two digits hold.
-const MAX_ONE_DIGIT: u32 = 63;
-const MAX_TWO_DIGITS: u32 = 4095;
-
 /// Sequence numbers have 12 bits.
 pub(crate) const SEQUENCE_MASK: u32 = 0xfff;
 
--- a/crates/admission/src/messages/gossip.rs
+++ b/crates/admission/src/messages/gossip.rs
@@ -1,15 +1,12 @@
 //! The gossip message: fleet-wide means, observations of endpoints, and quota requests, responses and
 //! releases.
-use crate::messages::base64_digits::{put, take};
+use crate::messages::base64_digits::{put, take, MAX_TWO_DIGITS};
 use crate::messages::observation::Observation;
 use crate::messages::quota::{QuotaRelease, QuotaRequest, QuotaResponse};
 
 /// First character of every gossip message.
 const VERSION: char = 'w';
 
-/// Largest number that two digits hold.
-const MAX_TWO_DIGITS: u32 = 4095;
-
 /// Steps of the wire for an attempt in flight, a unit of watermark, and a response a second.
 const STOCK_STEPS: f64 = 64.0;
 const WATERMARK_STEPS: f64 = 32.0;
--- a/crates/admission/src/messages/quota.rs
+++ b/crates/admission/src/messages/quota.rs
@@ -1,10 +1,6 @@
 //! Quota requests, responses and releases: what passes between the owner of a customer's quota and the other
 //! gateways that the customer's requests come through.
-use crate::messages::base64_digits::{put, put_long, take, take_long};
-
-/// Largest numbers that one digit and two digits hold.
-const MAX_ONE_DIGIT: u32 = 63;
-const MAX_TWO_DIGITS: u32 = 4095;
+use crate::messages::base64_digits::{put, put_long, take, take_long, MAX_ONE_DIGIT, MAX_TWO_DIGITS};
 
 /// Asks the owner of a customer's quota whether a request may be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -70,7 +70,7 @@
         let active = self.requests.get(id)?;
         let (tag, request) = (active.tag, active.request.clone());
         let plan = self.settings.plans[request.plan].clone();
-        let gateways = GatewaySet::new(request.first, request.spread, self.settings.gateways);
+        let gateways = GatewaySet::of_request(&request, self.settings.gateways);
         let starting = self.clock.since_start_ms() < STARTUP_MS;
         let withheld = if starting { plan.burst_units * (1.0 - 1.0 / gateways.len() as f64) } else { 0.0 };
         let reserved = self.queue.queued_size(tag);
--- a/crates/admission/src/state/gateway_set.rs
+++ b/crates/admission/src/state/gateway_set.rs
@@ -1,4 +1,5 @@
 //! The set of gateways that a customer's requests come through.
+use crate::event::Request;
 use crate::id::CustomerTag;
 use crate::mechanism::splitmix64::mix;
 
@@ -35,7 +36,12 @@
         GatewaySet { first: first % fleet, len: len.clamp(1, fleet), fleet }
     }
 
-    /// The same, but `None` where the first gateway or the number of gateways is not of the fleet.
+    /// The gateways that the requests of a request's customer come through.
+    pub(crate) fn of_request(request: &Request, fleet: usize) -> Self {
+        GatewaySet::new(request.first, request.spread, fleet)
+    }
+
+    /// The same as `new`, but `None` where the first gateway or the number of gateways is not of the fleet.
     pub(crate) fn checked(first: usize, len: usize, fleet: usize) -> Option<Self> {
         (first < fleet && (1..=fleet).contains(&len)).then_some(GatewaySet { first, len, fleet })
     }
