--- a/crates/admission/src/policy/admission.rs
+++ b/crates/admission/src/policy/admission.rs
@@ -5,7 +5,7 @@
 use crate::mechanism::common_value::VoteLimits;
 use crate::policy::dispatch::MIN_WEIGHT;
 use crate::policy::upkeep::UPKEEP_MS;
-use crate::state::{ActiveRequest, GatewaySet, OwnBucketCheck, QuotaDecision};
+use crate::state::{ActiveRequest, GatewaySet, OwnBucketCheck, QuotaDecision, QuotaState};
 
 /// For this long after its start a gateway spends only its part of each burst: its peers' use is unknown.
 const STARTUP_MS: f64 = 1000.0;
@@ -70,20 +70,19 @@
         let active = self.requests.get(id)?;
         let (tag, request) = (active.tag, active.request.clone());
         let plan = self.settings.plans[request.plan].clone();
-        let gateways = GatewaySet::new(request.first, request.spread, self.settings.gateways);
+        let gateways = GatewaySet::of_request(&request, self.settings.gateways);
         let starting = self.clock.since_start_ms() < STARTUP_MS;
         let withheld = if starting { plan.burst_units * (1.0 - 1.0 / gateways.len() as f64) } else { 0.0 };
         let reserved = self.queue.queued_size(tag);
         let customer = self.customer_entry(tag, request.plan, gateways);
         let room = customer.quota_tokens() - reserved - withheld;
         let ceiling_met = plan.ceiling_rate_per_second <= 0.0 || customer.ceiling_tokens() >= request.units;
-        let wait_ms = 1000.0 * (request.units - room).max(0.0) / plan.rate_per_second;
         let check = OwnBucketCheck {
             is_met: plan.rate_per_second <= 0.0 || room >= request.units,
             may_exceed: plan.pays_over_quota() && ceiling_met,
-            retry_after_ms: Some(wait_ms).filter(|ms| ms.is_finite()),
+            retry_after_ms: plan.refill_time_ms(request.units - room),
         };
-        self.requests.get_mut(id)?.within_quota = check.is_met;
+        self.requests.get_mut(id)?.set_quota(QuotaState::LocalBucket { within_quota: check.is_met });
         Some(check)
     }
 
--- a/crates/admission/src/policy/dispatch.rs
+++ b/crates/admission/src/policy/dispatch.rs
@@ -5,12 +5,20 @@
 use crate::mechanism::virtual_finish_queue::FlowHead;
 use crate::policy::coordination::PEER_TIMEOUT_MS;
 use crate::settings::PlanSettings;
-use crate::state::{Customer, QuotaDecision, QuotaState};
+use crate::state::{Customer, QuotaDecision};
 
 /// Time-out of an attempt, in latency objectives. Later responses have little value, but while the endpoint
 /// may still work the attempt belongs to the stock: a shorter time-out let in more than endpoints could do.
 pub(crate) const ATTEMPT_TIMEOUT_OBJECTIVES: f64 = 2.0;
 
+/// Shortest time-out of an attempt: the host needs one above 0.
+pub(crate) const MIN_ATTEMPT_TIMEOUT_MS: f64 = 1.0;
+
+/// Where gateways outnumber a customer's slots, so many of them have a part for so many slots: a third more
+/// than there are slots, since few are busy at once.
+const SLOT_HOLDERS: u32 = 4;
+const SLOTS_HELD: u32 = 3;
+
 /// Least weight of a class or a plan in the queue: one of weight 0 is still served.
 pub(crate) const MIN_WEIGHT: f64 = 0.01;
 
@@ -40,8 +48,7 @@
 
     /// Whether a request over its quota may still be sent: where its plan pays for that and there is room.
     pub(crate) fn may_send_over_quota(&self, id: RequestId) -> bool {
-        let within_ceiling = QuotaState::OverQuota { within_ceiling: true };
-        self.requests.get(id).is_some_and(|active| active.quota == within_ceiling)
+        self.requests.get(id).is_some_and(|active| active.quota().may_exceed_quota())
             && self.band_position(id).under_lower
     }
 
@@ -59,15 +66,14 @@
     /// Whether quota, open limit and this gateway's part of the ceiling let a request be sent now.
     pub(crate) fn quota_decision(&mut self, id: RequestId) -> QuotaDecision {
         let Some(active) = self.requests.get(id) else { return QuotaDecision::OverQuota };
-        if let Some(decision) = active.quota.decision() {
+        if let Some(decision) = active.quota().decision() {
             return decision;
         }
-        let own_bucket = active.quota == QuotaState::LocalBucket;
         let (tag, units) = (active.tag, active.request.units);
         let plan = &self.settings.plans[active.request.plan];
         self.customers.refill(tag, plan, self.clock.now_ms());
         let Some(customer) = self.customers.get(tag) else { return QuotaDecision::OverQuota };
-        if own_bucket && plan.rate_per_second > 0.0 && customer.quota_tokens() < units {
+        if active.quota().is_local_bucket() && plan.rate_per_second > 0.0 && customer.quota_tokens() < units {
             return QuotaDecision::OverQuota;
         }
         if plan.open_limit > 0 && self.open_limit_reached(plan.open_limit, customer, tag) {
@@ -82,14 +88,12 @@
 
     /// Whether a customer has as many attempts in flight as its plan allows. Peers' attempts are heard of
     /// late: beyond this gateway's part of the limit each peer that was lately busy for the customer may have
-    /// one more than it reported. Where gateways outnumber slots only some have a part: a third more of them
-    /// than there are slots, since few are busy at once.
+    /// one more than it reported.
     fn open_limit_reached(&self, limit: u32, customer: &Customer, tag: CustomerTag) -> bool {
         let peers = customer.peer_activity(self.clock.now_ms(), PEER_TIMEOUT_MS);
         let spread = customer.gateways().len() as u32;
-        let distance = self.settings.me + self.settings.gateways - customer.gateways().first();
-        let place = (distance as u32).wrapping_add(tag.short());
-        let has_slot = place % spread < (4 * limit).div_ceil(3);
+        let place = customer.gateways().place(tag, self.settings.me);
+        let has_slot = place < (SLOT_HOLDERS * limit).div_ceil(SLOTS_HELD);
         let part = (limit / spread).max(u32::from(has_slot));
         let margin = if customer.in_flight() < part { 0 } else { peers.busy };
         customer.in_flight() + peers.in_flight + margin >= limit
--- a/crates/admission/src/state/quota_grants.rs
+++ b/crates/admission/src/state/quota_grants.rs
@@ -1,21 +1,25 @@
 //! What the owner of a customer's quota has granted to the other gateways.
 use crate::mechanism::decaying_rate::DecayingRate;
+use crate::messages::quota::QuotaRequestNumber;
 use std::collections::VecDeque;
 
+/// Keeps divisions by the units requested finite.
+const MIN_REQUESTED_PER_SECOND: f64 = 1e-9;
+
 /// A quota request as its owner knows it: who sent it, its number there, and until when it counts.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Grant {
     /// The gateway that sent it.
     pub(crate) gateway: usize,
     /// Its number there.
-    pub(crate) number: u32,
+    pub(crate) number: QuotaRequestNumber,
     /// Until when it counts.
     pub(crate) expires_ms: f64,
 }
 
 impl Grant {
     /// Whether it is the quota request of this number from this gateway.
-    fn is_for(&self, gateway: usize, number: u32) -> bool {
+    fn is_for(&self, gateway: usize, number: QuotaRequestNumber) -> bool {
         self.gateway == gateway && self.number == number
     }
 }
@@ -42,12 +46,12 @@
     }
 
     /// Whether a request has been granted.
-    pub(crate) fn is_granted(&self, gateway: usize, number: u32) -> bool {
+    pub(crate) fn is_granted(&self, gateway: usize, number: QuotaRequestNumber) -> bool {
         self.granted.iter().any(|g| g.is_for(gateway, number))
     }
 
     /// Whether a request waits for an active slot.
-    pub(crate) fn is_waiting(&self, gateway: usize, number: u32) -> bool {
+    pub(crate) fn is_waiting(&self, gateway: usize, number: QuotaRequestNumber) -> bool {
         self.waiting.iter().any(|g| g.is_for(gateway, number))
     }
 
@@ -78,10 +82,12 @@
     }
 
     /// Takes out a request that has ended or is no longer wanted, and says whether it had been granted.
-    pub(crate) fn release(&mut self, gateway: usize, number: u32) -> bool {
+    pub(crate) fn release(&mut self, gateway: usize, number: QuotaRequestNumber) -> bool {
         self.waiting.retain(|g| !g.is_for(gateway, number));
-        let Some(at) = self.granted.iter().position(|g| g.is_for(gateway, number)) else { return false };
-        self.granted.swap_remove(at);
+        let Some(position) = self.granted.iter().position(|g| g.is_for(gateway, number)) else {
+            return false;
+        };
+        self.granted.swap_remove(position);
         true
     }
 
@@ -91,9 +97,9 @@
         self.waiting.pop_front()
     }
 
-    /// Units requested a second.
+    /// Units requested a second, as a divisor: never 0.
     pub(crate) fn requested_per_second(&self, now_ms: f64, span_s: f64) -> f64 {
-        self.requested_rate.now(now_ms, span_s)
+        self.requested_rate.now(now_ms, span_s).max(MIN_REQUESTED_PER_SECOND)
     }
 
     /// Units granted a second.
