Part the gateway's state from its start and its event handling, so that imports run one way

Twelve files of the library imported each other in a circle: gateway.rs held the struct and the handling of events, which knows every part, and the state of each way of coordination stood beside the code that uses the struct. gateway.rs is now the list of parts alone, startup.rs makes one from the settings, event_handling.rs takes events in, and the records Coordination, Broadcast and Gossip lie in state/ with private fields. No import runs in a circle any more.

--- a/crates/admission/src/coordination/broadcast.rs
+++ b/crates/admission/src/coordination/broadcast.rs
@@ -1,6 +1,5 @@
 //! Small fleets: every gateway sends every other its counts.
 use crate::action::Action;
-use crate::coordination::Coordination;
 use crate::gateway::Gateway;
 use crate::id::CustomerTag;
 use crate::messages::counts::{
@@ -10,32 +9,9 @@
     ceiling_transfer_units, counts_messages_per_second, report_interval_ms, MAX_MESSAGE_BYTES,
     MAX_REPORT_INTERVAL_MS,
 };
-use crate::settings::Settings;
-use crate::state::{peer_indices, BroadcastPeer, Customer, PeerCount};
+use crate::state::{Coordination, Customer, PeerCount};
 use std::collections::BTreeMap;
 
-/// What a gateway of a small fleet knows of the others.
-#[derive(Debug)]
-pub(crate) struct Broadcast {
-    /// The other gateways, by number.
-    peers: BTreeMap<usize, BroadcastPeer>,
-    /// When the last round of reports began.
-    reported_ms: f64,
-}
-
-impl Broadcast {
-    /// A gateway that has received nothing and sent nothing yet.
-    pub(crate) fn new(settings: &Settings) -> Self {
-        let peers = peer_indices(settings).map(|peer| (peer, BroadcastPeer::unknown())).collect();
-        Broadcast { peers, reported_ms: 0.0 }
-    }
-
-    /// Peers whose last report is younger than the time-out.
-    pub(crate) fn live_peers(&self, now_ms: f64, timeout_ms: f64) -> impl Iterator<Item = &BroadcastPeer> {
-        self.peers.values().filter(move |peer| peer.is_live(now_ms, timeout_ms))
-    }
-}
-
 /// Messages to each peer in one round of reports, without their heads.
 struct ReportRound {
     /// Messages by the peer that they go to.
@@ -79,12 +55,9 @@
     /// of messages goes.
     pub(crate) fn broadcast_counts_if_due(&mut self, actions: &mut Vec<Action>) {
         let Coordination::Broadcast(broadcast) = &mut self.coordination else { return };
-        let elapsed_ms = self.clock.now_ms() - broadcast.reported_ms;
-        if broadcast.peers.is_empty() || elapsed_ms < report_interval_ms(&self.settings) {
-            return;
-        }
-        broadcast.reported_ms = self.clock.now_ms();
-        let round = ReportRound::new(broadcast.peers.keys().copied());
+        let interval_ms = report_interval_ms(&self.settings);
+        let Some(peers) = broadcast.begin_round(self.clock.now_ms(), interval_ms) else { return };
+        let round = ReportRound::new(peers);
         let stock = self.band_load().in_flight;
         let round = self.collect_reports(round);
         self.send_reports(round, stock, actions);
@@ -120,7 +93,7 @@
         let now_ms = self.clock.now_ms();
         let Coordination::Broadcast(broadcast) = &mut self.coordination else { return };
         for (to, messages) in round.messages {
-            let Some(peer) = broadcast.peers.get_mut(&to) else { continue };
+            let Some(peer) = broadcast.peer_mut(to) else { continue };
             peer.accrue_credit(counts_messages_per_second(&self.settings), now_ms);
             for mut message in messages {
                 message.incarnation = self.incarnation;
@@ -138,7 +111,7 @@
     pub(crate) fn on_counts_message(&mut self, from: usize, body: &str) {
         let Some(message) = CountsMessage::decode(body) else { return };
         let Coordination::Broadcast(broadcast) = &mut self.coordination else { return };
-        let Some(peer) = broadcast.peers.get_mut(&from) else { return };
+        let Some(peer) = broadcast.peer_mut(from) else { return };
         if !peer.record_message(&message, self.clock.now_ms()) {
             return;
         }
--- a/crates/admission/src/coordination/counter_calls.rs
+++ b/crates/admission/src/coordination/counter_calls.rs
@@ -1,6 +1,5 @@
 //! Calls to the shared counter, one at a time for each customer, and what its replies lead to.
 use crate::action::Action;
-use crate::coordination::Coordination;
 use crate::event::CounterOutcome;
 use crate::gateway::Gateway;
 use crate::id::{CustomerTag, RequestId};
@@ -10,7 +9,7 @@
 };
 use crate::settings::PlanSettings;
 use crate::state::{
-    ActiveRequest, CatchUp, CountedRequest, CounterCall, CounterEpoch, GatewaySet, QuotaState,
+    ActiveRequest, CatchUp, Coordination, CountedRequest, CounterCall, CounterEpoch, GatewaySet, QuotaState,
 };
 
 impl Gateway {
--- a/crates/admission/src/coordination/gossip.rs
+++ b/crates/admission/src/coordination/gossip.rs
@@ -1,79 +1,11 @@
 //! Large fleets: fleet-wide means and observations of endpoints travel with the quota messages.
 use crate::action::Action;
 use crate::gateway::Gateway;
-use crate::mechanism::decaying_rate::DecayingRate;
 use crate::messages::gossip::{GossipMessage, MeansOnWire};
 use crate::policy::coordination::{mean_attempt_age_ms, MEAN_GAIN, MEAN_GAIN_PER_SECOND, RECEIVED_MEAN_GAIN};
 use crate::policy::in_flight_band::MAX_WATERMARK;
-use crate::policy::quota_owner::{
-    max_quota_messages, quota_messages_per_second, INITIAL_QUOTA_MESSAGES, QUOTA_RATE_SPAN_S,
-};
-use crate::settings::Settings;
-use crate::state::{peer_indices, GatewayMeans, GossipPeer, QuotaRequests};
-use std::collections::BTreeMap;
-
-/// What a gateway of a large fleet knows of the others, and what it is to send them.
-#[derive(Debug)]
-pub(crate) struct Gossip {
-    /// The other gateways, by number.
-    peers: BTreeMap<usize, GossipPeer>,
-    /// Quota requests that wait for a response.
-    pub(crate) requests: QuotaRequests,
-    /// Message tokens: each quota request takes one, so that no gateway gets more messages than it takes in.
-    message_tokens: f64,
-    /// Messages a second that others' quota requests and releases bring.
-    received_rate: DecayingRate,
-}
-
-impl Gossip {
-    /// A gateway that has received nothing and sent nothing yet.
-    pub(crate) fn new(settings: &Settings) -> Self {
-        Gossip {
-            peers: peer_indices(settings).map(|peer| (peer, GossipPeer::default())).collect(),
-            requests: QuotaRequests::default(),
-            message_tokens: INITIAL_QUOTA_MESSAGES,
-            received_rate: DecayingRate::default(),
-        }
-    }
-
-    /// Whether a gateway is sent no quota requests now.
-    pub(crate) fn is_suspected(&self, gateway: usize, now_ms: f64) -> bool {
-        self.peers.get(&gateway).is_some_and(|peer| peer.is_suspected(now_ms))
-    }
-
-    /// Another gateway; `None` for this one.
-    pub(crate) fn peer_mut(&mut self, gateway: usize) -> Option<&mut GossipPeer> {
-        self.peers.get_mut(&gateway)
-    }
-
-    /// Message tokens: quota requests that may be sent now.
-    pub(crate) fn message_tokens(&self) -> f64 {
-        self.message_tokens
-    }
-
-    /// Takes the message token of a quota request.
-    pub(crate) fn spend_message_token(&mut self) {
-        self.message_tokens -= 1.0;
-    }
-
-    /// Enters a message of a peer. Messages with responses do not count as received: own quota requests bring
-    /// them, and their share of the capacity is planned for with these.
-    fn record_message(&mut self, from: usize, message: &GossipMessage, now_ms: f64) {
-        if let Some(peer) = self.peers.get_mut(&from) {
-            peer.record_message();
-        }
-        if message.responses.is_empty() {
-            self.received_rate.add(1.0, now_ms, QUOTA_RATE_SPAN_S);
-        }
-    }
-
-    /// Adds the message tokens of the seconds gone by.
-    fn refill_message_tokens(&mut self, settings: &Settings, seconds: f64, now_ms: f64) {
-        let received = self.received_rate.now(now_ms, QUOTA_RATE_SPAN_S);
-        let accrued = quota_messages_per_second(settings, received) * seconds;
-        self.message_tokens = (self.message_tokens + accrued).min(max_quota_messages(settings));
-    }
-}
+use crate::policy::quota_owner::{max_quota_messages, quota_messages_per_second, QUOTA_RATE_SPAN_S};
+use crate::state::{peer_indices, GatewayMeans};
 
 impl Gateway {
     /// Takes a peer's message in: its means, its observations, and its quota messages.
@@ -87,7 +19,8 @@
             self.apply_observation(*observation);
         }
         if let Some(gossip) = self.coordination.gossip_mut() {
-            gossip.record_message(from, &message, self.clock.now_ms());
+            let has_responses = !message.responses.is_empty();
+            gossip.record_message(from, has_responses, self.clock.now_ms(), QUOTA_RATE_SPAN_S);
         }
         self.on_quota_messages(from, message, actions);
     }
@@ -114,9 +47,10 @@
 
     /// Adds the message tokens of the seconds gone by.
     pub(crate) fn refill_message_tokens(&mut self, seconds: f64) {
-        if let Some(gossip) = self.coordination.gossip_mut() {
-            gossip.refill_message_tokens(&self.settings, seconds, self.clock.now_ms());
-        }
+        let Some(gossip) = self.coordination.gossip_mut() else { return };
+        let received = gossip.received_per_second(self.clock.now_ms(), QUOTA_RATE_SPAN_S);
+        let accrued = quota_messages_per_second(&self.settings, received) * seconds;
+        gossip.add_message_tokens(accrued, max_quota_messages(&self.settings));
     }
 
     /// Brings the fleet's means towards this gateway's own figures.
--- a/crates/admission/src/coordination/quota_requests.rs
+++ b/crates/admission/src/coordination/quota_requests.rs
@@ -1,6 +1,5 @@
 //! Asking the owner of a customer's quota, and what its responses lead to.
 use crate::action::Action;
-use crate::coordination::Coordination;
 use crate::gateway::Gateway;
 use crate::id::RequestId;
 use crate::messages::gossip::GossipMessage;
@@ -8,7 +7,7 @@
 use crate::policy::quota_owner::{
     may_retry_quota_request, response_wait_ms, SAMPLING_TTL_MS, SUSPECT_MISSED_RESPONSES, SUSPECT_MS,
 };
-use crate::state::{GatewaySet, QuotaRoute, QuotaState};
+use crate::state::{Coordination, GatewaySet, QuotaRoute, QuotaState};
 
 /// A quota request that the owner did not respond to in time.
 #[derive(Debug, Clone, Copy)]
--- /dev/null
+++ b/crates/admission/src/event_handling.rs
@@ -0,0 +1,86 @@
+//! What a gateway does with an event: it calls the parts in order, and decides nothing itself.
+use crate::action::Action;
+use crate::event::Event;
+use crate::gateway::Gateway;
+use crate::policy::upkeep::UPKEEP_MS;
+
+impl Gateway {
+    /// Takes one event in and adds what is to be done, in this order, to `actions`. Times must not fall from
+    /// event to event; an earlier one counts as the last.
+    pub fn on_event(&mut self, now_ms: f64, event: Event, actions: &mut Vec<Action>) {
+        self.clock.advance(now_ms);
+        if self.clock.start_ticking() {
+            self.schedule_tick(UPKEEP_MS, actions);
+        }
+        self.handle(event, actions);
+        self.dispatch(actions);
+        if !self.requests.is_empty() && self.clock.next_tick_is_beyond(UPKEEP_MS) {
+            self.schedule_tick(UPKEEP_MS, actions);
+        }
+    }
+
+    /// Gives an event to the part that it concerns.
+    fn handle(&mut self, event: Event, actions: &mut Vec<Action>) {
+        let broadcast = self.coordination.is_broadcast();
+        match event {
+            Event::EndpointList { kind, entries } => {
+                self.endpoints.apply_list(kind, entries, self.clock.now_ms(), &mut self.random)
+            }
+            Event::Request(request) => self.on_request(request, actions),
+            Event::Timer { .. } if broadcast || self.clock.tick_is_due() => self.upkeep(actions),
+            Event::Timer { .. } => {}
+            Event::AttemptEnded(end) => self.on_attempt_end(&end, actions),
+            Event::ClientGone { request } => self.close(request, actions),
+            Event::PeerMessage { from, body } if broadcast => self.on_counts_message(from, &body),
+            Event::PeerMessage { from, body } => self.on_gossip_message(from, &body, actions),
+            Event::CounterReply { name, outcome, .. } => self.on_counter_reply(name, outcome, actions),
+            Event::StreamOpened { .. } | Event::ProbeDone { .. } => {}
+        }
+    }
+
+    /// Asks for the next round of upkeep.
+    fn schedule_tick(&mut self, after_ms: f64, actions: &mut Vec<Action>) {
+        let at_ms = self.clock.schedule_tick(after_ms);
+        actions.push(Action::SetTimer { at_ms, token: 0 });
+    }
+
+    /// A round of upkeep: what time alone brings about.
+    fn upkeep(&mut self, actions: &mut Vec<Action>) {
+        let broadcast = self.coordination.is_broadcast();
+        self.schedule_tick(self.upkeep_interval_ms(), actions);
+        if broadcast {
+            self.update_typical_age();
+            self.detect_correlated_failure();
+            self.refill_warm_up_tokens();
+        } else if self.review_is_due() {
+            self.detect_correlated_failure();
+        }
+        self.measure_saturation();
+        self.finish_overdue_requests(actions);
+        self.rescue_stalled(actions);
+        if !broadcast {
+            self.large_fleet_upkeep(actions);
+        }
+        self.step_watermark();
+        self.broadcast_counts_if_due(actions);
+        self.evict_idle_customers_if_due();
+    }
+
+    /// The part of upkeep that only a large fleet's gateway has.
+    fn large_fleet_upkeep(&mut self, actions: &mut Vec<Action>) {
+        if self.review_is_due() {
+            self.update_means();
+        }
+        let seconds = self.band.begin_refill(self.clock.now_ms());
+        self.refill_dispatch_credit(seconds);
+        self.refill_message_tokens(seconds);
+        self.retry_quota_requests(actions);
+    }
+
+    /// Forgets idle customers from time to time.
+    fn evict_idle_customers_if_due(&mut self) {
+        if self.eviction_is_due() {
+            self.evict_idle_customers();
+        }
+    }
+}
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -18,6 +18,7 @@
 mod action;
 mod coordination;
 mod event;
+mod event_handling;
 mod gateway;
 mod id;
 mod lifecycle;
@@ -25,6 +26,7 @@
 mod messages;
 mod policy;
 mod settings;
+mod startup;
 mod state;
 
 pub use action::Action;
--- /dev/null
+++ b/crates/admission/src/startup.rs
@@ -0,0 +1,61 @@
+//! The start of a gateway from its settings.
+use crate::gateway::Gateway;
+use crate::mechanism::splitmix64::{mix, SplitMix64};
+use crate::policy::coordination::broadcast_reaches_all;
+use crate::policy::in_flight_band::INITIAL_DISPATCH_CREDIT;
+use crate::policy::outlier_detection::{
+    INITIAL_OBJECTIVE_FRACTION, LATENCY_GAINS, RESPONSE_TIME_HALF_LIFE_MS,
+};
+use crate::policy::quota_owner::INITIAL_QUOTA_MESSAGES;
+use crate::policy::retry::INITIAL_RETRY_TOKENS;
+use crate::policy::slow_start::SEND_RATE_SPAN_S;
+use crate::settings::{Settings, SettingsError};
+use crate::state::{
+    Broadcast, Coordination, CounterCalls, EndpointSmoothing, EndpointTable, EventClock, Gossip,
+    InFlightBand, LatencyModel, RetryBudget,
+};
+
+/// Bits of the incarnation: as many as three digits of a message carry.
+const INCARNATION_MASK: u64 = 0x3_ffff;
+
+impl Gateway {
+    /// A gateway that knows nothing but its settings. `seed` decides all that is left to chance; times are in
+    /// milliseconds, of any origin.
+    ///
+    /// # Errors
+    ///
+    /// Where the settings hold a figure that a gateway cannot act on.
+    pub fn new(settings: Settings, seed: u64, now_ms: f64) -> Result<Self, SettingsError> {
+        settings.check()?;
+        let objectives_ms = settings.classes.iter().map(|class| class.latency_objective_ms);
+        let mut gateway = Gateway {
+            clock: EventClock::new(now_ms),
+            incarnation: (mix(seed) & INCARNATION_MASK) as u32,
+            random: SplitMix64::new(seed),
+            endpoints: EndpointTable::new(EndpointSmoothing {
+                response_time_half_life_ms: RESPONSE_TIME_HALF_LIFE_MS,
+                send_rate_span_s: SEND_RATE_SPAN_S,
+            }),
+            latency: LatencyModel::new(objectives_ms, INITIAL_OBJECTIVE_FRACTION, LATENCY_GAINS),
+            retries: RetryBudget::new(INITIAL_RETRY_TOKENS),
+            coordination: coordination_mode(&settings),
+            settings,
+            ..Gateway::default()
+        };
+        gateway.band = InFlightBand::new(gateway.watermark_floor(), INITIAL_DISPATCH_CREDIT);
+        Ok(gateway)
+    }
+}
+
+/// The way in which the gateways of a fleet with these settings agree: the same on all of them.
+fn coordination_mode(settings: &Settings) -> Coordination {
+    if broadcast_reaches_all(settings) {
+        Coordination::Broadcast(Broadcast::new(settings))
+    } else if settings.peer_messages_allowed {
+        Coordination::Gossip(Gossip::new(settings, INITIAL_QUOTA_MESSAGES))
+    } else if settings.counter_allowed {
+        Coordination::Counter(CounterCalls::new())
+    } else {
+        Coordination::Isolated
+    }
+}
--- /dev/null
+++ b/crates/admission/src/state/broadcast.rs
@@ -0,0 +1,44 @@
+//! The other gateways of a small fleet, and when they were last sent reports.
+use crate::settings::Settings;
+use crate::state::{peer_indices, BroadcastPeer};
+use std::collections::BTreeMap;
+
+/// What a gateway of a small fleet knows of the others.
+#[derive(Debug)]
+pub(crate) struct Broadcast {
+    /// The other gateways, by number.
+    peers: BTreeMap<usize, BroadcastPeer>,
+    /// When the last round of reports began.
+    reported_ms: f64,
+}
+
+impl Broadcast {
+    /// A gateway that has received nothing and sent nothing yet.
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let peers = peer_indices(settings).map(|peer| (peer, BroadcastPeer::unknown())).collect();
+        Broadcast { peers, reported_ms: 0.0 }
+    }
+
+    /// Peers whose last report is younger than the time-out.
+    pub(crate) fn live_peers(&self, now_ms: f64, timeout_ms: f64) -> impl Iterator<Item = &BroadcastPeer> {
+        self.peers.values().filter(move |peer| peer.is_live(now_ms, timeout_ms))
+    }
+
+    /// Begins a round of reports, at least `interval_ms` after the last; `None` where none is due or there are no peers.
+    pub(crate) fn begin_round(
+        &mut self,
+        now_ms: f64,
+        interval_ms: f64,
+    ) -> Option<impl Iterator<Item = usize> + '_> {
+        if self.peers.is_empty() || now_ms - self.reported_ms < interval_ms {
+            return None;
+        }
+        self.reported_ms = now_ms;
+        Some(self.peers.keys().copied())
+    }
+
+    /// Another gateway; `None` for this one.
+    pub(crate) fn peer_mut(&mut self, gateway: usize) -> Option<&mut BroadcastPeer> {
+        self.peers.get_mut(&gateway)
+    }
+}
--- /dev/null
+++ b/crates/admission/src/state/coordination.rs
@@ -0,0 +1,52 @@
+//! The way in which a fleet agrees on quotas and on attempts in flight, with the state that only this way has.
+use crate::state::{Broadcast, BroadcastPeer, CounterCalls, Gossip};
+
+/// The way in which the fleet's gateways agree on quotas and on attempts in flight, with the state that only
+/// this way has. It follows from the settings alone, so that it is settled once, when the gateway starts, and
+/// is the same on all gateways.
+#[derive(Debug, Default)]
+pub(crate) enum Coordination {
+    /// A small fleet: each gateway sends its counts to every other. Also a gateway that is the only one.
+    Broadcast(Broadcast),
+    /// A large fleet: one gateway owns each customer's quota, and fleet-wide means travel with the quota
+    /// messages.
+    Gossip(Gossip),
+    /// Gateways may not send each other messages. Quotas are held through the shared counter.
+    Counter(CounterCalls),
+    /// Gateways may use neither messages nor the counter. Each decides by what it sees itself.
+    #[default]
+    Isolated,
+}
+
+impl Coordination {
+    /// Whether each gateway knows every other's counts. In the other three ways a gateway goes by fleet-wide
+    /// means instead.
+    pub(crate) fn is_broadcast(&self) -> bool {
+        matches!(self, Coordination::Broadcast(_))
+    }
+
+    /// Peers whose counts were received within the time-out; none in the other three ways.
+    pub(crate) fn live_peers(&self, now_ms: f64, timeout_ms: f64) -> impl Iterator<Item = &BroadcastPeer> {
+        let broadcast = match self {
+            Coordination::Broadcast(broadcast) => Some(broadcast),
+            _ => None,
+        };
+        broadcast.into_iter().flat_map(move |broadcast| broadcast.live_peers(now_ms, timeout_ms))
+    }
+
+    /// The state of a fleet that exchanges gossip; `None` in the other three ways.
+    pub(crate) fn gossip(&self) -> Option<&Gossip> {
+        match self {
+            Coordination::Gossip(gossip) => Some(gossip),
+            _ => None,
+        }
+    }
+
+    /// The same, to be changed.
+    pub(crate) fn gossip_mut(&mut self) -> Option<&mut Gossip> {
+        match self {
+            Coordination::Gossip(gossip) => Some(gossip),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/src/state/gossip.rs
@@ -0,0 +1,71 @@
+//! The other gateways of a large fleet, and what may be sent to them.
+use crate::mechanism::decaying_rate::DecayingRate;
+use crate::settings::Settings;
+use crate::state::{peer_indices, GossipPeer, QuotaRequests};
+use std::collections::BTreeMap;
+
+/// What a gateway of a large fleet knows of the others, and what it is to send them.
+#[derive(Debug)]
+pub(crate) struct Gossip {
+    /// The other gateways, by number.
+    peers: BTreeMap<usize, GossipPeer>,
+    /// Quota requests that wait for a response.
+    pub(crate) requests: QuotaRequests,
+    /// Message tokens: each quota request takes one, so that no gateway gets more messages than it takes in.
+    message_tokens: f64,
+    /// Messages a second that others' quota requests and releases bring.
+    received_rate: DecayingRate,
+}
+
+impl Gossip {
+    /// A gateway that has received nothing and sent nothing yet, and that may send so many quota requests at once.
+    pub(crate) fn new(settings: &Settings, message_tokens: f64) -> Self {
+        Gossip {
+            peers: peer_indices(settings).map(|peer| (peer, GossipPeer::default())).collect(),
+            requests: QuotaRequests::default(),
+            message_tokens,
+            received_rate: DecayingRate::default(),
+        }
+    }
+
+    /// Whether a gateway is sent no quota requests now.
+    pub(crate) fn is_suspected(&self, gateway: usize, now_ms: f64) -> bool {
+        self.peers.get(&gateway).is_some_and(|peer| peer.is_suspected(now_ms))
+    }
+
+    /// Another gateway; `None` for this one.
+    pub(crate) fn peer_mut(&mut self, gateway: usize) -> Option<&mut GossipPeer> {
+        self.peers.get_mut(&gateway)
+    }
+
+    /// Message tokens: quota requests that may be sent now.
+    pub(crate) fn message_tokens(&self) -> f64 {
+        self.message_tokens
+    }
+
+    /// Takes the message token of a quota request.
+    pub(crate) fn spend_message_token(&mut self) {
+        self.message_tokens -= 1.0;
+    }
+
+    /// Enters a message of a peer. Messages with responses do not count as received: own quota requests bring
+    /// them, and their share of the capacity is planned for with these.
+    pub(crate) fn record_message(&mut self, from: usize, has_responses: bool, now_ms: f64, span_s: f64) {
+        if let Some(peer) = self.peers.get_mut(&from) {
+            peer.record_message();
+        }
+        if !has_responses {
+            self.received_rate.add(1.0, now_ms, span_s);
+        }
+    }
+
+    /// Messages a second that others' quota requests and releases bring.
+    pub(crate) fn received_per_second(&self, now_ms: f64, span_s: f64) -> f64 {
+        self.received_rate.now(now_ms, span_s)
+    }
+
+    /// Adds message tokens, up to a limit.
+    pub(crate) fn add_message_tokens(&mut self, tokens: f64, max_tokens: f64) {
+        self.message_tokens = (self.message_tokens + tokens).min(max_tokens);
+    }
+}
--- a/crates/admission/src/state/mod.rs
+++ b/crates/admission/src/state/mod.rs
@@ -1,7 +1,9 @@
 //! Records, each with the methods that keep it consistent.
 mod attempt;
 mod band;
+mod broadcast;
 mod candidate;
+mod coordination;
 mod counter_account;
 mod customer;
 mod customer_table;
@@ -11,6 +13,7 @@
 mod event_clock;
 mod fleet_means;
 mod gateway_set;
+mod gossip;
 mod latency_model;
 mod observed_health;
 mod outlier_detector;
@@ -26,7 +29,9 @@
 
 pub(crate) use attempt::{Attempt, AttemptRef, PendingAttempt};
 pub(crate) use band::{Band, BandLoad, BandPosition, InFlightBand};
+pub(crate) use broadcast::Broadcast;
 pub(crate) use candidate::{Candidate, ZoneCapacity};
+pub(crate) use coordination::Coordination;
 pub(crate) use counter_account::{
     CatchUp, CountedRequest, CounterAccount, CounterCall, CounterCalls, CounterEpoch,
 };
@@ -38,6 +43,7 @@
 pub(crate) use event_clock::EventClock;
 pub(crate) use fleet_means::{FleetMeans, GatewayMeans};
 pub(crate) use gateway_set::GatewaySet;
+pub(crate) use gossip::Gossip;
 pub(crate) use latency_model::{LatencyGains, LatencyModel};
 pub(crate) use observed_health::{EjectionScope, ObservedHealth};
 pub(crate) use outlier_detector::OutlierDetector;
