Give the downstream settings a file, and call an address addr throughout the gateway

server.rs and handler.rs of downstream/ imported each other for DownstreamSettings alone, the last circle of imports; it has a file of its own now.

--- a/crates/gateway/src/discovery/endpoint_list.rs
+++ b/crates/gateway/src/discovery/endpoint_list.rs
@@ -55,7 +55,7 @@
     /// What the admission library knows of it.
     pub entry: EndpointEntry,
     /// Where it listens.
-    pub address: SocketAddr,
+    pub addr: SocketAddr,
 }
 
 impl EndpointList {
@@ -108,7 +108,7 @@
             // With a start in the future, slow start would count a negative capacity.
             started_at_ms: has_start.then(|| self.started_at_ms.min(now_ms)),
         };
-        Ok(DiscoveredEndpoint { entry, address: self.addr })
+        Ok(DiscoveredEndpoint { entry, addr: self.addr })
     }
 }
 
--- a/crates/gateway/src/discovery/tests/endpoint_list.rs
+++ b/crates/gateway/src/discovery/tests/endpoint_list.rs
@@ -47,7 +47,7 @@
 #[test]
 fn each_field_of_a_record_reaches_the_endpoint() {
     let endpoint = endpoint(record(json!({}))).expect("an endpoint");
-    assert_eq!(endpoint.address.to_string(), "127.0.0.1:80");
+    assert_eq!(endpoint.addr.to_string(), "127.0.0.1:80");
     let entry = endpoint.entry;
     assert_eq!((entry.zone, entry.kind, entry.cell), (1, 1, 3));
     assert_eq!((entry.state, entry.started_at_ms), (EndpointState::Ready, Some(5000.0)));
@@ -84,7 +84,7 @@
         {"uid": "u4", "endpoint": "127.0.0.1:81", "state": "up"},
     ]);
     let endpoints = list(records).endpoints(&names(), NOW_MS);
-    let ports: Vec<u16> = endpoints.iter().map(|endpoint| endpoint.address.port()).collect();
+    let ports: Vec<u16> = endpoints.iter().map(|endpoint| endpoint.addr.port()).collect();
     assert_eq!(ports, [80, 81]);
 }
 
--- a/crates/gateway/src/downstream/handler.rs
+++ b/crates/gateway/src/downstream/handler.rs
@@ -4,7 +4,7 @@
 use super::request_body::read_body;
 use super::request_error::RequestError;
 use super::response::{error_response, final_response, health_response};
-use super::server::DownstreamSettings;
+use super::settings::DownstreamSettings;
 use crate::clock::duration_from_ms;
 use crate::dispatcher::{Dispatcher, FinalResponse};
 use bytes::Bytes;
--- a/crates/gateway/src/downstream/mod.rs
+++ b/crates/gateway/src/downstream/mod.rs
@@ -18,9 +18,11 @@
 mod request_error;
 mod response;
 mod server;
+mod settings;
 mod shared_stream;
 #[cfg(test)]
 mod tests;
 
 pub(crate) use self::listener::MAX_REFUSING_CONNECTIONS;
-pub(crate) use self::server::{DownstreamServer, DownstreamSettings};
+pub(crate) use self::server::DownstreamServer;
+pub(crate) use self::settings::DownstreamSettings;
--- a/crates/gateway/src/downstream/server.rs
+++ b/crates/gateway/src/downstream/server.rs
@@ -2,12 +2,12 @@
 use super::connection::{Connection, ConnectionRole, ConnectionStage};
 use super::connection_table::ConnectionTable;
 use super::handler::RequestHandler;
+use super::settings::DownstreamSettings;
 use crate::dispatcher::Dispatcher;
 use crate::logging::target;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use irishinge_admission::Settings;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,16 +20,6 @@
 /// A client that takes longer over a request's head is closed, and so is one that stands idle for so long.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// What the server goes by.
-pub(crate) struct DownstreamSettings {
-    /// The classes and bounds of requests.
-    pub admission: Settings,
-    /// Rejections may carry `Retry-After`.
-    pub sends_retry_after: bool,
-    /// Connections whose requests are served.
-    pub max_connections: usize,
-}
-
 /// All clients' connections.
 pub(crate) struct DownstreamServer {
     handler: RequestHandler,
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -61,7 +61,7 @@
         if kind != ListKind::Changes {
             endpoints.retain(|id, _| discovered.iter().any(|d| d.entry.id == *id));
         }
-        for DiscoveredEndpoint { entry, address: addr } in discovered {
+        for DiscoveredEndpoint { entry, addr } in discovered {
             if entry.state == EndpointState::Gone {
                 endpoints.remove(&entry.id);
                 continue;
--- a/crates/gateway/src/upstream/tests.rs
+++ b/crates/gateway/src/upstream/tests.rs
@@ -89,7 +89,7 @@
     let (pool, id) = (pool(), EndpointId(1));
     let state = EndpointState::Ready;
     let entry = EndpointEntry { id, zone: 0, kind: 0, cell: 0, state, started_at_ms: None };
-    pool.apply_list(ListKind::Whole, &[DiscoveredEndpoint { entry, address: addr }]);
+    pool.apply_list(ListKind::Whole, &[DiscoveredEndpoint { entry, addr }]);
     let request = request();
     let until = Instant::now() + Duration::from_secs(60);
     // The list expires once the attempt has begun, whose connection is then kept for the next.
