Test that a client which left while its quota's owner is asked is never sent

A stand-in for the owner receives the quota request and grants it only once the gateway has closed the client's connection; a second test shows that the same request is sent on the grant if its client stays.

--- a/crates/gateway/tests/it/common/mod.rs
+++ b/crates/gateway/tests/it/common/mod.rs
@@ -7,6 +7,7 @@
 mod gateway_process;
 mod http_message;
 mod late_listener;
+mod quota_owner;
 mod scripted_server;
 
 pub(crate) use client::{Client, ClientRequest, HEALTH_CHECK};
@@ -18,6 +19,7 @@
 };
 pub(crate) use http_message::{http_response, read_message};
 pub(crate) use late_listener::LateListener;
+pub(crate) use quota_owner::{use_quota_owner, QuotaOwner};
 pub(crate) use scripted_server::{respond, Received, Reply, ScriptedServer};
 
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/crates/gateway/tests/it/disconnect_variants.rs
+++ b/crates/gateway/tests/it/disconnect_variants.rs
@@ -132,6 +132,39 @@
     }
 }
 
+/// The owner grants the request once its client has left.
+#[test]
+fn never_sends_a_request_that_waited_for_its_quota_owner() {
+    for kind in disconnect_kinds() {
+        let (endpoint, owner) = (ScriptedServer::serving(""), QuotaOwner::start());
+        let (gateway, _discovery) =
+            start_with_large_quota(&[endpoint.addr], |config| use_quota_owner(config, owner.addr()));
+        let client = DisconnectingClient::submit(&gateway, &QuotaOwner::request());
+        let question = owner.next_quota_request();
+        client.disconnect(&gateway, &kind);
+        owner.grant(&question);
+        // The gateway owns the quota of a customer that uses no other gateway.
+        let next = ClientRequest { metering: "units=1,spread=1,first=0", ..ClientRequest::new("read") };
+        assert_eq!(other_request_ids(&gateway, &endpoint, next), [""; 0], "{}", kind.name);
+    }
+}
+
+/// The same request is sent once it is granted, if its client stays.
+#[test]
+fn sends_a_request_once_its_quota_owner_grants_it() {
+    let (endpoint, owner) = (ScriptedServer::serving(""), QuotaOwner::start());
+    let (gateway, _discovery) =
+        start_with_large_quota(&[endpoint.addr], |config| use_quota_owner(config, owner.addr()));
+    let request = QuotaOwner::request();
+    let mut client = gateway.client();
+    client.write(&request.text());
+    let question = owner.next_quota_request();
+    assert!(endpoint.has_received_nothing(), "it waits for the owner");
+    owner.grant(&question);
+    assert_eq!(endpoint.next_request().message.header("x-call-id"), Some(request.id.as_str()));
+    assert_eq!(client.read().expect("a response").status(), 200);
+}
+
 /// The first attempt may not be cancelled, and fails after the client has left.
 #[test]
 fn makes_no_further_attempt_after_a_disconnect() {
