--- a/crates/admission/src/event.rs
+++ b/crates/admission/src/event.rs
@@ -60,9 +60,9 @@
     /// Units that it counts; an estimate where the true units come with the response.
     pub units: f64,
     /// The number of gateways that the customer's requests come through.
-    pub spread: usize,
+    pub gateway_count: usize,
     /// Number of the first of these gateways; the others follow it, from the last gateway on to number 0.
-    pub first: usize,
+    pub first_gateway: usize,
     /// The client marked it as a repeat.
     pub repeat: bool,
     /// It is a write.
--- a/crates/admission/src/state/gateway_set.rs
+++ b/crates/admission/src/state/gateway_set.rs
@@ -38,7 +38,7 @@
 
     /// The gateways that the requests of a request's customer come through.
     pub(crate) fn of_request(request: &Request, fleet: usize) -> Self {
-        GatewaySet::new(request.first, request.spread, fleet)
+        GatewaySet::new(request.first_gateway, request.gateway_count, fleet)
     }
 
     /// The same as `new`, but `None` where the first gateway or the number of gateways is not of the fleet.
--- a/crates/admission/tests/it/common/builders.rs
+++ b/crates/admission/tests/it/common/builders.rs
@@ -89,8 +89,8 @@
         customer,
         time_left_ms: 3000.0,
         units: 1.0,
-        spread: 1,
-        first: 0,
+        gateway_count: 1,
+        first_gateway: 0,
         repeat: false,
         write: false,
     }
--- a/crates/admission/tests/it/common/fleet.rs
+++ b/crates/admission/tests/it/common/fleet.rs
@@ -183,7 +183,8 @@
     /// Submits a request, which the test may change, at a gateway.
     pub(crate) fn submit(&mut self, me: usize, change: impl FnOnce(&mut Request)) -> RequestId {
         let id = RequestId(self.due.next_number());
-        let mut request = Request { spread: self.settings.gateways, ..request(id, CustomerId(CUSTOMER)) };
+        let mut request =
+            Request { gateway_count: self.settings.gateways, ..request(id, CustomerId(CUSTOMER)) };
         change(&mut request);
         let id = request.id;
         let (customer, class, plan) = (request.customer.0, request.class, request.plan);
--- a/crates/admission/tests/it/common/single_gateway.rs
+++ b/crates/admission/tests/it/common/single_gateway.rs
@@ -57,7 +57,7 @@
     pub(crate) fn submit_with(&mut self, change: impl FnOnce(&mut Request)) -> Submitted {
         self.last_request += 1;
         let id = RequestId(self.last_request);
-        let mut request = Request { spread: 2, ..request(id, CustomerId(self.customer)) };
+        let mut request = Request { gateway_count: 2, ..request(id, CustomerId(self.customer)) };
         change(&mut request);
         Submitted { id: request.id, actions: self.event(Event::Request(request)) }
     }
--- a/crates/admission/tests/it/dispatch.rs
+++ b/crates/admission/tests/it/dispatch.rs
@@ -41,7 +41,7 @@
             submitted[class] += 1;
             let id = RequestId(round as u64 * 2 + class as u64);
             let customer = CustomerId(round as u64 + (3 << 40));
-            let request = Request { class, first: 3, ..request(id, customer) };
+            let request = Request { class, first_gateway: 3, ..request(id, customer) };
             actions.extend(gateway.event(Event::Request(request)));
         }
         for action in actions.drain(..) {
--- a/crates/admission/tests/it/endpoint_selection.rs
+++ b/crates/admission/tests/it/endpoint_selection.rs
@@ -55,7 +55,9 @@
     for step in 0..1500usize {
         let me = step * 37 % 60;
         let before = fleet.sent.len();
-        fleet.submit(me, |r| (r.customer, r.spread, r.first) = (CustomerId(me as u64 + (5 << 40)), 1, me));
+        fleet.submit(me, |r| {
+            (r.customer, r.gateway_count, r.first_gateway) = (CustomerId(me as u64 + (5 << 40)), 1, me)
+        });
         local += fleet.sent[before..].iter().filter(|s| zone(s.endpoint.0) == me % 3).count();
         fleet.advance(2.0);
     }
--- a/crates/admission/tests/it/in_flight_band.rs
+++ b/crates/admission/tests/it/in_flight_band.rs
@@ -43,7 +43,7 @@
         if round == 50 {
             for n in 0..5 {
                 let customer = CustomerId(n + (3 << 40));
-                let request = Request { first: 3, ..request(RequestId(n), customer) };
+                let request = Request { first_gateway: 3, ..request(RequestId(n), customer) };
                 actions.extend(gateway.event(Event::Request(request)));
             }
         }
--- a/crates/admission/tests/it/open_limit.rs
+++ b/crates/admission/tests/it/open_limit.rs
@@ -24,7 +24,7 @@
         let mut gateway = SingleGateway::new(settings.clone(), 10);
         for peer in (0..8).filter(|peer| *peer != me) {
             let mut other = SingleGateway::new(Settings { me: peer, ..settings.clone() }, 10);
-            let submitted = other.submit_with(|r| r.spread = 8);
+            let submitted = other.submit_with(|r| r.gateway_count = 8);
             let mut bodies = vec![];
             for sent in submitted.sends() {
                 other.end_attempt(sent, 0, Outcome::Ok, 5.0);
@@ -34,7 +34,7 @@
                 gateway.event(Event::PeerMessage { from: peer, body });
             });
         }
-        owners += gateway.submit_with(|r| r.spread = 8).sends().len();
+        owners += gateway.submit_with(|r| r.gateway_count = 8).sends().len();
     }
     assert_eq!(owners, 4);
 }
--- a/crates/admission/tests/it/outlier_detection.rs
+++ b/crates/admission/tests/it/outlier_detection.rs
@@ -102,7 +102,7 @@
     for step in 0..steps {
         let first = step * 37 % 100;
         fleet.submit((first + step % 3) % 100, |r| {
-            (r.customer, r.spread, r.first) = (CustomerId(first as u64 + (5 << 40)), 3, first);
+            (r.customer, r.gateway_count, r.first_gateway) = (CustomerId(first as u64 + (5 << 40)), 3, first);
         });
         fleet.advance(2.0);
     }
--- a/crates/admission/tests/it/slow_start_fleet/simulation.rs
+++ b/crates/admission/tests/it/slow_start_fleet/simulation.rs
@@ -192,7 +192,7 @@
         let number = self.due.next_number();
         let request = Request {
             time_left_ms: DEADLINE_MS,
-            spread: self.scenario.gateways,
+            gateway_count: self.scenario.gateways,
             ..request(RequestId(number), CustomerId(number % 16 + (9 << 40)))
         };
         self.submitted += f64::from(u8::from(self.now_ms > JOIN_MS));
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,7 +1,9 @@
 //! The configuration: the JSON file that `LB_CONFIG` names, read at startup and on SIGHUP.
 use crate::discovery::EndpointList;
 use irishinge_admission::{Settings, SettingsError};
-use irishinge_settings::{Names, SettingsDocument, SettingsDocumentError, SocketSettings};
+use irishinge_settings::{
+    Names, SettingsDocument, SettingsDocumentError, SocketSettings, TranslatedSettings,
+};
 use serde::Deserialize;
 use std::env;
 use std::fs;
@@ -128,7 +130,7 @@
         let file: File = serde_json::from_slice(text)?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(InvalidConfig::Seed)?;
         let socket_settings = file.settings.socket_settings()?;
-        let (settings, names) = file.settings.translate()?;
+        let TranslatedSettings { settings, names } = file.settings.translate()?;
         settings.check()?;
         if file.limits.sockets < MIN_SOCKETS {
             return Err(InvalidConfig::TooFewSockets(file.limits.sockets));
--- a/crates/gateway/src/downstream/metering.rs
+++ b/crates/gateway/src/downstream/metering.rs
@@ -7,9 +7,9 @@
     /// Units the request counts.
     pub(super) units: f64,
     /// Through how many gateways the customer's requests come.
-    pub(super) spread: usize,
+    pub(super) gateway_count: usize,
     /// The number of the first of these gateways.
-    pub(super) first: usize,
+    pub(super) first_gateway: usize,
 }
 
 impl Metering {
@@ -31,8 +31,8 @@
         }
         Some(Metering {
             units: units.filter(|units| *units > 0.0 && *units <= settings.max_units)?,
-            spread: spread.filter(|spread| (1..=settings.gateways).contains(spread))?,
-            first: first.filter(|first| *first < settings.gateways)?,
+            gateway_count: spread.filter(|count| (1..=settings.gateways).contains(count))?,
+            first_gateway: first.filter(|first| *first < settings.gateways)?,
         })
     }
 }
--- a/crates/gateway/src/downstream/request.rs
+++ b/crates/gateway/src/downstream/request.rs
@@ -46,8 +46,8 @@
         customer,
         time_left_ms: (budget_s * 1000.0).min(class_settings.deadline_ms),
         units: metering.units,
-        spread: metering.spread,
-        first: metering.first,
+        gateway_count: metering.gateway_count,
+        first_gateway: metering.first_gateway,
         repeat: headers.get(AGAIN).is_some_and(|value| value == "1"),
         write: class_settings.idempotency != Idempotency::Idempotent,
     })
--- a/crates/gateway/src/downstream/tests/metering.rs
+++ b/crates/gateway/src/downstream/tests/metering.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn fields_may_come_in_any_order_and_unknown_ones_are_skipped() {
-    let metering = Some(Metering { units: 2.5, spread: 3, first: 1 });
+    let metering = Some(Metering { units: 2.5, gateway_count: 3, first_gateway: 1 });
     for text in
         ["units=2.5,spread=3,first=1", "first=1, spread=3 ,units=2.5", "x=,x=9,units=2.5,spread=3,first=1"]
     {
--- a/crates/gateway/src/downstream/tests/request_parsing.rs
+++ b/crates/gateway/src/downstream/tests/request_parsing.rs
@@ -51,7 +51,7 @@
     let request = parse(&head("read")).expect("a well-formed request");
     assert_eq!((request.id, request.customer), (RequestId(0xaf), CustomerId(0x1_ffff_ffff)));
     assert_eq!((request.class, request.plan), (0, 1));
-    assert_eq!((request.units, request.spread, request.first), (2.0, 3, 1));
+    assert_eq!((request.units, request.gateway_count, request.first_gateway), (2.0, 3, 1));
     assert_eq!(request.time_left_ms, 1500.0);
     assert!(!request.repeat && !request.write);
     let request = parse(&head_with("post", "x-again", Some("1"))).expect("a well-formed request");
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,3 +15,4 @@
 pub use error::SettingsDocumentError;
 pub use names::{NameKind, Names, UnknownName};
 pub use socket_settings::{DiscoveryMode, SocketSettings};
+pub use translate::TranslatedSettings;
--- a/crates/settings/src/translate.rs
+++ b/crates/settings/src/translate.rs
@@ -5,6 +5,15 @@
 use crate::names::Names;
 use irishinge_admission::{ClassSettings, DedupGroup, Idempotency, PlanSettings, Settings};
 
+/// What a settings object says in the admission library's terms.
+#[derive(Debug)]
+pub struct TranslatedSettings {
+    /// The library's settings.
+    pub settings: Settings,
+    /// The names behind their indexes.
+    pub names: Names,
+}
+
 impl SettingsDocument {
     /// The admission library's settings, and the names behind their indexes.
     ///
@@ -12,7 +21,7 @@
     ///
     /// # Errors
     /// A [`SettingsDocumentError`] where a name or a keyword is unknown, or a `by_key` class is incomplete.
-    pub fn translate(self) -> Result<(Settings, Names), SettingsDocumentError> {
+    pub fn translate(self) -> Result<TranslatedSettings, SettingsDocumentError> {
         let names = Names {
             classes: self.request_classes.iter().map(|class| class.name.clone()).collect(),
             plans: self.plans.iter().map(|plan| plan.name.clone()).collect(),
@@ -46,7 +55,7 @@
             overload_multiple: self.endpoint_rules.overload_multiple,
             overload_window_ms: self.endpoint_rules.overload_window_ms,
         };
-        Ok((settings, names))
+        Ok(TranslatedSettings { settings, names })
     }
 }
 
--- a/crates/settings/tests/settings_document.rs
+++ b/crates/settings/tests/settings_document.rs
@@ -2,7 +2,8 @@
 
 use irishinge_admission::{DedupGroup, Idempotency};
 use irishinge_settings::{
-    DiscoveryMode, NameKind, SettingsDocument, SettingsDocumentError, SocketSettings, UnknownName,
+    DiscoveryMode, NameKind, SettingsDocument, SettingsDocumentError, SocketSettings, TranslatedSettings,
+    UnknownName,
 };
 use serde_json::{json, Value};
 
@@ -38,7 +39,7 @@
 
 #[test]
 fn every_key_reaches_its_field() {
-    let (settings, names) = parse(complete()).translate().expect("a sound document");
+    let TranslatedSettings { settings, names } = parse(complete()).translate().expect("a sound document");
     assert_eq!((settings.gateways, settings.me, settings.zone), (3, 1, 1));
     assert_eq!((settings.tick_ms, settings.max_attempts, settings.max_retry_after_ms), (4.0, 4, 500.0));
     assert!(settings.hedging_allowed && settings.cancel_allowed && settings.counter_allowed);
@@ -140,6 +141,6 @@
     let document = parse(example["settings"].clone());
     let sockets = document.socket_settings().expect("sound figures for sockets");
     assert_eq!(sockets.discovery_mode, DiscoveryMode::Pushed);
-    let (settings, _) = document.translate().expect("sound names and keywords");
+    let settings = document.translate().expect("sound names and keywords").settings;
     assert_eq!(settings.check(), Ok(()));
 }
--- a/crates/simulator-adapter/src/hosted_gateways.rs
+++ b/crates/simulator-adapter/src/hosted_gateways.rs
@@ -4,7 +4,7 @@
 use crate::wire::output::{OutputMessage, Reply, ReplyPart};
 use crate::wire::TranslationError;
 use irishinge_admission::{Action, Gateway, SettingsError};
-use irishinge_settings::{Names, SettingsDocumentError};
+use irishinge_settings::{Names, SettingsDocumentError, TranslatedSettings};
 use std::collections::BTreeMap;
 
 /// Why a batch could not be answered.
@@ -85,7 +85,7 @@
     }
 
     fn start(&mut self, gateway_id: &str, now_ms: f64, start: StartMessage) -> Result<(), BatchError> {
-        let (settings, names) = start
+        let TranslatedSettings { settings, names } = start
             .settings
             .translate()
             .map_err(|source| BatchError::SettingsDocument { gateway_id: gateway_id.to_owned(), source })?;
--- a/crates/simulator-adapter/src/wire/event.rs
+++ b/crates/simulator-adapter/src/wire/event.rs
@@ -96,8 +96,8 @@
             customer: CustomerId(self.customer.0),
             time_left_ms: self.time_left_ms,
             units: self.units,
-            spread: self.gateway_count,
-            first: self.first_gateway,
+            gateway_count: self.gateway_count,
+            first_gateway: self.first_gateway,
             repeat: self.repeat,
             write: self.write,
         })
--- a/crates/simulator-adapter/src/wire/tests/events.rs
+++ b/crates/simulator-adapter/src/wire/tests/events.rs
@@ -119,8 +119,8 @@
         customer: CustomerId(0x91f0_3b7c_55d2_0a64),
         time_left_ms: 240.0,
         units: 2.0,
-        spread: 3,
-        first: 1,
+        gateway_count: 3,
+        first_gateway: 1,
         repeat: true,
         write: true,
     };
