Replace boolean parameters by enums or by what they were computed from

Five functions took a bool that a reader of the call could not tell: likely_within, is_first, has_responses, is_warming_up, list_is_valid. The first is the enum QuotaExpectation now; the others are given the record or the figure that the bool was computed from.

--- a/crates/admission/src/coordination/gossip.rs
+++ b/crates/admission/src/coordination/gossip.rs
@@ -19,8 +19,7 @@
             self.apply_observation(*observation);
         }
         if let Some(gossip) = self.coordination.gossip_mut() {
-            let has_responses = !message.responses.is_empty();
-            gossip.record_message(from, has_responses, self.clock.now_ms(), QUOTA_RATE_SPAN_S);
+            gossip.record_message(from, &message, self.clock.now_ms(), QUOTA_RATE_SPAN_S);
         }
         self.on_quota_messages(from, message, actions);
     }
--- a/crates/admission/src/coordination/quota_requests.rs
+++ b/crates/admission/src/coordination/quota_requests.rs
@@ -7,7 +7,7 @@
 use crate::policy::quota_owner::{
     may_retry_quota_request, response_wait_ms, SAMPLING_TTL_MS, SUSPECT_MISSED_RESPONSES, SUSPECT_MS,
 };
-use crate::state::{Coordination, GatewaySet, QuotaRoute, QuotaState};
+use crate::state::{Coordination, GatewaySet, QuotaExpectation, QuotaRoute, QuotaState};
 
 /// A quota request that the owner did not respond to in time.
 #[derive(Debug, Clone, Copy)]
@@ -65,7 +65,7 @@
         };
         match self.quota_route(owner, tries, sampling_fraction) {
             QuotaRoute::AskOwner => self.send_quota_request(id, owner, quota_request, tries, actions),
-            QuotaRoute::DecideAlone { likely_within } => self.decide_without_owner(id, likely_within),
+            QuotaRoute::DecideAlone(expected) => self.decide_without_owner(id, expected),
         }
     }
 
@@ -102,7 +102,7 @@
             if may_retry_quota_request(&self.settings, missed.tries, tokens) {
                 self.request_quota(missed.id, missed.tries + 1, actions);
             } else {
-                self.decide_without_owner(missed.id, true);
+                self.decide_without_owner(missed.id, QuotaExpectation::Within);
             }
         }
     }
--- a/crates/admission/src/lifecycle/attempts.rs
+++ b/crates/admission/src/lifecycle/attempts.rs
@@ -26,7 +26,7 @@
             self.retries.earn(RETRY_TOKENS_PER_REQUEST, MAX_RETRY_TOKENS);
         }
         self.enter_attempt(id, endpoint_id);
-        self.count_attempt(id, is_first);
+        self.count_attempt(id);
         actions.push(Action::Send { request: id, endpoint: endpoint_id, timeout_ms });
     }
 
@@ -45,12 +45,13 @@
 
     /// Counts a new attempt to its customer, where the quota is not held by another gateway: its slot, and
     /// with the first attempt the request's units.
-    fn count_attempt(&mut self, id: RequestId, is_first: bool) {
+    fn count_attempt(&mut self, id: RequestId) {
         let Some(active) = self.requests.get(id).filter(|a| a.quota().holds_slot_here()) else {
             return;
         };
         let Some(customer) = self.customers.get_mut(active.tag) else { return };
         let plan = &self.settings.plans[active.request.plan];
+        let is_first = active.attempt_count() == 1;
         let first_within_quota = is_first && active.quota().is_within_quota();
         customer.start_attempt();
         if is_first {
--- a/crates/admission/src/policy/quota_owner.rs
+++ b/crates/admission/src/policy/quota_owner.rs
@@ -7,7 +7,7 @@
 use crate::policy::dispatch::ATTEMPT_TIMEOUT_OBJECTIVES;
 use crate::policy::quota_counter::AMPLE_FRACTION;
 use crate::settings::{PlanSettings, Settings};
-use crate::state::{ActiveRequest, Customer, GatewaySet, QuotaRoute, QuotaState};
+use crate::state::{ActiveRequest, Customer, GatewaySet, QuotaExpectation, QuotaRoute, QuotaState};
 
 /// How long a gateway waits for an owner's response: this fraction of the shortest latency objective, and
 /// this time at least.
@@ -69,9 +69,9 @@
         if owner == self.settings.me {
             QuotaRoute::AskOwner
         } else if tries == 0 && !sampled {
-            QuotaRoute::DecideAlone { likely_within: false }
+            QuotaRoute::DecideAlone(QuotaExpectation::Over)
         } else if message_tokens < 1.0 {
-            QuotaRoute::DecideAlone { likely_within: sampling == SamplingFraction::ALL }
+            QuotaRoute::DecideAlone(QuotaExpectation::within_if(sampling == SamplingFraction::ALL))
         } else {
             QuotaRoute::AskOwner
         }
@@ -80,11 +80,11 @@
     /// Decides on a request whose quota's owner can't be asked, or does not respond. Most customers are well
     /// inside their quota, so while the band has room this gateway's own bucket decides. It does not where
     /// the owner lately granted less than was requested, and never under a ceiling.
-    pub(crate) fn decide_without_owner(&mut self, id: RequestId, likely_within: bool) {
+    pub(crate) fn decide_without_owner(&mut self, id: RequestId, expected: QuotaExpectation) {
         let room = self.band_is_ungated();
         let Some(active) = self.requests.get_mut(id) else { return };
         let no_ceiling = self.settings.plans[active.request.plan].ceiling_rate_per_second <= 0.0;
-        let within_quota = likely_within && room && no_ceiling;
+        let within_quota = expected == QuotaExpectation::Within && room && no_ceiling;
         let over_quota = QuotaState::OverQuota { within_ceiling: false };
         active.set_quota(if within_quota { QuotaState::LocalBucket { within_quota } } else { over_quota });
     }
--- a/crates/admission/src/policy/slow_start.rs
+++ b/crates/admission/src/policy/slow_start.rs
@@ -68,7 +68,7 @@
     pub(crate) fn warm_up_odds(&self, id: RequestId, attempt: usize) -> Option<f64> {
         let mut capacity = FleetCapacity::default();
         for endpoint in self.endpoints.ready() {
-            capacity.add(self.send_fraction(endpoint), self.is_warming_up(endpoint));
+            capacity.add(self.send_fraction(endpoint), self.warm_fraction(endpoint));
         }
         let draw = fraction(mix(mix(id.0 ^ u64::from(self.incarnation)).wrapping_add(attempt as u64)));
         let factor = WARM_UP_ADMISSION_FACTOR + capacity.warm_fraction();
--- a/crates/admission/src/state/gossip.rs
+++ b/crates/admission/src/state/gossip.rs
@@ -1,5 +1,6 @@
 //! The other gateways of a large fleet, and what may be sent to them.
 use crate::mechanism::decaying_rate::DecayingRate;
+use crate::messages::gossip::GossipMessage;
 use crate::settings::Settings;
 use crate::state::{peer_indices, GossipPeer, QuotaRequests};
 use std::collections::BTreeMap;
@@ -50,11 +51,11 @@
 
     /// Enters a message of a peer. Messages with responses do not count as received: own quota requests bring
     /// them, and their share of the capacity is planned for with these.
-    pub(crate) fn record_message(&mut self, from: usize, has_responses: bool, now_ms: f64, span_s: f64) {
+    pub(crate) fn record_message(&mut self, from: usize, message: &GossipMessage, now_ms: f64, span_s: f64) {
         if let Some(peer) = self.peers.get_mut(&from) {
             peer.record_message();
         }
-        if !has_responses {
+        if message.responses.is_empty() {
             self.received_rate.add(1.0, now_ms, span_s);
         }
     }
--- a/crates/admission/src/state/mod.rs
+++ b/crates/admission/src/state/mod.rs
@@ -49,7 +49,7 @@
 pub(crate) use outlier_detector::OutlierDetector;
 pub(crate) use peer::{peer_indices, BroadcastPeer, GossipPeer};
 pub(crate) use quota_grants::{Grant, QuotaGrants};
-pub(crate) use quota_requests::{QuotaRequests, QuotaRoute};
+pub(crate) use quota_requests::{QuotaExpectation, QuotaRequests, QuotaRoute};
 pub(crate) use quota_state::{OwnBucketCheck, QuotaDecision, QuotaState};
 pub(crate) use recent_observations::RecentObservations;
 pub(crate) use relative_response_time::{KindDeviation, RelativeResponseTime};
--- a/crates/admission/src/state/quota_requests.rs
+++ b/crates/admission/src/state/quota_requests.rs
@@ -9,11 +9,28 @@
 pub(crate) enum QuotaRoute {
     /// The owner is asked.
     AskOwner,
-    /// This gateway decides alone.
-    DecideAlone {
-        /// The customer is most likely within its quota.
-        likely_within: bool,
-    },
+    /// This gateway decides alone, by what is to be expected of the customer.
+    DecideAlone(QuotaExpectation),
+}
+
+/// What is to be expected of a customer whose quota's owner cannot be asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum QuotaExpectation {
+    /// It is most likely within its quota.
+    Within,
+    /// It is most likely over its quota.
+    Over,
+}
+
+impl QuotaExpectation {
+    /// `Within` where the condition holds.
+    pub(crate) fn within_if(condition: bool) -> Self {
+        if condition {
+            QuotaExpectation::Within
+        } else {
+            QuotaExpectation::Over
+        }
+    }
 }
 
 /// Quota requests that wait for a response, by their number.
--- a/crates/admission/src/state/slow_start.rs
+++ b/crates/admission/src/state/slow_start.rs
@@ -84,11 +84,12 @@
 }
 
 impl FleetCapacity {
-    /// Adds an endpoint.
-    pub(crate) fn add(&mut self, capacity: f64, is_warming_up: bool) {
+    /// Adds an endpoint that may be sent this part of a warm one's work; `warm_fraction` is below 1 while it is
+    /// warming up.
+    pub(crate) fn add(&mut self, capacity: f64, warm_fraction: f64) {
         self.total += capacity;
         self.count += 1;
-        if is_warming_up {
+        if warm_fraction < 1.0 {
             self.warming_up += capacity;
         } else {
             self.warm_count += 1;
--- a/crates/gateway/src/discovery/refresh_schedule.rs
+++ b/crates/gateway/src/discovery/refresh_schedule.rs
@@ -120,8 +120,8 @@
             DiscoveryError::Refused => {
                 self.is_overloaded = true;
                 lease.renew_after_refusal(now);
-                let list_is_valid = lease.is_valid(now);
-                self.pause_after_refusal(list_is_valid)
+                let remaining = lease.remaining(now);
+                self.pause_after_refusal(remaining)
             }
             // Silence may be an outage, whose end must not be missed. The response timeout limits the rate of
             // calls.
@@ -143,14 +143,15 @@
         self.backoff.draw_pause(window)
     }
 
-    fn pause_after_refusal(&mut self, list_is_valid: bool) -> Duration {
+    /// `remaining` is how long the list may still be used.
+    fn pause_after_refusal(&mut self, remaining: Duration) -> Duration {
         let mut window = self.backoff.window();
         self.backoff.widen();
-        if list_is_valid {
-            window = window.min(MAX_REFUSAL_BACKOFF);
-        } else {
+        if remaining.is_zero() {
             // Nothing is sent meanwhile, so there is less of a hurry.
             self.backoff.widen();
+        } else {
+            window = window.min(MAX_REFUSAL_BACKOFF);
         }
         self.backoff.draw_pause(window)
     }
