--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -1,4 +1,5 @@
 //! The cases, and the settings that they share.
+pub mod expired_requests;
 pub mod second_answer;
 
 use std::fmt::Write;
