Show that requests are lost at the end of a shutdown (review case 3)

Cause: 0.3 s before the earliest SIGKILL the gateway answers the requests in progress once. A request that a slow client completes within the next 150 ms is still forwarded, and the process ends without an answer to it.

--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -1,5 +1,6 @@
 //! The cases, and the settings that they share.
 pub mod expired_requests;
+pub mod late_request;
 pub mod second_answer;
 
 use std::fmt::Write;
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -51,6 +51,7 @@
     let setup = Setup { root: PathBuf::from(root), folder: PathBuf::from(folder), trouble, record: record.clone() };
     let case = match case.as_str() {
         "second-answer" => cases::second_answer::run,
+        "late-request" => cases::late_request::run,
         "expired-requests" => cases::expired_requests::run,
         other => {
             eprintln!("unknown case {other}");
