--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -1,7 +1,10 @@
 //! The cases, and the settings that they share.
+pub mod crowded_discovery;
 pub mod expired_requests;
+pub mod late_connection;
 pub mod late_request;
 pub mod second_answer;
+pub mod slow_hosts;
 
 use std::fmt::Write;
 use std::net::SocketAddr;
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -50,9 +50,12 @@
     record.line(format_args!("case {case}, TROUBLE={}", u8::from(trouble)));
     let setup = Setup { root: PathBuf::from(root), folder: PathBuf::from(folder), trouble, record: record.clone() };
     let case = match case.as_str() {
+        "crowded-discovery" => cases::crowded_discovery::run,
+        "expired-requests" => cases::expired_requests::run,
         "second-answer" => cases::second_answer::run,
+        "slow-hosts" => cases::slow_hosts::run,
+        "late-connection" => cases::late_connection::run,
         "late-request" => cases::late_request::run,
-        "expired-requests" => cases::expired_requests::run,
         other => {
             eprintln!("unknown case {other}");
             exit(2);
