Reuse no connection within 60 ms of a response, so that no late copy answers the next

Cause: a connection was reused at once after a response. A copy of that response, some milliseconds late, arrived after the next request was written and was read as its response. The delay of 15 ms came into force only once surplus bytes had been noticed, and a copy that arrives after the next request is never noticed.

Evidence: strace of the case shows the peek without bytes, the write of the next request and 1.1 ms later the read of the copy.

Change: HttpConnection itself keeps the delay, 60 ms, always in force: 40 ms for a delayed acknowledgement and the few milliseconds of the copy. So it holds for endpoints, the quota counter and the watch of the list. The long poll for pushed lists is shorter by it, so that the worst case stays within the drain grace. A new log line reports surplus bytes, once a minute for each server.

Tests: late_copy_of_a_response_never_reaches_another_client failed before the fix. With a delay of 0, eight tests fail; with 15 ms, the one on held-back copies and the one on discovery do. Two older tests of the delay's coming into force are replaced by tests of what it must prevent; that surplus bytes close a connection is checked on idle connections now, and two tests that reused a connection at once wait first.

--- a/crates/gateway/src/discovery/refresh_policy.rs
+++ b/crates/gateway/src/discovery/refresh_policy.rs
@@ -3,10 +3,12 @@
 //! gateway calls that agent. If lists are polled, all gateways of the fleet call one service.
 use super::list_lease::LEASE_DURATION;
 use crate::clock::duration_from_ms;
+use crate::http_connection::REUSE_DELAY;
 use irishinge_settings::{DeploymentSettings, DiscoveryMode};
 use std::time::Duration;
 
-/// The longest wait of a long poll for pushed lists, as a fraction of the drain grace.
+/// The longest time from a pushed list until the end of the next long poll's wait, as a fraction of the drain
+/// grace. The long poll begins when its connection may be reused.
 ///
 /// Calls to the agent cost nothing and are not queued: the agent responds as soon as the list changes or the
 /// wait is over. The drain grace of a change starts when the agent has the change. So after any failure the
@@ -82,7 +84,7 @@
         let timeout = grace.mul_f64(PUSHED_TIMEOUT_FRACTION);
         let max_backoff_window = grace.mul_f64(PUSHED_WINDOW_FRACTION);
         RefreshPolicy {
-            long_poll_wait: grace.mul_f64(PUSHED_WAIT_FRACTION),
+            long_poll_wait: grace.mul_f64(PUSHED_WAIT_FRACTION).saturating_sub(REUSE_DELAY),
             response_timeout: timeout,
             queued_response_timeout: timeout,
             connect_timeout: timeout,
--- a/crates/gateway/src/discovery/watch.rs
+++ b/crates/gateway/src/discovery/watch.rs
@@ -150,6 +150,9 @@
         })?;
         loop {
             self.handle_list(response, addr)?;
+            // The wait is no part of the call, whose delay tells whether discovery is overloaded.
+            let reusable = connection.wait_for_reuse().await;
+            reusable.map_err(|error| DiscoveryError::Inconclusive(error.into()))?;
             response = self.call(&mut connection, addr, CallPosition::Later, Instant::now()).await?;
         }
     }
--- a/crates/gateway/src/http_connection/mod.rs
+++ b/crates/gateway/src/http_connection/mod.rs
@@ -2,14 +2,18 @@
 //! counter.
 //!
 //! The same future drives the connection and the request. Dropping that future together with the connection
-//! closes the socket at once, so no request outlives its attempt. A connection never sends a request twice.
+//! closes the socket at once, so no request outlives its attempt. A connection never sends a request twice, and
+//! carries the next one only some time after a response ([`reuse_delay`]).
 mod idle_check;
 mod observed_stream;
+mod reuse_delay;
 #[cfg(test)]
 mod tests;
 
 pub(crate) use self::idle_check::IdleCheck;
 use self::observed_stream::{ExchangeState, ObservedStream};
+use self::reuse_delay::ReuseDelay;
+pub(crate) use self::reuse_delay::REUSE_DELAY;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -29,7 +33,7 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, Sleep};
+use tokio::time::{sleep, Instant, Sleep};
 
 /// The maximum size of a response's head (status line and headers), in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -47,10 +51,11 @@
     #[error("the connection was lost")]
     ConnectionLost,
     /// The connection is still open, but the response is malformed or exceeds a limit: the size of its head
-    /// or body, [`RESPONSE_COMPLETION_TIMEOUT`] or [`MAX_INTERIM_RESPONSES`].
+    /// or body, [`RESPONSE_COMPLETION_TIMEOUT`] or [`MAX_INTERIM_RESPONSES`]. Or the connection received bytes
+    /// after the previous response, before this request was written.
     #[error(
-        "the response is malformed, too large, incomplete after {} ms, or preceded by more than \
-         {MAX_INTERIM_RESPONSES} interim responses",
+        "the response is malformed, too large, incomplete after {} ms, preceded by more than \
+         {MAX_INTERIM_RESPONSES} interim responses, or follows bytes that belong to no response",
         RESPONSE_COMPLETION_TIMEOUT.as_millis()
     )]
     InvalidResponse,
@@ -62,10 +67,14 @@
     sender: http1::SendRequest<Full<Bytes>>,
     /// hyper's connection, which writes requests and reads responses while it is polled.
     driver: Pin<Box<http1::Connection<TokioIo<ObservedStream>, Full<Bytes>>>>,
+    /// The address of the server.
+    server_addr: SocketAddr,
     /// The socket, shared with `driver`.
     stream: Rc<RefCell<TcpStream>>,
     /// The progress of the current exchange.
     state: Rc<ExchangeState>,
+    /// How long the connection may not carry another request.
+    reuse_delay: ReuseDelay,
 }
 
 /// A handle that shows whether any byte of a connection's current request has been written, even after the
@@ -94,7 +103,13 @@
         let io = TokioIo::new(ObservedStream::new(stream.clone(), state.clone()));
         let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(io).await;
         let (sender, driver) = handshake.map_err(io::Error::other)?;
-        Ok(HttpConnection { sender, driver: Box::pin(driver), stream, state })
+        let reuse_delay = ReuseDelay::default();
+        Ok(HttpConnection { sender, driver: Box::pin(driver), server_addr: addr, stream, state, reuse_delay })
+    }
+
+    /// Returns the address of the server.
+    pub(crate) fn server_addr(&self) -> SocketAddr {
+        self.server_addr
     }
 
     /// Returns a handle that shows whether any byte of the current request has been written.
@@ -102,9 +117,10 @@
         WriteStatus(self.state.clone())
     }
 
-    /// Returns whether the connection can carry another request; see [`check_idle`](Self::check_idle).
-    pub(crate) fn is_usable(&mut self) -> bool {
-        self.check_idle() == IdleCheck::Usable
+    /// Returns whether the reuse delay after the last response has passed, so that an exchange would begin at
+    /// once.
+    pub(crate) fn is_reuse_delay_over(&self) -> bool {
+        self.reuse_delay.is_over(Instant::now())
     }
 
     /// Checks the connection, which must have no request in progress.
@@ -121,7 +137,8 @@
         IdleCheck::new(is_ready, self.state.any_bytes_read.get(), &unread)
     }
 
-    /// Sends a request and waits for the complete response.
+    /// Sends a request and waits for the complete response. The request is written only once the reuse delay
+    /// after the previous response has passed.
     ///
     /// # Errors
     ///
@@ -130,10 +147,41 @@
     /// too.
     pub(crate) async fn exchange(
         &mut self,
-        mut request: Request<Full<Bytes>>,
+        request: Request<Full<Bytes>>,
         max_body_bytes: usize,
     ) -> Result<Response<Bytes>, ExchangeError> {
         self.state.reset();
+        self.wait_for_reuse().await?;
+        let response = self.send_and_receive(request, max_body_bytes).await?;
+        self.reuse_delay.begin(Instant::now());
+        Ok(response)
+    }
+
+    /// Waits until the reuse delay after the last response has passed. [`exchange`](Self::exchange) does so too;
+    /// this method is for callers that time their exchange without the wait.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection was closed meanwhile or has received surplus bytes. It must not be used again
+    /// then.
+    pub(crate) async fn wait_for_reuse(&mut self) -> Result<(), ExchangeError> {
+        if self.is_reuse_delay_over() {
+            return Ok(());
+        }
+        self.reuse_delay.wait().await;
+        match self.check_idle() {
+            IdleCheck::Usable => Ok(()),
+            IdleCheck::SurplusBytes => Err(ExchangeError::InvalidResponse),
+            IdleCheck::Closed => Err(ExchangeError::ConnectionLost),
+        }
+    }
+
+    /// Writes a request and reads the complete response.
+    async fn send_and_receive(
+        &mut self,
+        mut request: Request<Full<Bytes>>,
+        max_body_bytes: usize,
+    ) -> Result<Response<Bytes>, ExchangeError> {
         let interim_responses = self.state.interim_responses.clone();
         on_informational(&mut request, move |_| {
             interim_responses.fetch_add(1, Relaxed);
--- a/crates/gateway/src/http_connection/tests.rs
+++ b/crates/gateway/src/http_connection/tests.rs
@@ -1,6 +1,102 @@
-//! Tests of the check of idle connections, with a case for each branch.
-use super::IdleCheck;
+//! Tests of the reuse of a connection: the check while it is idle, and the delay after a response.
+use super::{ExchangeError, HttpConnection, IdleCheck, REUSE_DELAY};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response};
 use std::io::{Error, ErrorKind, Result};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{pause, sleep, Instant};
+
+const RESPONSE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine";
+
+/// Returns a connection and the server's end of it, after one exchange. From the connection on, the clock stands
+/// still but for sleeps.
+async fn connection_after_a_response() -> (HttpConnection, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind a loopback port");
+    let addr = listener.local_addr().expect("the listener is bound");
+    let (connection, accepted) = tokio::join!(HttpConnection::connect(addr), listener.accept());
+    let mut connection = connection.expect("connect to the listener");
+    let (server, _) = accepted.expect("accept the connection");
+    // Otherwise the kernel could hold bytes back for a time that the clock of this test does not show.
+    server.set_nodelay(true).expect("set TCP_NODELAY");
+    pause();
+    let (response, ()) = tokio::join!(exchange(&mut connection), respond(&server));
+    assert_eq!(response.expect("a response").body().as_ref(), b"mine");
+    (connection, server)
+}
+
+async fn exchange(connection: &mut HttpConnection) -> std::result::Result<Response<Bytes>, ExchangeError> {
+    let request = Request::get("/").header("host", "a").body(Full::new(Bytes::new()));
+    connection.exchange(request.expect("a valid request"), 100).await
+}
+
+/// Reads bytes that have arrived; none if the gateway has closed its end.
+async fn read(server: &TcpStream) -> Result<usize> {
+    loop {
+        server.readable().await?;
+        match server.try_read(&mut [0; 1024]) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            result => return result,
+        }
+    }
+}
+
+fn write(server: &TcpStream, text: &str) {
+    assert_eq!(server.try_write(text.as_bytes()).expect("write to the gateway"), text.len());
+}
+
+/// Reads a request and writes [`RESPONSE`].
+async fn respond(server: &TcpStream) {
+    assert!(read(server).await.expect("read the request") > 0);
+    write(server, RESPONSE);
+}
+
+/// Bytes that follow a response arrive some milliseconds late: a copy of it, or noise. If the next request had
+/// been written by then, they would be read as its response. Expected: the next request is not written, and its
+/// exchange fails.
+#[tokio::test]
+async fn late_surplus_bytes_are_not_read_as_the_next_response() {
+    for late_ms in [0, 1, 5, 14, 45] {
+        for surplus in [RESPONSE, "noise"] {
+            let (mut connection, server) = connection_after_a_response().await;
+            let (response, ()) = tokio::join!(exchange(&mut connection), async {
+                sleep(Duration::from_millis(late_ms)).await;
+                write(&server, surplus);
+            });
+            assert!(matches!(response, Err(ExchangeError::InvalidResponse)), "{late_ms} ms: {response:?}");
+            assert!(!connection.write_status().any_written(), "{late_ms} ms");
+            drop(connection);
+            let closed = read(&server).await;
+            assert!(matches!(closed, Ok(0) | Err(_)), "{late_ms} ms: {closed:?}");
+            tokio::time::resume();
+        }
+    }
+}
+
+/// The server closes the connection right after its response. A request written to it would be lost. Expected:
+/// the next request is not written.
+#[tokio::test]
+async fn connection_that_closes_during_the_reuse_delay_carries_no_request() {
+    let (mut connection, server) = connection_after_a_response().await;
+    let (response, ()) = tokio::join!(exchange(&mut connection), async { drop(server) });
+    assert!(matches!(response, Err(ExchangeError::ConnectionLost)), "{response:?}");
+    assert!(!connection.write_status().any_written());
+}
+
+/// Expected: a request that comes right after a response is served on the same connection, and is written when
+/// the reuse delay is over.
+#[tokio::test]
+async fn next_request_is_written_when_the_reuse_delay_is_over() {
+    let (mut connection, server) = connection_after_a_response().await;
+    let responded_at = Instant::now();
+    assert!(!connection.is_reuse_delay_over());
+    let (response, ()) = tokio::join!(exchange(&mut connection), respond(&server));
+    assert_eq!(response.expect("a response").body().as_ref(), b"mine");
+    let waited = responded_at.elapsed();
+    // The timer has a resolution of a millisecond.
+    assert!(waited >= REUSE_DELAY && waited <= REUSE_DELAY + Duration::from_millis(1), "{waited:?}");
+}
 
 /// If a connection were reused after the server had closed it, the next request would be lost; if it were
 /// reused after the server had sent bytes on it, those would be read as the response. Expected: a connection
--- a/crates/gateway/src/idle_connections.rs
+++ b/crates/gateway/src/idle_connections.rs
@@ -1,6 +1,11 @@
 //! The idle connections to one server, which can be reused for another request.
+mod surplus_log;
+#[cfg(test)]
+mod tests;
+
+use self::surplus_log::SurplusLog;
 use crate::connection_budget::BudgetedConnection;
-use crate::http_connection::HttpConnection;
+use crate::http_connection::IdleCheck;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -18,12 +23,14 @@
     timeout: Duration,
     /// The idle connections. The most recently used one is last.
     connections: Vec<IdleConnection>,
+    /// Reports connections that received surplus bytes.
+    surplus_log: SurplusLog,
 }
 
 impl IdleConnections {
     /// Creates an empty list of connections that may be idle for `timeout`.
     pub(crate) fn new(timeout: Duration) -> Self {
-        IdleConnections { timeout, connections: Vec::new() }
+        IdleConnections { timeout, connections: Vec::new(), surplus_log: SurplusLog::default() }
     }
 
     /// Returns whether there is no idle connection.
@@ -36,22 +43,22 @@
         self.connections.first().map(|idle| idle.idle_since)
     }
 
-    /// Adds a connection that has just become idle.
+    /// Adds a connection that has just become idle, or closes it if it is not usable.
     pub(crate) fn put(&mut self, budgeted: BudgetedConnection) {
-        self.connections.push(IdleConnection { budgeted, idle_since: Instant::now() });
+        let mut idle = IdleConnection { budgeted, idle_since: Instant::now() };
+        if is_usable(&mut idle, &mut self.surplus_log) {
+            self.connections.push(idle);
+        }
     }
 
-    /// Takes the most recently used connection for which `allows_reuse` returns true, given the time when the
-    /// connection became idle. Stale connections that it finds on the way are closed.
-    pub(crate) fn take(
-        &mut self,
-        allows_reuse: impl Fn(Instant) -> bool,
-        is_usable: impl Fn(&mut HttpConnection) -> bool,
-    ) -> Option<BudgetedConnection> {
+    /// Takes the most recently used connection that may carry a request at once: one whose reuse delay is
+    /// over. Stale connections that it finds on the way are closed.
+    pub(crate) fn take(&mut self) -> Option<BudgetedConnection> {
         loop {
-            let position = self.connections.iter().rposition(|idle| allows_reuse(idle.idle_since))?;
+            let is_reusable = |idle: &IdleConnection| idle.budgeted.connection.is_reuse_delay_over();
+            let position = self.connections.iter().rposition(is_reusable)?;
             let mut idle = self.connections.remove(position);
-            if is_fresh(&mut idle, self.timeout, &is_usable) {
+            if is_fresh(&mut idle, self.timeout, &mut self.surplus_log) {
                 return Some(idle.budgeted);
             }
         }
@@ -59,8 +66,9 @@
 
     /// Closes the stale connections: those that have been idle for the timeout or longer, or that are not
     /// usable.
-    pub(crate) fn close_stale(&mut self, is_usable: impl Fn(&mut HttpConnection) -> bool) {
-        self.connections.retain_mut(|idle| is_fresh(idle, self.timeout, &is_usable));
+    pub(crate) fn close_stale(&mut self) {
+        let surplus_log = &mut self.surplus_log;
+        self.connections.retain_mut(|idle| is_fresh(idle, self.timeout, surplus_log));
     }
 
     /// Closes the connection that has been idle for longest, if there is one.
@@ -77,13 +85,16 @@
 }
 
 /// Returns whether a connection has been idle for less than `timeout` and is usable.
-fn is_fresh(
-    idle: &mut IdleConnection,
-    timeout: Duration,
-    is_usable: impl Fn(&mut HttpConnection) -> bool,
-) -> bool {
-    idle.idle_since.elapsed() < timeout && is_usable(&mut idle.budgeted.connection)
+fn is_fresh(idle: &mut IdleConnection, timeout: Duration, surplus_log: &mut SurplusLog) -> bool {
+    idle.idle_since.elapsed() < timeout && is_usable(idle, surplus_log)
 }
 
-#[cfg(test)]
-mod tests;
+/// Returns whether a connection can carry another request, at once or after its reuse delay.
+fn is_usable(idle: &mut IdleConnection, surplus_log: &mut SurplusLog) -> bool {
+    let connection = &mut idle.budgeted.connection;
+    let check = connection.check_idle();
+    if check == IdleCheck::SurplusBytes {
+        surplus_log.record(connection.server_addr(), idle.idle_since.elapsed(), Instant::now());
+    }
+    check == IdleCheck::Usable
+}
--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -22,6 +22,8 @@
     pub(crate) const LIFECYCLE: &str = "lifecycle";
     /// Connections from clients.
     pub(crate) const DOWNSTREAM: &str = "downstream";
+    /// Connections to endpoints and to the quota counter.
+    pub(crate) const UPSTREAM: &str = "upstream";
     /// The endpoint list and the service that publishes it.
     pub(crate) const DISCOVERY: &str = "discovery";
     /// Messages between gateways.
--- a/crates/gateway/src/quota_counter.rs
+++ b/crates/gateway/src/quota_counter.rs
@@ -2,7 +2,6 @@
 //! a few connections, each of which carries one call at a time.
 use crate::clock::duration_from_ms;
 use crate::connection_budget::{BudgetedConnection, ConnectionBudget};
-use crate::http_connection::HttpConnection;
 use crate::idle_connections::IdleConnections;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -56,7 +55,7 @@
 
     /// Closes idle connections that have timed out or that the quota counter has closed.
     pub(crate) fn close_stale_connections(&self) {
-        self.idle.borrow_mut().close_stale(HttpConnection::is_usable);
+        self.idle.borrow_mut().close_stale();
     }
 
     /// Adds `amount` to the count with the name `name`, and returns the outcome with the count's new total. A
@@ -85,23 +84,17 @@
     /// Returns an idle connection, or a new one if none is idle. Returns `None` if the new one is not
     /// established by `deadline` or too many connections are open.
     async fn acquire(&self, addr: SocketAddr, deadline: Instant) -> Option<BudgetedConnection> {
-        if let Some(budgeted) = self.take_idle() {
+        if let Some(budgeted) = self.idle.borrow_mut().take() {
             return Some(budgeted);
         }
         let permit = self.budget.try_acquire()?;
         BudgetedConnection::connect(addr, permit, deadline).await
     }
 
-    /// Takes the most recently used idle connection that is still usable.
-    fn take_idle(&self) -> Option<BudgetedConnection> {
-        let allows_reuse = |_since| true;
-        self.idle.borrow_mut().take(allows_reuse, HttpConnection::is_usable)
-    }
-
     /// Keeps a connection for the next call if it is usable and the address has not changed, or else closes
     /// it.
-    fn release(&self, addr: SocketAddr, mut budgeted: BudgetedConnection) {
-        if self.addr.get() == Some(addr) && budgeted.connection.is_usable() {
+    fn release(&self, addr: SocketAddr, budgeted: BudgetedConnection) {
+        if self.addr.get() == Some(addr) {
             self.idle.borrow_mut().put(budgeted);
         }
     }
--- a/crates/gateway/src/quota_counter/tests.rs
+++ b/crates/gateway/src/quota_counter/tests.rs
@@ -1,5 +1,11 @@
-//! The tests of the outcomes of calls to the quota counter, with and without a response.
+//! The tests of calls to the quota counter: their outcomes, with and without a response, and late copies of
+//! responses.
 use super::*;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+use std::thread;
 
 #[test]
 fn total_requires_status_200_and_a_number() {
@@ -29,3 +35,42 @@
     assert_eq!(outcome_without_response(false), CounterOutcome::Rejected);
     assert_eq!(outcome_without_response(true), CounterOutcome::Unanswered);
 }
+
+/// The delay of a copy of a response from which it counts as too late to be expected.
+const MAX_COPY_DELAY: Duration = Duration::from_millis(12);
+
+/// Responds to each call with the number of calls so far, and writes each response a second time, unless the
+/// machine is so busy that the copy would be too late.
+fn respond_twice(mut stream: TcpStream, calls: &AtomicU32) {
+    while stream.read(&mut [0; 1024]).is_ok_and(|length| length > 0) {
+        let total = calls.fetch_add(1, Ordering::Relaxed) + 1;
+        let response = format!("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{total}");
+        let responded_at = Instant::now();
+        let _ = stream.write_all(response.as_bytes());
+        thread::sleep(Duration::from_millis(2));
+        if responded_at.elapsed() < MAX_COPY_DELAY {
+            let _ = stream.write_all(response.as_bytes());
+        }
+    }
+}
+
+/// The quota counter, or an intermediary, sends each response a second time, 2 ms late. If the next call were on the
+/// same connection by then, it would take the total of another count for its own. Expected: each call gets its own
+/// total.
+#[tokio::test]
+async fn late_copy_of_a_total_is_not_the_next_total() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a loopback port");
+    let addr = listener.local_addr().expect("the listener is bound");
+    thread::spawn(move || {
+        let calls = Arc::<AtomicU32>::default();
+        for stream in listener.incoming().map_while(Result::ok) {
+            let calls = calls.clone();
+            thread::spawn(move || respond_twice(stream, &calls));
+        }
+    });
+    let client = QuotaCounterClient::new(Some(addr), 10_000.0);
+    for total in 1..=6_u32 {
+        let outcome = client.add(u64::from(total), 1.0, 60_000.0).await;
+        assert_eq!(outcome, CounterOutcome::Total(f64::from(total)));
+    }
+}
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -3,7 +3,6 @@
 mod attempt;
 mod outcomes;
 mod pool;
-mod reuse_delay;
 #[cfg(test)]
 mod tests;
 mod upstream_request;
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -1,9 +1,7 @@
 //! The connection pool: the known endpoints, each with its address, state and idle connections.
-use super::reuse_delay::ReuseDelay;
 use crate::clock::duration_from_ms;
 use crate::connection_budget::{BudgetedConnection, ConnectionBudget, ConnectionPermit};
 use crate::discovery::DiscoveredEndpoint;
-use crate::http_connection::{HttpConnection, IdleCheck};
 use crate::idle_connections::IdleConnections;
 use irishinge_admission::{EndpointId, EndpointState, ListUpdateKind};
 use irishinge_settings::DeploymentSettings;
@@ -45,8 +43,6 @@
     connect_timeout: Duration,
     /// How long a connection may be idle before it is closed.
     idle_timeout: Duration,
-    /// Decides how soon after a response a connection may be reused.
-    pub(super) reuse_delay: ReuseDelay,
 }
 
 impl UpstreamPool {
@@ -58,7 +54,6 @@
             budget: ConnectionBudget::new(max_connections),
             connect_timeout: duration_from_ms(settings.connect_timeout_ms),
             idle_timeout: duration_from_ms(settings.idle_connection_timeout_ms * IDLE_TIMEOUT_FRACTION),
-            reuse_delay: ReuseDelay::default(),
         }
     }
 
@@ -108,7 +103,7 @@
     /// Closes connections that have been idle for too long or that are not usable.
     pub(crate) fn close_stale_connections(&self) {
         for endpoint in self.endpoints.borrow_mut().values_mut() {
-            endpoint.idle.close_stale(|connection| self.is_usable(connection));
+            endpoint.idle.close_stale();
         }
     }
 
@@ -130,28 +125,15 @@
 
     /// Takes the most recently used idle connection to an endpoint, among those that may be reused.
     fn take_idle(&self, endpoint: EndpointId) -> Option<BudgetedConnection> {
-        let mut endpoints = self.endpoints.borrow_mut();
-        let endpoint = endpoints.get_mut(&endpoint)?;
-        let allows_reuse = |since| self.reuse_delay.allows_reuse(since, Instant::now());
-        endpoint.idle.take(allows_reuse, |connection| self.is_usable(connection))
-    }
-
-    /// Returns whether a connection can carry another request, now or after the reuse delay. If this one has
-    /// received surplus bytes, the reuse delay comes into force for all connections.
-    pub(super) fn is_usable(&self, connection: &mut HttpConnection) -> bool {
-        let check = connection.check_idle();
-        if check == IdleCheck::SurplusBytes {
-            self.reuse_delay.begin(Instant::now());
-        }
-        check == IdleCheck::Usable
+        self.endpoints.borrow_mut().get_mut(&endpoint)?.idle.take()
     }
 
     /// Puts a connection back into the pool, or closes it if it is not usable, or if its endpoint no longer
     /// accepts requests or has another address.
-    pub(super) fn release(&self, endpoint: EndpointId, addr: SocketAddr, mut pooled: BudgetedConnection) {
+    pub(super) fn release(&self, endpoint: EndpointId, addr: SocketAddr, pooled: BudgetedConnection) {
         if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(&endpoint) {
             let accepts = endpoint.state == EndpointState::Ready && endpoint.addr == addr;
-            if accepts && self.is_usable(&mut pooled.connection) {
+            if accepts {
                 endpoint.idle.put(pooled);
             }
         }
--- a/crates/gateway/tests/it/common/mod.rs
+++ b/crates/gateway/tests/it/common/mod.rs
@@ -29,6 +29,14 @@
 /// that waits for this long has failed.
 pub(crate) const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// The delay of a copy of a response from which it counts as too late to be expected. A server of a test that is held
+/// up for so long writes no copy.
+const MAX_COPY_DELAY: Duration = Duration::from_millis(12);
+
+/// A time after which the gateway can reuse a connection that has had a response. It is longer than the gateway's
+/// reuse delay.
+pub(crate) const REUSE_DELAY: Duration = Duration::from_millis(150);
+
 /// The number that [`unique_number`] returns next.
 static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
 
--- a/crates/gateway/tests/it/common/stub_server.rs
+++ b/crates/gateway/tests/it/common/stub_server.rs
@@ -1,11 +1,12 @@
 //! An HTTP server whose replies the test sets: an endpoint or the quota counter.
 use super::http_message::{http_response, read_message, Message};
-use super::TEST_TIMEOUT;
+use super::{MAX_COPY_DELAY, TEST_TIMEOUT};
 use std::io::{BufReader, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::{Duration, Instant};
 
 /// The server's reaction to a request.
 #[derive(Clone)]
@@ -14,6 +15,12 @@
     Response(String),
     /// Writes this response and then closes the connection, without announcing it in a header.
     ResponseAndClose(String),
+    /// Writes this response, and writes it again after `delay`. If the server is held up so that the copy would be
+    /// more than [`MAX_COPY_DELAY`] late, it writes no copy.
+    ///
+    /// With `held_back`, the server's kernel holds the copy back until the gateway's has acknowledged the response
+    /// (Nagle's algorithm).
+    ResponseThenCopy { text: String, delay: Duration, held_back: bool },
     /// Closes the connection without a response.
     Close,
     /// Writes nothing.
@@ -156,6 +163,15 @@
                 let _ = sender.send(Received::Close { connection });
                 return;
             }
+            Reply::ResponseThenCopy { text, delay, held_back } => {
+                stream.set_nodelay(!held_back).expect("set TCP_NODELAY");
+                let responded_at = Instant::now();
+                stream.write_all(text.as_bytes()).unwrap_or_default();
+                thread::sleep(delay);
+                if responded_at.elapsed() < MAX_COPY_DELAY {
+                    stream.write_all(text.as_bytes()).unwrap_or_default();
+                }
+            }
             Reply::Close => {
                 let _ = stream.shutdown(Shutdown::Both);
                 return;
--- a/crates/gateway/tests/it/discovery_push.rs
+++ b/crates/gateway/tests/it/discovery_push.rs
@@ -1,6 +1,7 @@
 //! Tests of endpoint lists that discovery pushes through an agent on the gateway's machine.
 use crate::common::*;
 use serde_json::{json, Value};
+use std::time::Duration;
 
 /// Starts a gateway with pushed lists in a fleet of 100 000 gateways. If a pause grew with the fleet, it
 /// would not end while a test waits.
@@ -97,3 +98,20 @@
     discovery.answer_until_watch(&complete_list(2, &[endpoint_entry("s-0", old.addr, "up")]));
     assert_eq!(gateway.client().request(&ClientRequest::new("read")).body, b"old");
 }
+
+/// The agent's response to a watch arrives a second time, 2 ms late. If the copy were taken for the response to the
+/// next watch, the connection would stay one response behind, and each list would be taken for newer than it is.
+/// Expected: the copy answers no call; the gateway opens another connection and fetches the complete list.
+#[test]
+fn late_copy_of_a_list_answers_no_watch() {
+    let endpoint = StubServer::serving("");
+    let (_gateway, discovery) = start_in_large_fleet_with_pushed_lists(&[]);
+    let list = complete_list(7, &[endpoint_entry("s-0", endpoint.addr, "up")]);
+    let mut watch = discovery.answer_until_watch(&list);
+    // The revision stays, so that a watch that gets the copy can't recognize it as old.
+    while !watch.answer_with_late_copy(&list, Duration::from_millis(2)) {
+        watch = discovery.answer_until_watch(&list);
+    }
+    let call = discovery.next_call();
+    assert!(call.is_for_complete_list(), "the copy answered a watch: {}", call.request_line);
+}
--- a/crates/gateway/tests/it/upstream_connections.rs
+++ b/crates/gateway/tests/it/upstream_connections.rs
@@ -44,6 +44,50 @@
     }
 }
 
+/// An endpoint writes its response a second time, some milliseconds late. If the connection carried the next request
+/// by then, its client would read the copy, another client's response, and the connection would stay one response
+/// behind. Expected: each client gets its own response, however soon it comes.
+#[test]
+fn late_copy_of_a_response_never_reaches_another_client() {
+    for delay_ms in [1, 2, 5, 8] {
+        let endpoint = StubServer::silent();
+        let (gateway, _discovery) = start_gateway(&[&endpoint]);
+        let mut client = gateway.client();
+        for number in 0..6 {
+            let body = format!("response {number}");
+            let text = http_response("200 OK", "", &body);
+            let delay = Duration::from_millis(delay_ms);
+            endpoint.set_reply(Reply::ResponseThenCopy { text, delay, held_back: false });
+            let response = client.request(&ClientRequest::new("once"));
+            assert_eq!(response.body, body.as_bytes(), "copies are {delay_ms} ms late");
+        }
+    }
+}
+
+/// The kernel of an endpoint without `TCP_NODELAY` holds the copy of a response back until the response is
+/// acknowledged. The gateway's kernel may wait up to 40 ms for a request that can carry the acknowledgement, and such a
+/// request would release the copy just then. Expected: of many requests at intervals of 20 ms, each gets its own
+/// response.
+#[test]
+fn copy_that_its_kernel_holds_back_never_reaches_another_client() {
+    let endpoint = StubServer::silent();
+    let (gateway, _discovery) = start_gateway_with(&[endpoint.addr], |config| {
+        config["settings"]["tiersOfService"][0]["refill"] = json!(1000.0);
+        config["settings"]["tiersOfService"][0]["peakUnits"] = json!(1000.0);
+    });
+    let mut client = gateway.client();
+    for number in 0..40 {
+        let body = format!("response {number}");
+        let text = http_response("200 OK", "", &body);
+        endpoint.set_reply(match number % 4 {
+            3 => Reply::ResponseThenCopy { text, delay: Duration::from_millis(2), held_back: true },
+            _ => Reply::Response(text),
+        });
+        assert_eq!(client.request(&ClientRequest::new("once")).body, body.as_bytes());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// An endpoint writes a malformed, truncated or endless response and leaves the connection open. If the
 /// gateway waited for the rest, it would use up the request's budget. Expected: the attempt fails soon and
 /// its connection closes; because the request may have run, only an idempotent one is retried.
