Answer every request left at the end of a shutdown, also those that have not fully arrived

Cause: 0.3 s before the earliest SIGKILL all requests in progress got the fallback response, once, and the process ended 0.15 s later. A request that was completely read in between was dispatched and never answered.

Evidence: strace of the case shows the 502s at 1602 ms after SIGTERM, reads of last bytes at 1709 and 1739 ms, each followed by the write to an endpoint, and the exit at 1754 ms, as planned. So neither a response that could not be written nor an early end is the cause.

Change: the server for clients has phases. In the last one, Ending, no request is dispatched, checked right before the dispatch with nothing awaited in between, and it begins in the same step as the fallback responses, before them. An incomplete body or head gets 503 at that moment, and what its client still writes is discarded until it closes, since closing a socket with unread bytes resets the connection. Three log lines report a shutdown, with the connections and requests left.

Tests: request_that_completes_near_the_end_of_a_shutdown_gets_a_response failed before the fix (a request sent to the endpoint and never answered); 80 clients write heads and bodies slowly through the whole shutdown, each must get a response.

--- a/crates/gateway/src/dispatcher/mod.rs
+++ b/crates/gateway/src/dispatcher/mod.rs
@@ -141,10 +141,14 @@
     }
 
     /// Sends the fallback response to every active request that still waits for its response, because the
-    /// process is about to end.
-    pub(crate) fn respond_to_all(self: &Rc<Self>) {
-        let active: Vec<RequestId> = self.state.borrow().active_requests.keys().copied().collect();
-        active.into_iter().for_each(|request| self.send_fallback_response(request));
+    /// process is about to end. Returns the number of these requests.
+    pub(crate) fn respond_to_all(self: &Rc<Self>) -> usize {
+        let state = self.state.borrow();
+        let waiting = state.active_requests.iter().filter(|(_, active)| active.awaits_response());
+        let waiting: Vec<RequestId> = waiting.map(|(request, _)| *request).collect();
+        drop(state);
+        waiting.iter().for_each(|request| self.send_fallback_response(*request));
+        waiting.len()
     }
 
     /// Returns whether a request still waits for its response.
--- a/crates/gateway/src/downstream/connection.rs
+++ b/crates/gateway/src/downstream/connection.rs
@@ -1,8 +1,10 @@
 //! A client's connection: its stage, and the detection that its client has disconnected.
 use super::flood::{self, DiscardResult};
 use super::shared_stream::SharedStream;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::future::{pending, poll_fn, Future};
+use std::net::Shutdown;
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
@@ -23,6 +25,10 @@
 /// The pause between two rounds of discarding. It is short enough to notice soon a disconnect that is queued
 /// behind full buffers at both ends, and long enough for other connections to be served.
 const DISCARD_INTERVAL: Duration = Duration::from_millis(5);
+/// The rejection of a request whose head is incomplete, in the form of the other rejections. hyper can't write it,
+/// because it has no request to respond to.
+const INCOMPLETE_HEAD_RESPONSE: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 7\r\n\r\nrefused";
 
 /// The stage of a connection. Of two connections that are equally recent, the one in the earlier stage is
 /// evicted first ([`EvictionRank`](super::eviction_order::EvictionRank)). Connections in the last two stages
@@ -67,6 +73,10 @@
     stream: Rc<RefCell<TcpStream>>,
     /// Whether the client has pipelined a flood of bytes behind a request. They are discarded.
     is_flooded: Cell<bool>,
+    /// Whether the head of a request has ever completely arrived.
+    has_request_head: Cell<bool>,
+    /// Whether a request was rejected before it had completely arrived, because the process is about to end.
+    is_request_cut_off: Cell<bool>,
 }
 
 impl Connection {
@@ -81,6 +91,8 @@
             role,
             stream: Rc::new(RefCell::new(stream)),
             is_flooded: Cell::new(false),
+            has_request_head: Cell::new(false),
+            is_request_cut_off: Cell::new(false),
         }
     }
 
@@ -110,6 +122,51 @@
         self.is_flooded.get()
     }
 
+    /// Returns whether the head of a request has ever completely arrived.
+    pub(super) fn has_request_head(&self) -> bool {
+        self.has_request_head.get()
+    }
+
+    /// Records that the head of a request has completely arrived.
+    pub(super) fn set_request_head_received(&self) {
+        self.has_request_head.set(true);
+    }
+
+    /// Returns whether a request was rejected before it had completely arrived.
+    pub(super) fn is_request_cut_off(&self) -> bool {
+        self.is_request_cut_off.get()
+    }
+
+    /// Records that a request is rejected before it has completely arrived.
+    pub(super) fn set_request_cut_off(&self) {
+        self.is_request_cut_off.set(true);
+    }
+
+    /// Rejects a request whose head has not completely arrived, on a connection that has had no other, and ends the
+    /// gateway's side of the connection. To be called once hyper no longer uses the stream.
+    pub(super) fn reject_incomplete_head(&self) {
+        self.set_request_cut_off();
+        let stream = self.stream.borrow();
+        // Nothing was written before, so that the kernel takes the whole text. Errors mean that the client has
+        // disconnected.
+        let _ = stream.try_write(INCOMPLETE_HEAD_RESPONSE);
+        let _ = SockRef::from(&*stream).shutdown(Shutdown::Write);
+    }
+
+    /// Discards what the client still sends, until it disconnects. Without this, the close of a socket with unread
+    /// bytes would reset the connection, and the client could lose the response that it has not read yet
+    /// (RFC 9112, section 9.6).
+    pub(super) async fn discard_until_disconnected(&self) {
+        while poll_fn(|cx| self.stream.borrow().poll_read_ready(cx)).await.is_ok() {
+            let discarded = flood::discard(&self.stream.borrow());
+            match discarded {
+                DiscardResult::MoreUnread => sleep(DISCARD_INTERVAL).await,
+                DiscardResult::NoneUnread => {}
+                DiscardResult::ClientDisconnected => return,
+            }
+        }
+    }
+
     /// Returns when the first request must be complete.
     pub(super) fn first_request_deadline(&self) -> Instant {
         self.accepted_at + FIRST_REQUEST_TIMEOUT
--- a/crates/gateway/src/downstream/handler.rs
+++ b/crates/gateway/src/downstream/handler.rs
@@ -5,6 +5,7 @@
 use super::request_parsing::{parse_request, upstream_request};
 use super::request_rules::{body_deadline, close_reason, BodyDeadlineInput, CloseInput};
 use super::response::{error_response, final_response, health_response};
+use super::server_phase::{PhaseState, ServerPhase};
 use super::settings::DownstreamSettings;
 use crate::dispatcher::{Dispatcher, FinalResponse};
 use bytes::Bytes;
@@ -13,7 +14,6 @@
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::Response;
 use irishinge_admission::{RequestId, Settings};
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use tokio::sync::oneshot;
@@ -30,8 +30,8 @@
     settings: Settings,
     /// The longest `Retry-After`, in milliseconds; `None` if responses do not carry the header.
     max_retry_after_ms: Option<f64>,
-    /// Whether the gateway is draining: each response then closes its connection.
-    is_draining: Cell<bool>,
+    /// The phase of the server.
+    phase: PhaseState,
 }
 
 impl RequestHandler {
@@ -39,12 +39,12 @@
     pub(super) fn new(dispatcher: Rc<Dispatcher>, settings: DownstreamSettings) -> Self {
         let DownstreamSettings { admission, sends_retry_after, .. } = settings;
         let max_retry_after_ms = sends_retry_after.then_some(admission.max_retry_after_ms);
-        RequestHandler { dispatcher, settings: admission, max_retry_after_ms, is_draining: Cell::new(false) }
+        RequestHandler { dispatcher, settings: admission, max_retry_after_ms, phase: PhaseState::new() }
     }
 
-    /// Starts draining: from now on each response closes its connection, and health checks fail.
-    pub(super) fn start_draining(&self) {
-        self.is_draining.set(true);
+    /// Returns the phase of the server.
+    pub(super) fn phase(&self) -> &PhaseState {
+        &self.phase
     }
 
     /// Handles one request, and decides whether its connection stays open after the response.
@@ -53,12 +53,13 @@
         connection: &Connection,
         request: hyper::Request<Incoming>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
+        connection.set_request_head_received();
         let handled = self.handle(request, connection).await;
         let closes = close_reason(&CloseInput {
             is_invalid: handled.is_err(),
             role: connection.role(),
             is_flooded: connection.is_flooded(),
-            is_draining: self.is_draining.get(),
+            phase: self.phase.get(),
         })
         .is_some();
         let mut response = handled.unwrap_or_else(error_response);
@@ -70,8 +71,8 @@
     }
 
     /// Parses the head of a request, reads its body, dispatches it and waits for its response. A health check
-    /// is answered at once, and a request on a connection beyond the limit is rejected once its head is
-    /// parsed.
+    /// is answered at once. A request on a connection beyond the limit is rejected once its head is parsed, and
+    /// one that has not been dispatched when the server ends is rejected then.
     async fn handle(
         &self,
         request: hyper::Request<Incoming>,
@@ -84,8 +85,7 @@
         }
         let mut request = parse_request(&head, &self.settings, self.dispatcher.names())?;
         if connection.role() == ConnectionRole::Rejecting {
-            let rejection = FinalResponse::Rejected { retry_after_ms: None };
-            return Ok(final_response(rejection, self.max_retry_after_ms));
+            return Ok(self.rejection());
         }
         let body = if body.is_end_stream() {
             Bytes::new()
@@ -96,9 +96,20 @@
                 received_at,
                 time_left_ms: request.time_left_ms,
             });
-            read_body(body, &head.method, deadline).await?
+            tokio::select! {
+                body = read_body(body, &head.method, deadline) => body?,
+                () = self.phase.ending() => {
+                    connection.set_request_cut_off();
+                    return Ok(self.rejection());
+                }
+            }
         };
         connection.begin_request().await;
+        // Nothing is awaited between this check and the dispatch, so that no request is dispatched once the
+        // dispatcher has responded to all.
+        if self.phase.get() == ServerPhase::Ending {
+            return Ok(self.rejection());
+        }
         request.time_left_ms -= received_at.elapsed().as_secs_f64() * 1000.0;
         let id = request.id;
         let response = self.dispatcher.on_request(request, upstream_request(head, body)?);
@@ -109,7 +120,12 @@
 
     /// Returns whether a load balancer should send requests to this gateway.
     fn is_healthy(&self) -> bool {
-        self.dispatcher.has_ready_endpoint() && !self.is_draining.get()
+        self.dispatcher.has_ready_endpoint() && self.phase.get() == ServerPhase::Serving
+    }
+
+    /// Returns the response to a request that is rejected without being dispatched.
+    fn rejection(&self) -> Response<Full<Bytes>> {
+        final_response(FinalResponse::Rejected { retry_after_ms: None }, self.max_retry_after_ms)
     }
 
     /// Waits for the response to a dispatched request. Never returns if the client disconnects first.
--- a/crates/gateway/src/downstream/mod.rs
+++ b/crates/gateway/src/downstream/mod.rs
@@ -1,7 +1,8 @@
 //! The downstream side: accepts clients' connections, reads their requests and writes the responses.
 //!
 //! - [`listener`] accepts connections, up to a limit.
-//! - [`server`] serves each accepted connection, and drains all of them on shutdown.
+//! - [`server`] serves each accepted connection, and drains all of them on shutdown; [`server_phase`] says how far
+//!   the shutdown is.
 //! - [`connection_table`] holds the open connections.
 //! - [`connection`] tracks the stage of one connection and detects that its client has disconnected, with
 //!   the help of [`shared_stream`]; [`flood`] discards the bytes of a client that keeps sending without
@@ -11,7 +12,7 @@
 //!   decision. [`request_error`] lists why a request is invalid.
 //! - Three modules contain rules without I/O: [`connection_limit`] decides whether a new connection is
 //!   served, rejected or closed, [`eviction_order`] which connection is evicted for it, and
-//!   [`request_rules`] when a body must be complete and after which responses a connection closes.
+//!   [`request_rules`] when a body must be complete, after which responses a connection closes, and how.
 mod connection;
 mod connection_limit;
 mod connection_table;
@@ -26,6 +27,7 @@
 mod request_rules;
 mod response;
 mod server;
+mod server_phase;
 mod settings;
 mod shared_stream;
 #[cfg(test)]
--- a/crates/gateway/src/downstream/request_rules.rs
+++ b/crates/gateway/src/downstream/request_rules.rs
@@ -1,5 +1,7 @@
-//! The rules for when the body of a request must be complete and after which responses a connection closes.
+//! The rules for when the body of a request must be complete, after which responses a connection closes, and how it
+//! closes on request.
 use super::connection::{ConnectionRole, ConnectionStage};
+use super::server_phase::ServerPhase;
 use crate::clock::duration_from_ms;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -41,8 +43,8 @@
     pub(super) role: ConnectionRole,
     /// Whether the client has pipelined a flood of bytes behind a request.
     pub(super) is_flooded: bool,
-    /// Whether the gateway is draining.
-    pub(super) is_draining: bool,
+    /// The phase of the server.
+    pub(super) phase: ServerPhase,
 }
 
 /// The reason why a connection closes after a response.
@@ -55,7 +57,7 @@
     OverLimit,
     /// The client has pipelined a flood of bytes, and a further request may have been discarded with them.
     Flooded,
-    /// The gateway is draining.
+    /// The server is draining or ending.
     Draining,
 }
 
@@ -67,9 +69,35 @@
         Some(CloseReason::OverLimit)
     } else if input.is_flooded {
         Some(CloseReason::Flooded)
-    } else if input.is_draining {
+    } else if input.phase != ServerPhase::Serving {
         Some(CloseReason::Draining)
     } else {
         None
     }
 }
+
+/// How a connection closes for which a close was requested.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CloseMode {
+    /// At once and without a response.
+    Abort,
+    /// At once, after a rejection of the request whose head has not completely arrived.
+    RejectIncompleteHead,
+    /// After the response if a request is in progress, and else at once.
+    AfterResponse,
+}
+
+/// Returns how a connection in `stage` closes. `has_request_head` is whether the head of a request has ever
+/// completely arrived on it.
+///
+/// In the last phase nothing more is read of a request whose head is incomplete: the process might end before the
+/// response to it. Whatever its client has written by then, or is just writing, gets a response.
+pub(super) fn close_mode(phase: ServerPhase, stage: ConnectionStage, has_request_head: bool) -> CloseMode {
+    match (stage, phase) {
+        (ConnectionStage::Aborted, _) => CloseMode::Abort,
+        (ConnectionStage::AwaitingFirstRequest, ServerPhase::Ending) if !has_request_head => {
+            CloseMode::RejectIncompleteHead
+        }
+        _ => CloseMode::AfterResponse,
+    }
+}
--- a/crates/gateway/src/downstream/server.rs
+++ b/crates/gateway/src/downstream/server.rs
@@ -3,6 +3,8 @@
 use super::connection_limit::{ConnectionLimit, MAX_REJECTING_CONNECTIONS};
 use super::connection_table::ConnectionTable;
 use super::handler::RequestHandler;
+use super::request_rules::{close_mode, CloseMode};
+use super::server_phase::ServerPhase;
 use super::settings::DownstreamSettings;
 use crate::dispatcher::Dispatcher;
 use crate::logging::target;
@@ -60,7 +62,7 @@
     /// response if a request is in progress. A connection that has had no request yet, or is accepted later,
     /// closes after its first response.
     pub(crate) fn drain(&self) {
-        self.handler.start_draining();
+        self.handler.phase().advance(ServerPhase::Draining);
         self.connections.request_close_of_used();
     }
 
@@ -70,6 +72,20 @@
         self.connections.request_close_of_all();
     }
 
+    /// Ends the server: no further request is dispatched, and each request that has not completely arrived is
+    /// rejected at once. The responses to the requests that were dispatched are left to the dispatcher. Returns the
+    /// number of open connections.
+    pub(crate) fn end(&self) -> usize {
+        self.handler.phase().advance(ServerPhase::Ending);
+        self.connections.request_close_of_all();
+        self.connections.len()
+    }
+
+    /// Returns the number of open connections.
+    pub(crate) fn open_connections(&self) -> usize {
+        self.connections.len()
+    }
+
     /// Waits until no connection is open.
     pub(crate) async fn all_closed(&self) {
         self.connections.all_closed().await;
@@ -89,14 +105,18 @@
         let server = self.clone();
         // The task's handle is not needed: the shutdown waits until the table of connections is empty.
         spawn_local(async move {
-            server.drive(&connection).await;
+            if server.drive(&connection).await == CloseMode::RejectIncompleteHead {
+                connection.reject_incomplete_head();
+            }
+            if connection.is_request_cut_off() {
+                connection.discard_until_disconnected().await;
+            }
             server.connections.remove(id);
         });
     }
 
-    /// Reads requests and writes responses until the connection closes. Dropping the future closes the
-    /// socket.
-    async fn drive(&self, connection: &Connection) {
+    /// Reads requests and writes responses until the connection closes, and returns how it closes.
+    async fn drive(&self, connection: &Connection) -> CloseMode {
         let service = service_fn(|request| self.handler.respond(connection, request));
         let driver = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -112,20 +132,25 @@
             tokio::select! {
                 // An error is ignored because the client caused it: it disconnected, or it sent something
                 // that is not HTTP, to which hyper has responded.
-                _ = driver.as_mut() => return,
-                () = connection.close_requested() => match connection.stage() {
-                    ConnectionStage::Aborted => return,
-                    _ => driver.as_mut().graceful_shutdown(),
+                _ = driver.as_mut() => return CloseMode::AfterResponse,
+                () = connection.close_requested() => match self.close_mode(connection) {
+                    CloseMode::AfterResponse => driver.as_mut().graceful_shutdown(),
+                    mode @ (CloseMode::Abort | CloseMode::RejectIncompleteHead) => return mode,
                 },
                 () = first_request_timeout.as_mut(), if !first_request_timeout.is_elapsed() => {
                     // Without this timeout, a client that never completes a request would hold a connection:
                     // hyper's timeout covers only the head, and it is longer than the 3 s within which a
                     // new client is guaranteed a response or a close.
                     if connection.stage() == ConnectionStage::AwaitingFirstRequest {
-                        return;
+                        return CloseMode::Abort;
                     }
                 }
             }
         }
     }
+
+    /// Returns how a connection closes for which a close was requested.
+    fn close_mode(&self, connection: &Connection) -> CloseMode {
+        close_mode(self.handler.phase().get(), connection.stage(), connection.has_request_head())
+    }
 }
--- a/crates/gateway/src/downstream/tests/mod.rs
+++ b/crates/gateway/src/downstream/tests/mod.rs
@@ -8,6 +8,7 @@
 mod request_errors;
 mod request_parsing;
 mod request_rules;
+mod server_phase;
 
 use super::connection::{Connection, ConnectionRole, ConnectionStage};
 use irishinge_admission::{ClassSettings, DedupGroup, Idempotency, Settings};
--- a/crates/gateway/src/downstream/tests/request_rules.rs
+++ b/crates/gateway/src/downstream/tests/request_rules.rs
@@ -1,8 +1,11 @@
-//! Tests of the deadline of a body and of the reasons to close a connection, with a case for each branch.
+//! Tests of the deadline of a body, of the reasons to close a connection and of how it closes, with a case for each
+//! branch.
 use crate::downstream::connection::{ConnectionRole, ConnectionStage};
 use crate::downstream::request_rules::{
-    body_deadline, close_reason, BodyDeadlineInput, CloseInput, CloseReason, BODY_TIMEOUT,
+    body_deadline, close_mode, close_reason, BodyDeadlineInput, CloseInput, CloseMode, CloseReason,
+    BODY_TIMEOUT,
 };
+use crate::downstream::server_phase::ServerPhase;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -30,13 +33,14 @@
         is_invalid: false,
         role: ConnectionRole::Serving,
         is_flooded: false,
-        is_draining: false,
+        phase: ServerPhase::Serving,
     };
     let rejecting = ConnectionRole::Rejecting;
     let cases = [
         (open, None),
-        (CloseInput { is_draining: true, ..open }, Some(CloseReason::Draining)),
-        (CloseInput { is_flooded: true, is_draining: true, ..open }, Some(CloseReason::Flooded)),
+        (CloseInput { phase: ServerPhase::Draining, ..open }, Some(CloseReason::Draining)),
+        (CloseInput { phase: ServerPhase::Ending, ..open }, Some(CloseReason::Draining)),
+        (CloseInput { is_flooded: true, phase: ServerPhase::Draining, ..open }, Some(CloseReason::Flooded)),
         (CloseInput { role: rejecting, is_flooded: true, ..open }, Some(CloseReason::OverLimit)),
         (CloseInput { is_invalid: true, role: rejecting, ..open }, Some(CloseReason::InvalidRequest)),
     ];
@@ -44,3 +48,26 @@
         assert_eq!(close_reason(&input), reason, "{input:?}");
     }
 }
+
+/// A request whose head is incomplete when the server ends can't be served any more. If its connection closed without a
+/// response, a client that had just written the rest would count it as lost. Expected: it is rejected then, and not
+/// before; a request whose head has arrived is left to its handler.
+#[test]
+fn incomplete_head_is_rejected_only_when_the_server_ends() {
+    use ConnectionStage::{Aborted, AwaitingFirstRequest, Idle, InUseOrClosing};
+    use ServerPhase::{Draining, Ending, Serving};
+    let cases = [
+        (Serving, AwaitingFirstRequest, false, CloseMode::AfterResponse),
+        (Draining, AwaitingFirstRequest, false, CloseMode::AfterResponse),
+        (Ending, AwaitingFirstRequest, false, CloseMode::RejectIncompleteHead),
+        (Ending, AwaitingFirstRequest, true, CloseMode::AfterResponse),
+        (Ending, Idle, true, CloseMode::AfterResponse),
+        (Ending, InUseOrClosing, true, CloseMode::AfterResponse),
+        (Ending, Aborted, false, CloseMode::Abort),
+        (Serving, Aborted, true, CloseMode::Abort),
+    ];
+    for (phase, stage, has_request_head, expected) in cases {
+        let mode = close_mode(phase, stage, has_request_head);
+        assert_eq!(mode, expected, "{phase:?}, {stage:?}, head: {has_request_head}");
+    }
+}
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -1,7 +1,9 @@
-//! Graceful shutdown: after SIGTERM, every request in progress gets its response before SIGKILL can arrive.
+//! Graceful shutdown: after SIGTERM, every request that the gateway has begun to read gets its response before
+//! SIGKILL can arrive.
 use crate::clock::duration_from_ms;
 use crate::dispatcher::Dispatcher;
 use crate::downstream::DownstreamServer;
+use crate::logging::target;
 use irishinge_admission::Settings;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,7 +20,7 @@
 const KILL_DELAY_AFTER_DEADLINE: Duration = Duration::from_millis(700);
 /// The longest deadline that SIGKILL waits for. Longer deadlines count as this long.
 const MAX_DEADLINE: Duration = Duration::from_millis(3000);
-/// How long before SIGKILL all requests that are still in progress get a response.
+/// How long before SIGKILL all requests that are still in progress, or have not completely arrived, get a response.
 const RESPOND_BEFORE_KILL: Duration = Duration::from_millis(300);
 /// How long before SIGKILL the process ends. All responses must be written by then.
 const FINISH_BEFORE_KILL: Duration = Duration::from_millis(150);
@@ -27,7 +29,7 @@
 pub(crate) struct ShutdownTimes {
     /// When new connections are no longer accepted.
     pub stop_accepting: Duration,
-    /// When all requests that are still in progress get a response.
+    /// When all requests that are still in progress, or have not completely arrived, get a response.
     pub respond_to_all: Duration,
     /// When the process ends, even if some responses are not completely written.
     pub finish: Duration,
@@ -63,21 +65,46 @@
 impl Shutdown {
     /// Drains the gateway and returns when the process can end. To be called as soon as SIGTERM arrives.
     pub(crate) async fn run(self) {
+        let Shutdown { downstream, dispatcher, listener, accept_task, times } = self;
         let start = Instant::now();
-        self.downstream.drain();
-        sleep(self.times.stop_accepting).await;
-        self.accept_task.abort();
-        drop(self.listener);
-        self.downstream.drain_all();
-        let all_closed = timeout_at(start + self.times.respond_to_all, self.downstream.all_closed()).await;
+        tracing::info!(
+            target: target::LIFECYCLE,
+            connections = downstream.open_connections(),
+            "SIGTERM received; draining client connections"
+        );
+        downstream.drain();
+        sleep(times.stop_accepting).await;
+        accept_task.abort();
+        drop(listener);
+        downstream.drain_all();
+        let all_closed = timeout_at(start + times.respond_to_all, downstream.all_closed()).await;
         if all_closed.is_err() {
-            self.dispatcher.respond_to_all();
+            respond_to_all(&downstream, &dispatcher);
             // The result is ignored: responses that are not written by then would be cut off by SIGKILL
             // anyway.
-            let _ = timeout_at(start + self.times.finish, self.downstream.all_closed()).await;
+            let _ = timeout_at(start + times.finish, downstream.all_closed()).await;
         }
+        tracing::info!(
+            target: target::LIFECYCLE,
+            connections = downstream.open_connections(),
+            "shutdown complete"
+        );
     }
 }
 
+/// Responds to all requests, also to those that have not completely arrived, and accepts no further one.
+fn respond_to_all(downstream: &DownstreamServer, dispatcher: &Rc<Dispatcher>) {
+    // In this order, and with nothing awaited in between: a request that was dispatched after the dispatcher has
+    // responded to all would run without a response.
+    let connections = downstream.end();
+    let requests = dispatcher.respond_to_all();
+    tracing::warn!(
+        target: target::LIFECYCLE,
+        connections,
+        requests,
+        "SIGKILL may follow soon; every request left gets its response now"
+    );
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/tests/it/common/client.rs
+++ b/crates/gateway/tests/it/common/client.rs
@@ -33,6 +33,11 @@
         self.reader.get_mut().write_all(text.as_bytes()).expect("write to the gateway");
     }
 
+    /// Writes `text` to the connection, and returns whether that was possible.
+    pub(crate) fn try_write(&mut self, text: &str) -> bool {
+        self.reader.get_mut().write_all(text.as_bytes()).is_ok()
+    }
+
     /// Reads the next response. Returns `None` if the connection ends before the response is complete.
     pub(crate) fn read(&mut self) -> Option<Message> {
         read_message(&mut self.reader)
--- a/crates/gateway/tests/it/common/stub_server.rs
+++ b/crates/gateway/tests/it/common/stub_server.rs
@@ -21,6 +21,8 @@
     /// With `held_back`, the server's kernel holds the copy back until the gateway's has acknowledged the response
     /// (Nagle's algorithm).
     ResponseThenCopy { text: String, delay: Duration, held_back: bool },
+    /// Writes this response after `delay`.
+    LateResponse { text: String, delay: Duration },
     /// Closes the connection without a response.
     Close,
     /// Writes nothing.
@@ -172,6 +174,10 @@
                     stream.write_all(text.as_bytes()).unwrap_or_default();
                 }
             }
+            Reply::LateResponse { text, delay } => {
+                thread::sleep(delay);
+                stream.write_all(text.as_bytes()).unwrap_or_default();
+            }
             Reply::Close => {
                 let _ = stream.shutdown(Shutdown::Both);
                 return;
--- a/crates/gateway/tests/it/shutdown.rs
+++ b/crates/gateway/tests/it/shutdown.rs
@@ -1,5 +1,90 @@
 //! Tests of SIGTERM, after which active requests are answered and the process exits with 0.
 use crate::common::*;
+use serde_json::{json, Value};
+use std::time::{Duration, Instant};
+
+/// The longest deadline of the classes in [`short_deadlines`], and so the time between SIGTERM and the earliest SIGKILL
+/// less 0.7 s.
+const DEADLINE: Duration = Duration::from_millis(1000);
+/// The earliest SIGKILL after SIGTERM.
+const KILL_AFTER: Duration = Duration::from_millis(1700);
+
+/// A body that is as long as the head of its request, so that either may be incomplete.
+const BODY: &str = concat!(
+    "0123456789012345678901234567890123456789012345678901234567890123456789012345678901234567890123456789",
+    "0123456789012345678901234567890123456789012345678901234567890123456789012345678901234567890123456789",
+);
+
+/// Gives every class a short deadline, so that a shutdown takes less than 2 s, and the customer a quota for all requests
+/// of a test.
+fn short_deadlines(config: &mut Value) {
+    config["settings"]["tiersOfService"][0]["refill"] = json!(1000.0);
+    config["settings"]["tiersOfService"][0]["peakUnits"] = json!(1000.0);
+    for class in config["settings"]["classes"].as_array_mut().expect("the settings have classes") {
+        class["deadlineMs"] = json!(DEADLINE.as_millis() as f64);
+        class["objectiveMs"] = json!(500.0);
+    }
+}
+
+/// Writes a request in pieces, its last byte at `last_at`, and returns the status of the response, or `None` if the
+/// connection closes without one. A response may come before the last byte is written.
+fn write_slowly(mut client: Client, text: &str, last_at: Instant) -> Option<u16> {
+    let pieces = 10;
+    let start = Instant::now();
+    let interval = last_at.saturating_duration_since(start) / pieces as u32;
+    for piece in 0..pieces {
+        let range = text.len() * piece / pieces..text.len() * (piece + 1) / pieces;
+        let due = start + interval * (piece as u32 + 1);
+        std::thread::sleep(due.saturating_duration_since(Instant::now()));
+        if !client.try_write(&text[range]) {
+            break;
+        }
+    }
+    client.read().map(|response| response.status())
+}
+
+/// Clients write their requests slowly while the gateway shuts down, so that heads and bodies are incomplete at any
+/// moment of its end. A request that was read after all others had been answered would be sent to an endpoint, run, and
+/// get no response. Expected: each request gets a response, whether or not it was complete by then, and the process exits
+/// with 0 before the earliest SIGKILL.
+#[test]
+fn request_that_completes_near_the_end_of_a_shutdown_gets_a_response() {
+    let endpoint = StubServer::start(Reply::LateResponse {
+        text: http_response("200 OK", "", "done"),
+        delay: Duration::from_millis(100),
+    });
+    let (mut gateway, _discovery) = start_gateway_with(&[endpoint.addr], short_deadlines);
+    let term_at = Instant::now() + Duration::from_millis(200);
+    let clients: Vec<_> = (0..80_u32)
+        .map(|number| {
+            let request = ClientRequest {
+                class: if number % 2 == 0 { "once" } else { "read" },
+                body: if number % 2 == 0 { BODY } else { "" },
+                budget: "1.0",
+                ..ClientRequest::new("once")
+            };
+            let client = gateway.client();
+            let last_at = term_at + KILL_AFTER * (number + 1) / 80;
+            std::thread::spawn(move || (request.id.clone(), write_slowly(client, &request.text(), last_at)))
+        })
+        .collect();
+    std::thread::sleep(term_at.saturating_duration_since(Instant::now()));
+    gateway.terminate();
+    let terminated_at = Instant::now();
+    assert!(gateway.wait().success());
+    assert!(terminated_at.elapsed() < KILL_AFTER, "SIGKILL would have come");
+    let outcomes: Vec<_> =
+        clients.into_iter().map(|client| client.join().expect("the client ends")).collect();
+    let received: Vec<String> = endpoint
+        .requests_so_far()
+        .map(|request| request.message.header("x-call-id").expect("the request has an id").to_string())
+        .collect();
+    for (id, status) in &outcomes {
+        assert!(status.is_some(), "{id}: no response; sent to the endpoint: {}", received.contains(id));
+    }
+    let served = outcomes.iter().filter(|(_, status)| *status == Some(200)).count();
+    assert!(served >= 20, "{served} requests were served");
+}
 
 /// SIGTERM arrives while one request waits for an endpoint that never responds, one connection is idle, and
 /// clients still connect. If the process ended at once, clients would get no response. Expected: the idle
