Rest connections for 15 ms, acknowledge responses at once, and wait for a resting one

Change: the rest is 15 ms, which covers the some milliseconds of a late copy. What needed the longer one was a copy that the server's kernel holds back until the response is acknowledged: each response is acknowledged at once now (TCP_QUICKACK), so that the copy comes during the rest. An attempt without a reusable connection waits for the one whose rest ends first; a counter call does so at its connection limit, where it was given up as rejected before.

Two new tests: of a resting connection, and of a call at the connection limit.

--- a/crates/gateway/src/http_connection/mod.rs
+++ b/crates/gateway/src/http_connection/mod.rs
@@ -154,11 +154,21 @@
         self.wait_for_reuse().await?;
         let response = self.send_and_receive(request, max_body_bytes).await?;
         self.reuse_delay.begin(Instant::now());
+        // If the option is not supported, acknowledgements may be late, which is no error of this exchange.
+        let _ = self.stream.borrow().set_quickack(true);
         Ok(response)
     }
 
-    /// Waits until the reuse delay after the last response has passed. [`exchange`](Self::exchange) does so too;
-    /// this method is for callers that time their exchange without the wait.
+    /// Waits until the reuse delay after the last response has passed.
+    ///
+    /// This method is cancel safe: it changes nothing.
+    pub(crate) async fn reuse_delay_over(&self) {
+        self.reuse_delay.wait().await;
+    }
+
+    /// Waits until the reuse delay after the last response has passed, and checks the connection.
+    /// [`exchange`](Self::exchange) does so too; this method is for callers that time their exchange without the
+    /// wait.
     ///
     /// # Errors
     ///
@@ -168,7 +178,7 @@
         if self.is_reuse_delay_over() {
             return Ok(());
         }
-        self.reuse_delay.wait().await;
+        self.reuse_delay_over().await;
         match self.check_idle() {
             IdleCheck::Usable => Ok(()),
             IdleCheck::SurplusBytes => Err(ExchangeError::InvalidResponse),
--- a/crates/gateway/src/http_connection/reuse_delay.rs
+++ b/crates/gateway/src/http_connection/reuse_delay.rs
@@ -1,9 +1,7 @@
 //! Protects a request from bytes that an earlier response still owes its connection.
 //!
 //! A server, or an intermediary in front of it, may send a response twice, the second copy some milliseconds
-//! after the first. The server's kernel may hold the copy back until the response is acknowledged (Nagle's
-//! algorithm), and the gateway's kernel may wait for a request that can carry the acknowledgement, up to 40 ms
-//! (RFC 9293, section 3.8.6.3, and Linux's minimum). Responses in HTTP/1.1 do not say which request they answer: they are matched to requests by
+//! after the first. Responses in HTTP/1.1 do not say which request they answer: they are matched to requests by
 //! their order alone (RFC 9112, section 9.3.2). If the next request has been written by the time the copy
 //! arrives, the copy is read as its response, a client gets the response to another client's request, and the
 //! connection stays one response behind.
@@ -11,12 +9,16 @@
 //! So no connection carries another request until [`REUSE_DELAY`] has passed since its last response. A copy
 //! that arrives in that time belongs to no request in progress, is detected as surplus bytes, and the connection
 //! is closed.
+//!
+//! The server's kernel may hold the copy back until the response is acknowledged (Nagle's algorithm), and the
+//! gateway's kernel may wait for a request that can carry the acknowledgement (RFC 9293, section 3.8.6.3). So
+//! the connection acknowledges each response at once when the delay begins.
 use std::time::Duration;
 use tokio::time::{sleep_until, Instant};
 
-/// The minimum time between a response and the next request on its connection. It covers the longest delay of an
-/// acknowledgement, 40 ms, and after it the few milliseconds by which a copy of a response may be late.
-pub(crate) const REUSE_DELAY: Duration = Duration::from_millis(60);
+/// The minimum time between a response and the next request on its connection. It is longer than the few
+/// milliseconds by which a copy of a response may be late.
+pub(crate) const REUSE_DELAY: Duration = Duration::from_millis(15);
 
 /// Tracks how long a connection may not carry another request.
 #[derive(Debug, Default)]
--- a/crates/gateway/src/http_connection/tests.rs
+++ b/crates/gateway/src/http_connection/tests.rs
@@ -57,7 +57,7 @@
 /// exchange fails.
 #[tokio::test]
 async fn late_surplus_bytes_are_not_read_as_the_next_response() {
-    for late_ms in [0, 1, 5, 14, 45] {
+    for late_ms in [0, 1, 5, 14] {
         for surplus in [RESPONSE, "noise"] {
             let (mut connection, server) = connection_after_a_response().await;
             let (response, ()) = tokio::join!(exchange(&mut connection), async {
--- a/crates/gateway/src/idle_connections.rs
+++ b/crates/gateway/src/idle_connections.rs
@@ -17,6 +17,21 @@
     idle_since: Instant,
 }
 
+/// A connection that was taken while its reuse delay is not over. It must not carry a request before
+/// [`IdleConnections::accept_rested`] has returned it.
+pub(crate) struct RestingConnection(IdleConnection);
+
+impl RestingConnection {
+    /// Waits until the connection may carry a request.
+    pub(crate) async fn rested(self) -> RestedConnection {
+        self.0.budgeted.connection.reuse_delay_over().await;
+        RestedConnection(self.0)
+    }
+}
+
+/// A connection that was taken and whose reuse delay is now over. It is not known yet whether it is usable.
+pub(crate) struct RestedConnection(IdleConnection);
+
 /// The idle connections to one server. A connection that has been idle for `timeout` or longer is not reused.
 pub(crate) struct IdleConnections {
     /// How long a connection may be idle.
@@ -57,13 +72,30 @@
         loop {
             let is_reusable = |idle: &IdleConnection| idle.budgeted.connection.is_reuse_delay_over();
             let position = self.connections.iter().rposition(is_reusable)?;
-            let mut idle = self.connections.remove(position);
-            if is_fresh(&mut idle, self.timeout, &mut self.surplus_log) {
-                return Some(idle.budgeted);
+            let idle = self.connections.remove(position);
+            if let Some(fresh) = self.accept_if_fresh(idle) {
+                return Some(fresh);
             }
         }
     }
 
+    /// Takes the connection whose reuse delay ends first, for a caller that waits for it. To be called if
+    /// [`take`](Self::take) returns `None`, so that the delay of no connection is over.
+    pub(crate) fn take_resting(&mut self) -> Option<RestingConnection> {
+        // The connections are in the order in which their delays end.
+        (!self.is_empty()).then(|| RestingConnection(self.connections.remove(0)))
+    }
+
+    /// Returns a connection that has rested, or closes it if it is stale.
+    pub(crate) fn accept_rested(&mut self, rested: RestedConnection) -> Option<BudgetedConnection> {
+        self.accept_if_fresh(rested.0)
+    }
+
+    /// Returns a connection that was taken, or closes it if it is stale.
+    fn accept_if_fresh(&mut self, mut idle: IdleConnection) -> Option<BudgetedConnection> {
+        is_fresh(&mut idle, self.timeout, &mut self.surplus_log).then_some(idle.budgeted)
+    }
+
     /// Closes the stale connections: those that have been idle for the timeout or longer, or that are not
     /// usable.
     pub(crate) fn close_stale(&mut self) {
--- a/crates/gateway/src/idle_connections/tests.rs
+++ b/crates/gateway/src/idle_connections/tests.rs
@@ -83,6 +83,35 @@
     assert!(is_closed(&mut server_streams[1]));
 }
 
+/// A caller waits for a connection whose reuse delay is not over, and surplus bytes may arrive meanwhile. If the
+/// connection were returned all the same, they would be read as the next response. Expected: the connection is returned
+/// when its delay is over, unless it has received surplus bytes.
+#[tokio::test]
+async fn resting_connection_is_returned_after_its_delay_unless_it_has_surplus_bytes() {
+    for has_surplus in [false, true] {
+        let mut idle = IdleConnections::new(TIMEOUT);
+        let mut server_streams = put_connections(&mut idle, 1).await;
+        pause();
+        let mut connection = idle.take().expect("an idle connection");
+        let server = respond_once(&server_streams[0]);
+        let request = Request::get("/").header("host", "a").body(Full::new(Bytes::new()));
+        connection.connection.exchange(request.expect("a valid request"), 100).await.expect("a response");
+        server.join().expect("the server has responded");
+        let responded_at = Instant::now();
+        idle.put(connection);
+        let resting = idle.take_resting().expect("a resting connection");
+        assert!(idle.take_resting().is_none(), "it is taken only once");
+        if has_surplus {
+            server_streams[0].write_all(b"noise").expect("write surplus bytes");
+        }
+        let rested = resting.rested().await;
+        assert!(responded_at.elapsed() >= REUSE_DELAY);
+        assert_eq!(idle.accept_rested(rested).is_some(), !has_surplus);
+        assert!(is_closed(&mut server_streams[0]));
+        tokio::time::resume();
+    }
+}
+
 /// Surplus bytes may arrive on an idle connection at any time: a response to no request, or noise. They would be
 /// read as the response to the next request. Expected: the connection is closed and not taken, whether or not
 /// the server then closes its end, and the close is reported; a close without surplus bytes is not.
--- a/crates/gateway/src/quota_counter.rs
+++ b/crates/gateway/src/quota_counter.rs
@@ -81,14 +81,20 @@
         outcome
     }
 
-    /// Returns an idle connection, or a new one if none is idle. Returns `None` if the new one is not
-    /// established by `deadline` or too many connections are open.
+    /// Returns an idle connection, or a new one if none may carry a call at once. At the limit on open
+    /// connections, waits for an idle one that has just had a response. Returns `None` if there is none by
+    /// `deadline`.
     async fn acquire(&self, addr: SocketAddr, deadline: Instant) -> Option<BudgetedConnection> {
-        if let Some(budgeted) = self.idle.borrow_mut().take() {
-            return Some(budgeted);
+        let reusable = self.idle.borrow_mut().take();
+        if reusable.is_some() {
+            return reusable;
         }
-        let permit = self.budget.try_acquire()?;
-        BudgetedConnection::connect(addr, permit, deadline).await
+        if let Some(permit) = self.budget.try_acquire() {
+            return BudgetedConnection::connect(addr, permit, deadline).await;
+        }
+        let resting = self.idle.borrow_mut().take_resting()?;
+        let rested = timeout_at(deadline, resting.rested()).await.ok()?;
+        self.idle.borrow_mut().accept_rested(rested)
     }
 
     /// Keeps a connection for the next call if it is usable and the address has not changed, or else closes
--- a/crates/gateway/src/quota_counter/tests.rs
+++ b/crates/gateway/src/quota_counter/tests.rs
@@ -74,3 +74,27 @@
         assert_eq!(outcome, CounterOutcome::Total(f64::from(total)));
     }
 }
+
+/// All permitted connections have just had a response. If a call were given up for this, it would count as rejected, and
+/// its request would be sent without a count. Expected: it waits for one of them.
+#[tokio::test]
+async fn call_waits_for_a_resting_connection_at_the_connection_limit() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a loopback port");
+    let addr = listener.local_addr().expect("the listener is bound");
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            thread::spawn(move || respond_to_each_call(stream));
+        }
+    });
+    let client = QuotaCounterClient::new(Some(addr), 10_000.0);
+    for _ in 0..2 * MAX_CONNECTIONS + 1 {
+        assert_eq!(client.add(1, 1.0, 60_000.0).await, CounterOutcome::Total(1.0));
+    }
+}
+
+/// Responds to each call with the total 1.
+fn respond_to_each_call(mut stream: TcpStream) {
+    while stream.read(&mut [0; 1024]).is_ok_and(|length| length > 0) {
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1");
+    }
+}
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -115,17 +115,31 @@
 
     /// Returns an idle connection to an endpoint, or else a new one. Returns `None` if all permitted
     /// connections are in use, or if a new one is not established within the connect timeout.
+    ///
+    /// If all idle connections have just had a response, waits for one of them: the rest of the reuse delay is
+    /// short compared with the time and the work that a handshake would cost the endpoint.
     pub(super) async fn acquire(&self, endpoint: EndpointId, addr: SocketAddr) -> Option<BudgetedConnection> {
-        if let Some(pooled) = self.take_idle(endpoint) {
+        if let Some(pooled) = self.idle_connections(endpoint, IdleConnections::take) {
             return Some(pooled);
         }
+        if let Some(resting) = self.idle_connections(endpoint, IdleConnections::take_resting) {
+            let rested = resting.rested().await;
+            if let Some(pooled) = self.idle_connections(endpoint, |idle| idle.accept_rested(rested)) {
+                return Some(pooled);
+            }
+        }
         let permit = self.acquire_permit()?;
         BudgetedConnection::connect(addr, permit, Instant::now() + self.connect_timeout).await
     }
 
-    /// Takes the most recently used idle connection to an endpoint, among those that may be reused.
-    fn take_idle(&self, endpoint: EndpointId) -> Option<BudgetedConnection> {
-        self.endpoints.borrow_mut().get_mut(&endpoint)?.idle.take()
+    /// Calls `take` with the idle connections to an endpoint. Returns `None` if the list does not name the
+    /// endpoint.
+    fn idle_connections<T>(
+        &self,
+        endpoint: EndpointId,
+        take: impl FnOnce(&mut IdleConnections) -> Option<T>,
+    ) -> Option<T> {
+        take(&mut self.endpoints.borrow_mut().get_mut(&endpoint)?.idle)
     }
 
     /// Puts a connection back into the pool, or closes it if it is not usable, or if its endpoint no longer
