Let a request that has begun to arrive on a used connection complete after SIGTERM

Callers saw a connection close without a response while they were writing their next request to it, when their gateway was restarted just then.

Cause: hyper counts a connection as idle until the head of a request is complete, and closes it at SIGTERM although half of the head was read.

Change: the socket shared with hyper records whether bytes were read since the last response, and is peeked for unread ones. With such bytes a connection is awaited while the server drains, so that the request is served and closes the connection, and rejected when the server ends, as on a new connection.

--- a/crates/gateway/src/downstream/connection.rs
+++ b/crates/gateway/src/downstream/connection.rs
@@ -1,8 +1,8 @@
 //! A client's connection: its stage, and the detection that its client has disconnected.
 use super::flood::{self, DiscardResult};
-use super::shared_stream::SharedStream;
+use super::shared_stream::{SharedSocket, SharedStream};
 use socket2::SockRef;
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::future::{pending, poll_fn, Future};
 use std::net::Shutdown;
 use std::pin::pin;
@@ -47,6 +47,17 @@
     Aborted,
 }
 
+/// How much has arrived of the request that has no response yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RequestProgress {
+    /// No byte of it has arrived.
+    NotBegun,
+    /// Bytes have arrived, but not its whole head.
+    HeadIncomplete,
+    /// Its head has arrived, and perhaps its body.
+    HeadComplete,
+}
+
 /// Whether the requests on a connection are served.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ConnectionRole {
@@ -70,11 +81,11 @@
     /// Whether the requests on the connection are served.
     role: ConnectionRole,
     /// The socket, which hyper uses too.
-    stream: Rc<RefCell<TcpStream>>,
+    socket: Rc<SharedSocket>,
     /// Whether the client has pipelined a flood of bytes behind a request. They are discarded.
     is_flooded: Cell<bool>,
-    /// Whether the head of a request has ever completely arrived.
-    has_request_head: Cell<bool>,
+    /// Whether a request is being handled: its head has completely arrived, and it has no response yet.
+    is_handling_request: Cell<bool>,
     /// Whether a request was rejected before it had completely arrived, because the process is about to end.
     is_request_cut_off: Cell<bool>,
 }
@@ -89,16 +100,16 @@
             accepted_at: now,
             close_requested: Notify::new(),
             role,
-            stream: Rc::new(RefCell::new(stream)),
+            socket: SharedSocket::new(stream),
             is_flooded: Cell::new(false),
-            has_request_head: Cell::new(false),
+            is_handling_request: Cell::new(false),
             is_request_cut_off: Cell::new(false),
         }
     }
 
     /// Returns the handle through which hyper reads and writes the stream.
     pub(super) fn shared_stream(&self) -> SharedStream {
-        SharedStream::new(self.stream.clone())
+        SharedStream::new(self.socket.clone())
     }
 
     /// Returns the current stage.
@@ -122,14 +133,27 @@
         self.is_flooded.get()
     }
 
-    /// Returns whether the head of a request has ever completely arrived.
-    pub(super) fn has_request_head(&self) -> bool {
-        self.has_request_head.get()
+    /// Returns how much has arrived of the request that has no response yet.
+    pub(super) fn request_progress(&self) -> RequestProgress {
+        if self.is_handling_request.get() {
+            RequestProgress::HeadComplete
+        } else if self.socket.has_bytes_of_next_request() {
+            RequestProgress::HeadIncomplete
+        } else {
+            RequestProgress::NotBegun
+        }
     }
 
     /// Records that the head of a request has completely arrived.
-    pub(super) fn set_request_head_received(&self) {
-        self.has_request_head.set(true);
+    pub(super) fn on_request_head(&self) {
+        self.is_handling_request.set(true);
+    }
+
+    /// Records that the request has its response, and enters `stage`.
+    pub(super) fn on_response(&self, stage: ConnectionStage) {
+        self.is_handling_request.set(false);
+        self.socket.on_response();
+        self.enter_stage(stage);
     }
 
     /// Returns whether a request was rejected before it had completely arrived.
@@ -142,14 +166,16 @@
         self.is_request_cut_off.set(true);
     }
 
-    /// Rejects a request whose head has not completely arrived, on a connection that has had no other, and ends the
-    /// gateway's side of the connection. To be called once hyper no longer uses the stream.
+    /// Rejects a request whose head has not completely arrived, and ends the gateway's side of the connection. To be
+    /// called once hyper no longer uses the stream.
     pub(super) fn reject_incomplete_head(&self) {
         self.set_request_cut_off();
-        let stream = self.stream.borrow();
-        // Nothing was written before, so that the kernel takes the whole text. Errors mean that the client has
-        // disconnected.
-        let _ = stream.try_write(INCOMPLETE_HEAD_RESPONSE);
+        let stream = self.socket.stream();
+        // A client that has not read the previous response will not read this one either.
+        if self.socket.is_flushed() {
+            // Errors mean that the client has disconnected.
+            let _ = stream.try_write(INCOMPLETE_HEAD_RESPONSE);
+        }
         let _ = SockRef::from(&*stream).shutdown(Shutdown::Write);
     }
 
@@ -157,8 +183,8 @@
     /// bytes would reset the connection, and the client could lose the response that it has not read yet
     /// (RFC 9112, section 9.6).
     pub(super) async fn discard_until_disconnected(&self) {
-        while poll_fn(|cx| self.stream.borrow().poll_read_ready(cx)).await.is_ok() {
-            let discarded = flood::discard(&self.stream.borrow());
+        while poll_fn(|cx| self.socket.stream().poll_read_ready(cx)).await.is_ok() {
+            let discarded = flood::discard(&self.socket.stream());
             match discarded {
                 DiscardResult::MoreUnread => sleep(DISCARD_INTERVAL).await,
                 DiscardResult::NoneUnread => {}
@@ -227,7 +253,7 @@
     /// Returns whether the client has closed its side or reset the connection, even if bytes that it sent
     /// before are still unread.
     fn has_client_disconnected(&self) -> bool {
-        let stream = self.stream.borrow();
+        let stream = self.socket.stream();
         let mut ready = pin!(stream.ready(Interest::READABLE));
         let ready = ready.as_mut().poll(&mut Context::from_waker(Waker::noop()));
         matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
@@ -243,18 +269,18 @@
         loop {
             // hyper waits for the same socket, which stores only one waker. Both waits are in the same task,
             // so the waker that was stored last wakes both.
-            let readable = poll_fn(|cx| self.stream.borrow().poll_read_ready(cx)).await;
+            let readable = poll_fn(|cx| self.socket.stream().poll_read_ready(cx)).await;
             if readable.is_err() || self.has_client_disconnected() {
                 return;
             }
             if !self.is_flooded.get() {
-                self.is_flooded.set(flood::is_flood(&self.stream.borrow()));
+                self.is_flooded.set(flood::is_flood(&self.socket.stream()));
             }
             if !self.is_flooded.get() {
                 sleep(FLOOD_CHECK_INTERVAL).await;
                 continue;
             }
-            let discarded = flood::discard(&self.stream.borrow());
+            let discarded = flood::discard(&self.socket.stream());
             match discarded {
                 DiscardResult::MoreUnread => sleep(DISCARD_INTERVAL).await,
                 DiscardResult::NoneUnread => {}
--- a/crates/gateway/src/downstream/handler.rs
+++ b/crates/gateway/src/downstream/handler.rs
@@ -53,7 +53,7 @@
         connection: &Connection,
         request: hyper::Request<Incoming>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
-        connection.set_request_head_received();
+        connection.on_request_head();
         let handled = self.handle(request, connection).await;
         let closes = close_reason(&CloseInput {
             is_invalid: handled.is_err(),
@@ -66,7 +66,7 @@
         if closes {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        connection.enter_stage(if closes { ConnectionStage::InUseOrClosing } else { ConnectionStage::Idle });
+        connection.on_response(if closes { ConnectionStage::InUseOrClosing } else { ConnectionStage::Idle });
         Ok(response)
     }
 
--- a/crates/gateway/src/downstream/request_rules.rs
+++ b/crates/gateway/src/downstream/request_rules.rs
@@ -1,6 +1,6 @@
 //! The rules for when the body of a request must be complete, after which responses a connection closes, and how it
 //! closes on request.
-use super::connection::{ConnectionRole, ConnectionStage};
+use super::connection::{ConnectionRole, ConnectionStage, RequestProgress};
 use super::server_phase::ServerPhase;
 use crate::clock::duration_from_ms;
 use std::time::Duration;
@@ -85,19 +85,22 @@
     RejectIncompleteHead,
     /// After the response if a request is in progress, and else at once.
     AfterResponse,
+    /// After the response to the request that has begun to arrive.
+    AfterNextResponse,
 }
 
-/// Returns how a connection in `stage` closes. `has_request_head` is whether the head of a request has ever
-/// completely arrived on it.
+/// Returns how a connection in `stage` closes, of whose next request so much has arrived as `progress` says.
 ///
-/// In the last phase nothing more is read of a request whose head is incomplete: the process might end before the
-/// response to it. Whatever its client has written by then, or is just writing, gets a response.
-pub(super) fn close_mode(phase: ServerPhase, stage: ConnectionStage, has_request_head: bool) -> CloseMode {
-    match (stage, phase) {
-        (ConnectionStage::Aborted, _) => CloseMode::Abort,
-        (ConnectionStage::AwaitingFirstRequest, ServerPhase::Ending) if !has_request_head => {
-            CloseMode::RejectIncompleteHead
-        }
-        _ => CloseMode::AfterResponse,
+/// A request that has begun to arrive gets a response: hyper takes a connection for idle until the head is complete,
+/// and would close it without one. In the last phase nothing more is read of it, because the process might end before
+/// the response to it.
+pub(super) fn close_mode(phase: ServerPhase, stage: ConnectionStage, progress: RequestProgress) -> CloseMode {
+    match (stage, progress, phase) {
+        (ConnectionStage::Aborted, _, _) => CloseMode::Abort,
+        (ConnectionStage::InUseOrClosing, _, _)
+        | (_, RequestProgress::NotBegun | RequestProgress::HeadComplete, _)
+        | (_, RequestProgress::HeadIncomplete, ServerPhase::Serving) => CloseMode::AfterResponse,
+        (_, RequestProgress::HeadIncomplete, ServerPhase::Draining) => CloseMode::AfterNextResponse,
+        (_, RequestProgress::HeadIncomplete, ServerPhase::Ending) => CloseMode::RejectIncompleteHead,
     }
 }
--- a/crates/gateway/src/downstream/server.rs
+++ b/crates/gateway/src/downstream/server.rs
@@ -59,15 +59,15 @@
     }
 
     /// Starts to drain the server. A connection that has already had a request closes at once, or after the
-    /// response if a request is in progress. A connection that has had no request yet, or is accepted later,
-    /// closes after its first response.
+    /// response if a request is in progress or has begun to arrive. A connection that has had no request yet, or is
+    /// accepted later, closes after its first response.
     pub(crate) fn drain(&self) {
         self.handler.phase().advance(ServerPhase::Draining);
         self.connections.request_close_of_used();
     }
 
-    /// Drains all connections, including those that have had no request. To be called once no further
-    /// connection is accepted.
+    /// Drains all connections, including those that have had no request: if none has begun to arrive, they close
+    /// at once. To be called once no further connection is accepted.
     pub(crate) fn drain_all(&self) {
         self.connections.request_close_of_all();
     }
@@ -135,6 +135,7 @@
                 _ = driver.as_mut() => return CloseMode::AfterResponse,
                 () = connection.close_requested() => match self.close_mode(connection) {
                     CloseMode::AfterResponse => driver.as_mut().graceful_shutdown(),
+                    CloseMode::AfterNextResponse => {}
                     mode @ (CloseMode::Abort | CloseMode::RejectIncompleteHead) => return mode,
                 },
                 () = first_request_timeout.as_mut(), if !first_request_timeout.is_elapsed() => {
@@ -151,6 +152,6 @@
 
     /// Returns how a connection closes for which a close was requested.
     fn close_mode(&self, connection: &Connection) -> CloseMode {
-        close_mode(self.handler.phase().get(), connection.stage(), connection.has_request_head())
+        close_mode(self.handler.phase().get(), connection.stage(), connection.request_progress())
     }
 }
--- a/crates/gateway/src/downstream/tests/request_rules.rs
+++ b/crates/gateway/src/downstream/tests/request_rules.rs
@@ -1,6 +1,6 @@
 //! Tests of the deadline of a body, of the reasons to close a connection and of how it closes, with a case for each
 //! branch.
-use crate::downstream::connection::{ConnectionRole, ConnectionStage};
+use crate::downstream::connection::{ConnectionRole, ConnectionStage, RequestProgress};
 use crate::downstream::request_rules::{
     body_deadline, close_mode, close_reason, BodyDeadlineInput, CloseInput, CloseMode, CloseReason,
     BODY_TIMEOUT,
@@ -49,25 +49,31 @@
     }
 }
 
-/// A request whose head is incomplete when the server ends can't be served any more. If its connection closed without a
-/// response, a client that had just written the rest would count it as lost. Expected: it is rejected then, and not
-/// before; a request whose head has arrived is left to its handler.
+/// A request has begun to arrive when the server drains. If its connection closed as an idle one, its client would get no
+/// response. Expected: it is awaited until the server ends and rejected then; a request whose head has arrived is left
+/// to its handler, and a connection without a request closes at once.
 #[test]
-fn incomplete_head_is_rejected_only_when_the_server_ends() {
+fn request_that_has_begun_is_awaited_while_draining_and_rejected_at_the_end() {
     use ConnectionStage::{Aborted, AwaitingFirstRequest, Idle, InUseOrClosing};
+    use RequestProgress::{HeadComplete, HeadIncomplete, NotBegun};
     use ServerPhase::{Draining, Ending, Serving};
     let cases = [
-        (Serving, AwaitingFirstRequest, false, CloseMode::AfterResponse),
-        (Draining, AwaitingFirstRequest, false, CloseMode::AfterResponse),
-        (Ending, AwaitingFirstRequest, false, CloseMode::RejectIncompleteHead),
-        (Ending, AwaitingFirstRequest, true, CloseMode::AfterResponse),
-        (Ending, Idle, true, CloseMode::AfterResponse),
-        (Ending, InUseOrClosing, true, CloseMode::AfterResponse),
-        (Ending, Aborted, false, CloseMode::Abort),
-        (Serving, Aborted, true, CloseMode::Abort),
+        (Serving, Idle, HeadIncomplete, CloseMode::AfterResponse),
+        (Draining, Idle, NotBegun, CloseMode::AfterResponse),
+        (Draining, Idle, HeadIncomplete, CloseMode::AfterNextResponse),
+        (Draining, Idle, HeadComplete, CloseMode::AfterResponse),
+        (Draining, AwaitingFirstRequest, NotBegun, CloseMode::AfterResponse),
+        (Draining, AwaitingFirstRequest, HeadIncomplete, CloseMode::AfterNextResponse),
+        (Ending, AwaitingFirstRequest, NotBegun, CloseMode::AfterResponse),
+        (Ending, AwaitingFirstRequest, HeadIncomplete, CloseMode::RejectIncompleteHead),
+        (Ending, AwaitingFirstRequest, HeadComplete, CloseMode::AfterResponse),
+        (Ending, Idle, HeadIncomplete, CloseMode::RejectIncompleteHead),
+        (Ending, InUseOrClosing, HeadIncomplete, CloseMode::AfterResponse),
+        (Ending, InUseOrClosing, HeadComplete, CloseMode::AfterResponse),
+        (Ending, Aborted, HeadIncomplete, CloseMode::Abort),
+        (Serving, Aborted, HeadComplete, CloseMode::Abort),
     ];
-    for (phase, stage, has_request_head, expected) in cases {
-        let mode = close_mode(phase, stage, has_request_head);
-        assert_eq!(mode, expected, "{phase:?}, {stage:?}, head: {has_request_head}");
+    for (phase, stage, progress, expected) in cases {
+        assert_eq!(close_mode(phase, stage, progress), expected, "{phase:?}, {stage:?}, {progress:?}");
     }
 }
--- a/crates/gateway/src/http_connection/tests.rs
+++ b/crates/gateway/src/http_connection/tests.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response};
+use socket2::SockRef;
 use std::io::{Error, ErrorKind, Result};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -119,3 +120,23 @@
         assert_eq!(check, expected, "{is_ready} {has_read_bytes} {unread:?}");
     }
 }
+
+/// The server responds before it has read the whole request, whose rest is still unsent. If the connection were reused,
+/// the server would read the next request as that rest. Expected: the response is returned, and the connection is not
+/// usable.
+#[tokio::test]
+async fn connection_with_an_unsent_rest_of_its_request_is_not_usable() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind a loopback port");
+    // The accepted socket takes over this small buffer.
+    SockRef::from(&listener).set_recv_buffer_size(4096).expect("set the receive buffer");
+    let addr = listener.local_addr().expect("the listener is bound");
+    let (connection, accepted) = tokio::join!(HttpConnection::connect(addr), listener.accept());
+    let mut connection = connection.expect("connect to the listener");
+    SockRef::from(&*connection.stream.borrow()).set_send_buffer_size(4096).expect("set the send buffer");
+    let (server, _) = accepted.expect("accept the connection");
+    let body = Full::new(Bytes::from(vec![b'x'; 1 << 20]));
+    let request = Request::post("/").header("host", "a").body(body).expect("a valid request");
+    let (response, ()) = tokio::join!(connection.exchange(request, 100), respond(&server));
+    assert_eq!(response.expect("a response").body().as_ref(), b"mine");
+    assert_eq!(connection.check_idle(), IdleCheck::Closed);
+}
--- a/crates/gateway/tests/it/shutdown.rs
+++ b/crates/gateway/tests/it/shutdown.rs
@@ -136,3 +136,55 @@
     let sent = endpoint.requests_so_far().count();
     assert_eq!(sent, 1);
 }
+
+/// SIGTERM arrives while the next request on a used connection has begun to arrive. If the connection closed as an idle
+/// one, its client would get no response to what it is writing. Expected: the request is served once it is complete, and
+/// closes the connection; an idle connection closes at once.
+#[test]
+fn sigterm_lets_a_request_that_has_begun_on_a_used_connection_complete() {
+    let endpoint = StubServer::serving("mine");
+    let (mut gateway, _discovery) = start_gateway(&[&endpoint]);
+    let (mut begun, mut idle) = (gateway.client(), gateway.client());
+    begun.health_status();
+    idle.health_status();
+    let text = ClientRequest::new("read").text();
+    let (first_half, second_half) = text.split_at(text.len() / 2);
+    begun.write(first_half);
+    // The gateway has read the half by the time it answers a later request.
+    gateway.client().health_status();
+    gateway.terminate();
+    assert!(idle.closes_within(TEST_TIMEOUT), "the idle connection stays open");
+    begun.write(second_half);
+    let served = begun.read().expect("the gateway responds");
+    assert_eq!((served.status(), served.header("connection")), (200, Some("close")));
+    assert!(gateway.wait().success());
+}
+
+/// The same, but the rest of the request never arrives. Expected: the request is rejected before the earliest SIGKILL,
+/// and what its client writes then does not reset the connection before the client has read the rejection.
+#[test]
+fn request_that_stays_incomplete_through_a_shutdown_is_rejected() {
+    let endpoint = StubServer::silent();
+    let (mut gateway, _discovery) = start_gateway_with(&[endpoint.addr], short_deadlines);
+    let (mut used, mut new, mut in_body) = (gateway.client(), gateway.client(), gateway.client());
+    used.health_status();
+    let text = ClientRequest { body: BODY, ..ClientRequest::new("once") }.text();
+    for client in [&mut used, &mut new, &mut in_body] {
+        client.write(&text[..40]);
+    }
+    gateway.client().health_status();
+    gateway.terminate();
+    // The body must not time out before the server ends.
+    std::thread::sleep(KILL_AFTER / 2);
+    in_body.write(&text[40..text.len() - 40]);
+    for (client, name) in [(&mut used, "used"), (&mut new, "new"), (&mut in_body, "in the body")] {
+        let rejected =
+            client.read().unwrap_or_else(|| panic!("{name}: the connection closes without a response"));
+        assert_eq!((rejected.status(), rejected.header("connection")), (503, Some("close")), "{name}");
+        assert!(client.try_write("more"), "{name}");
+        assert!(client.closes_within(TEST_TIMEOUT), "{name}");
+    }
+    drop((used, new, in_body));
+    assert!(gateway.wait().success());
+    assert!(endpoint.has_received_nothing_more());
+}
