--- a/crates/gateway/src/idle_connections.rs
+++ b/crates/gateway/src/idle_connections.rs
@@ -18,19 +18,19 @@
 }
 
 /// A connection that was taken while its reuse delay is not over. It must not carry a request before
-/// [`IdleConnections::accept_rested`] has returned it.
-pub(crate) struct RestingConnection(IdleConnection);
+/// [`IdleConnections::accept_unchecked`] has returned it.
+pub(crate) struct DelayedConnection(IdleConnection);
 
-impl RestingConnection {
+impl DelayedConnection {
     /// Waits until the connection may carry a request.
-    pub(crate) async fn rested(self) -> RestedConnection {
+    pub(crate) async fn reuse_delay_over(self) -> UncheckedConnection {
         self.0.budgeted.connection.reuse_delay_over().await;
-        RestedConnection(self.0)
+        UncheckedConnection(self.0)
     }
 }
 
 /// A connection that was taken and whose reuse delay is now over. It is not known yet whether it is usable.
-pub(crate) struct RestedConnection(IdleConnection);
+pub(crate) struct UncheckedConnection(IdleConnection);
 
 /// The idle connections to one server. A connection that has been idle for `timeout` or longer is not reused.
 pub(crate) struct IdleConnections {
@@ -81,14 +81,14 @@
 
     /// Takes the connection whose reuse delay ends first, for a caller that waits for it. To be called if
     /// [`take`](Self::take) returns `None`, so that the delay of no connection is over.
-    pub(crate) fn take_resting(&mut self) -> Option<RestingConnection> {
-        // The connections are in the order in which their delays end.
-        (!self.is_empty()).then(|| RestingConnection(self.connections.remove(0)))
+    pub(crate) fn take_delayed(&mut self) -> Option<DelayedConnection> {
+        // The connection that was used longest ago is first.
+        (!self.is_empty()).then(|| DelayedConnection(self.connections.remove(0)))
     }
 
-    /// Returns a connection that has rested, or closes it if it is stale.
-    pub(crate) fn accept_rested(&mut self, rested: RestedConnection) -> Option<BudgetedConnection> {
-        self.accept_if_fresh(rested.0)
+    /// Returns a connection whose reuse delay is over, or closes it if it is stale.
+    pub(crate) fn accept_unchecked(&mut self, unchecked: UncheckedConnection) -> Option<BudgetedConnection> {
+        self.accept_if_fresh(unchecked.0)
     }
 
     /// Returns a connection that was taken, or closes it if it is stale.
--- a/crates/gateway/src/idle_connections/tests.rs
+++ b/crates/gateway/src/idle_connections/tests.rs
@@ -87,7 +87,7 @@
 /// connection were returned all the same, they would be read as the next response. Expected: the connection is returned
 /// when its delay is over, unless it has received surplus bytes.
 #[tokio::test]
-async fn resting_connection_is_returned_after_its_delay_unless_it_has_surplus_bytes() {
+async fn delayed_connection_is_returned_after_its_delay_unless_it_has_surplus_bytes() {
     for has_surplus in [false, true] {
         let mut idle = IdleConnections::new(TIMEOUT);
         let mut server_streams = put_connections(&mut idle, 1).await;
@@ -99,14 +99,14 @@
         server.join().expect("the server has responded");
         let responded_at = Instant::now();
         idle.put(connection);
-        let resting = idle.take_resting().expect("a resting connection");
-        assert!(idle.take_resting().is_none(), "it is taken only once");
+        let delayed = idle.take_delayed().expect("a delayed connection");
+        assert!(idle.take_delayed().is_none(), "it is taken only once");
         if has_surplus {
             server_streams[0].write_all(b"noise").expect("write surplus bytes");
         }
-        let rested = resting.rested().await;
+        let unchecked = delayed.reuse_delay_over().await;
         assert!(responded_at.elapsed() >= REUSE_DELAY);
-        assert_eq!(idle.accept_rested(rested).is_some(), !has_surplus);
+        assert_eq!(idle.accept_unchecked(unchecked).is_some(), !has_surplus);
         assert!(is_closed(&mut server_streams[0]));
         tokio::time::resume();
     }
--- a/crates/gateway/src/quota_counter.rs
+++ b/crates/gateway/src/quota_counter.rs
@@ -92,9 +92,9 @@
         if let Some(permit) = self.budget.try_acquire() {
             return BudgetedConnection::connect(addr, permit, deadline).await;
         }
-        let resting = self.idle.borrow_mut().take_resting()?;
-        let rested = timeout_at(deadline, resting.rested()).await.ok()?;
-        self.idle.borrow_mut().accept_rested(rested)
+        let delayed = self.idle.borrow_mut().take_delayed()?;
+        let unchecked = timeout_at(deadline, delayed.reuse_delay_over()).await.ok()?;
+        self.idle.borrow_mut().accept_unchecked(unchecked)
     }
 
     /// Keeps a connection for the next call if it is usable and the address has not changed, or else closes
--- a/crates/gateway/src/quota_counter/tests.rs
+++ b/crates/gateway/src/quota_counter/tests.rs
@@ -78,7 +78,7 @@
 /// All permitted connections have just had a response. If a call were given up for this, it would count as rejected, and
 /// its request would be sent without a count. Expected: it waits for one of them.
 #[tokio::test]
-async fn call_waits_for_a_resting_connection_at_the_connection_limit() {
+async fn call_waits_for_a_delayed_connection_at_the_connection_limit() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("bind a loopback port");
     let addr = listener.local_addr().expect("the listener is bound");
     thread::spawn(move || {
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -122,9 +122,9 @@
         if let Some(pooled) = self.idle_connections(endpoint, IdleConnections::take) {
             return Some(pooled);
         }
-        if let Some(resting) = self.idle_connections(endpoint, IdleConnections::take_resting) {
-            let rested = resting.rested().await;
-            if let Some(pooled) = self.idle_connections(endpoint, |idle| idle.accept_rested(rested)) {
+        if let Some(delayed) = self.idle_connections(endpoint, IdleConnections::take_delayed) {
+            let unchecked = delayed.reuse_delay_over().await;
+            if let Some(pooled) = self.idle_connections(endpoint, |idle| idle.accept_unchecked(unchecked)) {
                 return Some(pooled);
             }
         }
