Split the HTTP connection's error and response watchdog into files, and name surplus bytes

ExchangeError::InvalidResponse stood for an invalid response and for bytes that came before the request.

--- /dev/null
+++ b/crates/gateway/src/http_connection/exchange_error.rs
@@ -0,0 +1,34 @@
+//! The error of an exchange.
+use super::observed_stream::ExchangeState;
+use super::response_watchdog::{MAX_INTERIM_RESPONSES, RESPONSE_COMPLETION_TIMEOUT};
+
+/// The reason why an exchange, a request with its response, returned no complete response.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ExchangeError {
+    /// The server has closed the connection, or it failed.
+    #[error("the connection was lost")]
+    ConnectionLost,
+    /// The connection is still open, but the response is malformed or exceeds a limit: the size of its head
+    /// or body, [`RESPONSE_COMPLETION_TIMEOUT`] or [`MAX_INTERIM_RESPONSES`].
+    #[error(
+        "the response is malformed, too large, incomplete after {} ms, or preceded by more than \
+         {MAX_INTERIM_RESPONSES} interim responses",
+        RESPONSE_COMPLETION_TIMEOUT.as_millis()
+    )]
+    InvalidResponse,
+    /// The connection received bytes that belong to no response after the previous one. The request was not
+    /// written.
+    #[error("bytes arrived that belong to no response")]
+    SurplusBytes,
+}
+
+impl ExchangeError {
+    /// Returns why an exchange failed whose request was passed to hyper: the connection was lost, or else the
+    /// response is invalid.
+    pub(super) fn from_state(state: &ExchangeState) -> Self {
+        match state.connection_lost.get() {
+            true => ExchangeError::ConnectionLost,
+            false => ExchangeError::InvalidResponse,
+        }
+    }
+}
--- a/crates/gateway/src/http_connection/mod.rs
+++ b/crates/gateway/src/http_connection/mod.rs
@@ -4,14 +4,18 @@
 //! The same future drives the connection and the request. Dropping that future together with the connection
 //! closes the socket at once, so no request outlives its attempt. A connection never sends a request twice, and
 //! carries the next one only some time after a response ([`reuse_delay`]).
+mod exchange_error;
 mod idle_check;
 mod observed_stream;
+mod response_watchdog;
 mod reuse_delay;
 #[cfg(test)]
 mod tests;
 
+pub(crate) use self::exchange_error::ExchangeError;
 pub(crate) use self::idle_check::IdleCheck;
 use self::observed_stream::{ExchangeState, ObservedStream};
+use self::response_watchdog::ResponseWatchdog;
 use self::reuse_delay::ReuseDelay;
 pub(crate) use self::reuse_delay::REUSE_DELAY;
 use bytes::Bytes;
@@ -31,36 +35,11 @@
 use std::rc::Rc;
 use std::sync::atomic::Ordering::Relaxed;
 use std::task::{Context, Poll, Waker};
-use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, Instant, Sleep};
+use tokio::time::Instant;
 
 /// The maximum size of a response's head (status line and headers), in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
-/// How long a response may take to be complete, counted from the arrival of its first byte. Endpoints write a
-/// whole response at once, so a response that is incomplete after this time will never be completed. The same
-/// limit applies to the lists of discovery and to the responses of the quota counter.
-const RESPONSE_COMPLETION_TIMEOUT: Duration = Duration::from_millis(250);
-/// The maximum number of interim (1xx) responses before the final one.
-const MAX_INTERIM_RESPONSES: u32 = 8;
-
-/// The reason why an exchange, a request with its response, returned no complete response.
-#[derive(Debug, thiserror::Error)]
-pub(crate) enum ExchangeError {
-    /// The server has closed the connection, or it failed.
-    #[error("the connection was lost")]
-    ConnectionLost,
-    /// The connection is still open, but the response is malformed or exceeds a limit: the size of its head
-    /// or body, [`RESPONSE_COMPLETION_TIMEOUT`] or [`MAX_INTERIM_RESPONSES`]. Or the connection received bytes
-    /// after the previous response, before this request was written.
-    #[error(
-        "the response is malformed, too large, incomplete after {} ms, preceded by more than \
-         {MAX_INTERIM_RESPONSES} interim responses, or follows bytes that belong to no response",
-        RESPONSE_COMPLETION_TIMEOUT.as_millis()
-    )]
-    InvalidResponse,
-}
-
 /// An established connection to a server.
 pub(crate) struct HttpConnection {
     /// hyper's handle for sending requests.
@@ -181,7 +160,7 @@
         self.reuse_delay_over().await;
         match self.check_idle() {
             IdleCheck::Usable => Ok(()),
-            IdleCheck::SurplusBytes => Err(ExchangeError::InvalidResponse),
+            IdleCheck::SurplusBytes => Err(ExchangeError::SurplusBytes),
             IdleCheck::Closed => Err(ExchangeError::ConnectionLost),
         }
     }
@@ -202,7 +181,7 @@
         let mut watchdog = ResponseWatchdog::default();
         poll_fn(|cx| {
             if let Poll::Ready(response) = response.as_mut().poll(cx) {
-                return Poll::Ready(response.ok_or_else(|| exchange_error(state)));
+                return Poll::Ready(response.ok_or_else(|| ExchangeError::from_state(state)));
             }
             // The driver writes the queued request, and reads a response that the second poll of `response`
             // below returns. The driver must not be polled again once it has ended.
@@ -210,10 +189,10 @@
                 driver_ended = driver.as_mut().poll(cx).is_ready();
             }
             if let Poll::Ready(response) = response.as_mut().poll(cx) {
-                return Poll::Ready(response.ok_or_else(|| exchange_error(state)));
+                return Poll::Ready(response.ok_or_else(|| ExchangeError::from_state(state)));
             }
             if driver_ended {
-                return Poll::Ready(Err(exchange_error(state)));
+                return Poll::Ready(Err(ExchangeError::from_state(state)));
             }
             watchdog.poll(cx, state).map(Err)
         })
@@ -234,43 +213,3 @@
     let body = Limited::new(body, max_body_bytes).collect().await.ok()?;
     Some(Response::from_parts(head, body.to_bytes()))
 }
-
-/// Returns why an exchange failed: the connection was lost, or else the response is invalid.
-fn exchange_error(state: &ExchangeState) -> ExchangeError {
-    match state.connection_lost.get() {
-        true => ExchangeError::ConnectionLost,
-        false => ExchangeError::InvalidResponse,
-    }
-}
-
-/// Limits the time that a response may take once its first byte has arrived, and the number of interim
-/// responses before it.
-#[derive(Default)]
-struct ResponseWatchdog {
-    /// The number of interim responses at the last poll.
-    interim_seen: u32,
-    /// The sleep until [`RESPONSE_COMPLETION_TIMEOUT`] after the first byte of the response; `None` before
-    /// that byte and after an interim response.
-    timeout: Option<Pin<Box<Sleep>>>,
-}
-
-impl ResponseWatchdog {
-    /// Returns the error when a limit is exceeded.
-    fn poll(&mut self, cx: &mut Context<'_>, state: &ExchangeState) -> Poll<ExchangeError> {
-        let interim = state.interim_responses.load(Relaxed);
-        if interim > self.interim_seen {
-            // The bytes that have arrived belong to an interim response; the final one has not begun.
-            self.interim_seen = interim;
-            self.timeout = None;
-            state.any_bytes_read.set(false);
-        }
-        if interim > MAX_INTERIM_RESPONSES {
-            return Poll::Ready(ExchangeError::InvalidResponse);
-        }
-        if !state.any_bytes_read.get() {
-            return Poll::Pending;
-        }
-        let timeout = self.timeout.get_or_insert_with(|| Box::pin(sleep(RESPONSE_COMPLETION_TIMEOUT)));
-        timeout.as_mut().poll(cx).map(|()| ExchangeError::InvalidResponse)
-    }
-}
--- a/crates/gateway/src/http_connection/tests.rs
+++ b/crates/gateway/src/http_connection/tests.rs
@@ -65,7 +65,7 @@
                 sleep(Duration::from_millis(late_ms)).await;
                 write(&server, surplus);
             });
-            assert!(matches!(response, Err(ExchangeError::InvalidResponse)), "{late_ms} ms: {response:?}");
+            assert!(matches!(response, Err(ExchangeError::SurplusBytes)), "{late_ms} ms: {response:?}");
             assert!(!connection.write_status().any_written(), "{late_ms} ms");
             drop(connection);
             let closed = read(&server).await;
--- a/crates/gateway/src/upstream/outcomes.rs
+++ b/crates/gateway/src/upstream/outcomes.rs
@@ -53,7 +53,7 @@
         _ if !any_written => Outcome::ConnectFailed,
         ExchangeError::ConnectionLost => Outcome::Reset,
         // The endpoint is up and has responded, but not with valid HTTP.
-        ExchangeError::InvalidResponse => Outcome::Error,
+        ExchangeError::InvalidResponse | ExchangeError::SurplusBytes => Outcome::Error,
     }
 }
 
