Move the detection of a client's disconnect out of the connection's file

connection.rs keeps the stage and the progress of the next request. The round of discarding, which stood twice, is one function.

--- a/crates/gateway/src/downstream/connection.rs
+++ b/crates/gateway/src/downstream/connection.rs
@@ -1,30 +1,18 @@
-//! A client's connection: its stage, and the detection that its client has disconnected.
-use super::flood::{self, DiscardResult};
+//! A client's connection: its stage, and how much has arrived of its next request.
 use super::shared_stream::{SharedSocket, SharedStream};
 use socket2::SockRef;
 use std::cell::Cell;
-use std::future::{pending, poll_fn, Future};
+use std::future::pending;
 use std::net::Shutdown;
-use std::pin::pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
 use std::time::Duration;
-use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{sleep, Instant};
+use tokio::time::Instant;
 
 /// How long the first request of a new connection, head and body, may take to arrive. It leaves time to
 /// keep the guarantee that a client gets a response or a close within 3 s of connecting.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(2500);
-/// How often the pipelined bytes, those that follow the request in progress in the stream, are checked for a
-/// flood. The timer is needed because a socket with unread bytes stays readable, so that readiness does not
-/// report the bytes that follow them. Without unread bytes no timer is needed, because readiness reports a
-/// disconnect.
-const FLOOD_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// The pause between two rounds of discarding. It is short enough to notice soon a disconnect that is queued
-/// behind full buffers at both ends, and long enough for other connections to be served.
-const DISCARD_INTERVAL: Duration = Duration::from_millis(5);
 /// The rejection of a request whose head is incomplete, in the form of the other rejections. hyper can't write it,
 /// because it has no request to respond to.
 const INCOMPLETE_HEAD_RESPONSE: &[u8] =
@@ -107,6 +95,11 @@
         }
     }
 
+    /// Returns the socket.
+    pub(super) fn socket(&self) -> &SharedSocket {
+        &self.socket
+    }
+
     /// Returns the handle through which hyper reads and writes the stream.
     pub(super) fn shared_stream(&self) -> SharedStream {
         SharedStream::new(self.socket.clone())
@@ -133,6 +126,11 @@
         self.is_flooded.get()
     }
 
+    /// Records that the client has pipelined a flood of bytes.
+    pub(super) fn set_flooded(&self) {
+        self.is_flooded.set(true);
+    }
+
     /// Returns how much has arrived of the request that has no response yet.
     pub(super) fn request_progress(&self) -> RequestProgress {
         if self.is_handling_request.get() {
@@ -179,20 +177,6 @@
         let _ = SockRef::from(&*stream).shutdown(Shutdown::Write);
     }
 
-    /// Discards what the client still sends, until it disconnects. Without this, the close of a socket with unread
-    /// bytes would reset the connection, and the client could lose the response that it has not read yet
-    /// (RFC 9112, section 9.6).
-    pub(super) async fn discard_until_disconnected(&self) {
-        while poll_fn(|cx| self.socket.stream().poll_read_ready(cx)).await.is_ok() {
-            let discarded = flood::discard(&self.socket.stream());
-            match discarded {
-                DiscardResult::MoreUnread => sleep(DISCARD_INTERVAL).await,
-                DiscardResult::NoneUnread => {}
-                DiscardResult::ClientDisconnected => return,
-            }
-        }
-    }
-
     /// Returns when the first request must be complete.
     pub(super) fn first_request_deadline(&self) -> Instant {
         self.accepted_at + FIRST_REQUEST_TIMEOUT
@@ -249,43 +233,4 @@
         self.request_close();
         pending().await
     }
-
-    /// Returns whether the client has closed its side or reset the connection, even if bytes that it sent
-    /// before are still unread.
-    fn has_client_disconnected(&self) -> bool {
-        let stream = self.socket.stream();
-        let mut ready = pin!(stream.ready(Interest::READABLE));
-        let ready = ready.as_mut().poll(&mut Context::from_waker(Waker::noop()));
-        matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
-    }
-
-    /// Waits until the client disconnects while its request is in progress. Meanwhile, it detects a flood of
-    /// pipelined bytes and discards it, so that a close behind the bytes can arrive. hyper notices a
-    /// disconnect only if no bytes follow the request, because it reads no further than that request.
-    ///
-    /// This method is cancel safe: bytes that it has discarded are not needed, because the connection then
-    /// closes after its response.
-    pub(super) async fn client_disconnected(&self) {
-        loop {
-            // hyper waits for the same socket, which stores only one waker. Both waits are in the same task,
-            // so the waker that was stored last wakes both.
-            let readable = poll_fn(|cx| self.socket.stream().poll_read_ready(cx)).await;
-            if readable.is_err() || self.has_client_disconnected() {
-                return;
-            }
-            if !self.is_flooded.get() {
-                self.is_flooded.set(flood::is_flood(&self.socket.stream()));
-            }
-            if !self.is_flooded.get() {
-                sleep(FLOOD_CHECK_INTERVAL).await;
-                continue;
-            }
-            let discarded = flood::discard(&self.socket.stream());
-            match discarded {
-                DiscardResult::MoreUnread => sleep(DISCARD_INTERVAL).await,
-                DiscardResult::NoneUnread => {}
-                DiscardResult::ClientDisconnected => return,
-            }
-        }
-    }
 }
--- a/crates/gateway/src/downstream/mod.rs
+++ b/crates/gateway/src/downstream/mod.rs
@@ -4,15 +4,16 @@
 //! - [`server`] serves each accepted connection, and drains all of them on shutdown; [`server_phase`] says how far
 //!   the shutdown is.
 //! - [`connection_table`] holds the open connections.
-//! - [`connection`] tracks the stage of one connection and detects that its client has disconnected, with
-//!   the help of [`shared_stream`]; [`flood`] discards the bytes of a client that keeps sending without
-//!   waiting for a response.
+//! - [`connection`] tracks the stage of one connection, with the help of [`shared_stream`];
+//!   [`client_disconnect`] detects that its client has disconnected, and [`flood`] discards the bytes of a
+//!   client that keeps sending without waiting for a response.
 //! - [`handler`] takes a request from its head to its response: [`request_parsing`] and [`metering`] parse
 //!   the head, [`request_body`] reads the body, and [`response`] builds the response from the dispatcher's
 //!   decision. [`request_error`] lists why a request is invalid.
 //! - Three modules contain rules without I/O: [`connection_limit`] decides whether a new connection is
 //!   served, rejected or closed, [`eviction_order`] which connection is evicted for it, and
 //!   [`request_rules`] when a body must be complete, after which responses a connection closes, and how.
+mod client_disconnect;
 mod connection;
 mod connection_limit;
 mod connection_table;
