Use one observed stream for clients' sockets and for connections to servers

Both sides wrapped a TCP stream that hyper uses and recorded what went through it, in two copies of the same forwarding. ObservedStream reports each operation to an observer now; the recorded progress stays with its side.

--- a/crates/gateway/src/downstream/connection.rs
+++ b/crates/gateway/src/downstream/connection.rs
@@ -1,10 +1,10 @@
 //! A client's connection: its stage, and how much has arrived of its next request.
-use super::shared_stream::{SharedSocket, SharedStream};
+use super::client_socket::{ClientSocket, StreamProgress};
+use crate::observed_stream::ObservedStream;
 use socket2::SockRef;
 use std::cell::Cell;
 use std::future::pending;
 use std::net::Shutdown;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -69,7 +69,7 @@
     /// Whether the requests on the connection are served.
     role: ConnectionRole,
     /// The socket, which hyper uses too.
-    socket: Rc<SharedSocket>,
+    socket: ClientSocket,
     /// Whether the client has pipelined a flood of bytes behind a request. They are discarded.
     is_flooded: Cell<bool>,
     /// Whether a request is being handled: its head has completely arrived, and it has no response yet.
@@ -88,7 +88,7 @@
             accepted_at: now,
             close_requested: Notify::new(),
             role,
-            socket: SharedSocket::new(stream),
+            socket: ClientSocket::new(stream),
             is_flooded: Cell::new(false),
             is_handling_request: Cell::new(false),
             is_request_cut_off: Cell::new(false),
@@ -96,13 +96,13 @@
     }
 
     /// Returns the socket.
-    pub(super) fn socket(&self) -> &SharedSocket {
+    pub(super) fn socket(&self) -> &ClientSocket {
         &self.socket
     }
 
     /// Returns the handle through which hyper reads and writes the stream.
-    pub(super) fn shared_stream(&self) -> SharedStream {
-        SharedStream::new(self.socket.clone())
+    pub(super) fn observed_stream(&self) -> ObservedStream<StreamProgress> {
+        self.socket.observed_stream()
     }
 
     /// Returns the current stage.
--- a/crates/gateway/src/downstream/mod.rs
+++ b/crates/gateway/src/downstream/mod.rs
@@ -4,7 +4,7 @@
 //! - [`server`] serves each accepted connection, and drains all of them on shutdown; [`server_phase`] says how far
 //!   the shutdown is.
 //! - [`connection_table`] holds the open connections.
-//! - [`connection`] tracks the stage of one connection, with the help of [`shared_stream`];
+//! - [`connection`] tracks the stage of one connection, with the help of [`client_socket`];
 //!   [`client_disconnect`] detects that its client has disconnected, and [`flood`] discards the bytes of a
 //!   client that keeps sending without waiting for a response.
 //! - [`handler`] takes a request from its head to its response: [`request_parsing`] and [`metering`] parse
@@ -14,6 +14,7 @@
 //!   served, rejected or closed, [`eviction_order`] which connection is evicted for it, and
 //!   [`request_rules`] when a body must be complete, after which responses a connection closes, and how.
 mod client_disconnect;
+mod client_socket;
 mod connection;
 mod connection_limit;
 mod connection_table;
@@ -30,7 +31,6 @@
 mod server;
 mod server_phase;
 mod settings;
-mod shared_stream;
 #[cfg(test)]
 mod tests;
 
--- a/crates/gateway/src/downstream/server.rs
+++ b/crates/gateway/src/downstream/server.rs
@@ -123,7 +123,7 @@
             .header_read_timeout(HEAD_AND_IDLE_TIMEOUT)
             .max_buf_size(MAX_HEAD_BYTES)
             .auto_date_header(false)
-            .serve_connection(TokioIo::new(connection.shared_stream()), service);
+            .serve_connection(TokioIo::new(connection.observed_stream()), service);
         let mut driver = pin!(driver);
         let mut first_request_timeout = pin!(sleep_until(connection.first_request_deadline()));
         loop {
--- a/crates/gateway/src/http_connection/exchange_error.rs
+++ b/crates/gateway/src/http_connection/exchange_error.rs
@@ -1,5 +1,5 @@
 //! The error of an exchange.
-use super::observed_stream::ExchangeState;
+use super::exchange_state::ExchangeState;
 use super::response_watchdog::{MAX_INTERIM_RESPONSES, RESPONSE_COMPLETION_TIMEOUT};
 
 /// The reason why an exchange, a request with its response, returned no complete response.
--- /dev/null
+++ b/crates/gateway/src/http_connection/exchange_state.rs
@@ -0,0 +1,49 @@
+//! The progress of an exchange, as the stream of its connection shows it.
+use crate::observed_stream::StreamObserver;
+use std::cell::Cell;
+use std::io;
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
+use std::sync::Arc;
+use std::task::Poll;
+
+/// The progress of the current exchange on a connection.
+#[derive(Default)]
+pub(super) struct ExchangeState {
+    /// Whether any byte of the request has been written.
+    pub(super) any_bytes_written: Cell<bool>,
+    /// Whether any byte has been read since this was last reset. It is reset when an exchange begins, after
+    /// an interim response, and when an idle connection is checked.
+    pub(super) any_bytes_read: Cell<bool>,
+    /// Whether the server has closed the connection, or it failed.
+    pub(super) connection_lost: Cell<bool>,
+    /// The number of interim responses that have arrived. It is in an `Arc` because hyper's callback must be
+    /// `Send` and `Sync`.
+    pub(super) interim_responses: Arc<AtomicU32>,
+}
+
+impl ExchangeState {
+    /// Resets the progress for a new exchange.
+    pub(super) fn reset(&self) {
+        self.any_bytes_written.set(false);
+        self.any_bytes_read.set(false);
+        self.interim_responses.store(0, Relaxed);
+    }
+}
+
+impl StreamObserver for ExchangeState {
+    fn on_read(&self, result: &Poll<io::Result<usize>>) {
+        match result {
+            Poll::Ready(Ok(1..)) => self.any_bytes_read.set(true),
+            Poll::Ready(Ok(0) | Err(_)) => self.connection_lost.set(true),
+            Poll::Pending => {}
+        }
+    }
+
+    fn on_write(&self, result: &Poll<io::Result<usize>>) {
+        match result {
+            Poll::Ready(Ok(1..)) => self.any_bytes_written.set(true),
+            Poll::Ready(Err(_)) => self.connection_lost.set(true),
+            Poll::Ready(Ok(0)) | Poll::Pending => {}
+        }
+    }
+}
--- a/crates/gateway/src/http_connection/mod.rs
+++ b/crates/gateway/src/http_connection/mod.rs
@@ -5,19 +5,20 @@
 //! closes the socket at once, so no request outlives its attempt. A connection never sends a request twice, and
 //! carries the next one only some time after a response ([`reuse_delay`]).
 mod exchange_error;
+mod exchange_state;
 mod idle_check;
-mod observed_stream;
 mod response_watchdog;
 mod reuse_delay;
 #[cfg(test)]
 mod tests;
 
 pub(crate) use self::exchange_error::ExchangeError;
+use self::exchange_state::ExchangeState;
 pub(crate) use self::idle_check::IdleCheck;
-use self::observed_stream::{ExchangeState, ObservedStream};
 use self::response_watchdog::ResponseWatchdog;
 use self::reuse_delay::ReuseDelay;
 pub(crate) use self::reuse_delay::REUSE_DELAY;
+use crate::observed_stream::ObservedStream;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -40,12 +41,15 @@
 
 /// The maximum size of a response's head (status line and headers), in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// hyper's connection over a stream that records the progress of the exchange.
+type Driver = http1::Connection<TokioIo<ObservedStream<ExchangeState>>, Full<Bytes>>;
+
 /// An established connection to a server.
 pub(crate) struct HttpConnection {
     /// hyper's handle for sending requests.
     sender: http1::SendRequest<Full<Bytes>>,
     /// hyper's connection, which writes requests and reads responses while it is polled.
-    driver: Pin<Box<http1::Connection<TokioIo<ObservedStream>, Full<Bytes>>>>,
+    driver: Pin<Box<Driver>>,
     /// The address of the server.
     server_addr: SocketAddr,
     /// The socket, shared with `driver`.
--- a/crates/gateway/src/http_connection/response_watchdog.rs
+++ b/crates/gateway/src/http_connection/response_watchdog.rs
@@ -1,6 +1,6 @@
 //! The limits on a response that arrives slowly or is preceded by interim responses.
 use super::exchange_error::ExchangeError;
-use super::observed_stream::ExchangeState;
+use super::exchange_state::ExchangeState;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::atomic::Ordering::Relaxed;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -20,6 +20,7 @@
 mod http_connection;
 mod idle_connections;
 mod logging;
+mod observed_stream;
 mod peers;
 mod quota_counter;
 mod reload;
