Read a request's body in a function of its own, which says whether it was cut off

The handler's way from head to response mixed the deadline of the body and the end of the server with the dispatch. No behaviour changes; the gateway's tests pass.

--- a/crates/gateway/src/downstream/handler.rs
+++ b/crates/gateway/src/downstream/handler.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION};
+use hyper::http::request::Parts;
 use hyper::Response;
 use irishinge_admission::{RequestId, Settings};
 use std::convert::Infallible;
@@ -22,6 +23,14 @@
 /// The path of health checks.
 const HEALTH_PATH: &str = "/healthz";
 
+/// The result of reading the body of a request.
+enum ReceivedBody {
+    /// The whole body, which may be empty.
+    Complete(Bytes),
+    /// The server ended before the body had completely arrived.
+    CutOff,
+}
+
 /// Handles the requests of all connections.
 pub(super) struct RequestHandler {
     /// The dispatcher, which sends valid requests to endpoints or rejects them.
@@ -87,22 +96,10 @@
         if connection.role() == ConnectionRole::Rejecting {
             return Ok(self.rejection());
         }
-        let body = if body.is_end_stream() {
-            Bytes::new()
-        } else {
-            let deadline = body_deadline(&BodyDeadlineInput {
-                stage: connection.stage(),
-                first_request_deadline: connection.first_request_deadline(),
-                received_at,
-                time_left_ms: request.time_left_ms,
-            });
-            tokio::select! {
-                body = read_body(body, &head.method, deadline) => body?,
-                () = self.phase.ending() => {
-                    connection.set_request_cut_off();
-                    return Ok(self.rejection());
-                }
-            }
+        let body = match self.receive_body(&head, body, connection, received_at, request.time_left_ms).await?
+        {
+            ReceivedBody::Complete(body) => body,
+            ReceivedBody::CutOff => return Ok(self.rejection()),
         };
         connection.begin_request().await;
         // Nothing is awaited between this check and the dispatch, so that no request is dispatched once the
@@ -118,6 +115,34 @@
         Ok(final_response(response, self.max_retry_after_ms))
     }
 
+    /// Reads the body of a request whose head was received at `received_at` and whose client waits for
+    /// `time_left_ms` from then on. Stops when the server ends.
+    async fn receive_body(
+        &self,
+        head: &Parts,
+        body: Incoming,
+        connection: &Connection,
+        received_at: Instant,
+        time_left_ms: f64,
+    ) -> Result<ReceivedBody, RequestError> {
+        if body.is_end_stream() {
+            return Ok(ReceivedBody::Complete(Bytes::new()));
+        }
+        let deadline = body_deadline(&BodyDeadlineInput {
+            stage: connection.stage(),
+            first_request_deadline: connection.first_request_deadline(),
+            received_at,
+            time_left_ms,
+        });
+        tokio::select! {
+            body = read_body(body, &head.method, deadline) => Ok(ReceivedBody::Complete(body?)),
+            () = self.phase.ending() => {
+                connection.set_request_cut_off();
+                Ok(ReceivedBody::CutOff)
+            }
+        }
+    }
+
     /// Returns whether a load balancer should send requests to this gateway.
     fn is_healthy(&self) -> bool {
         self.dispatcher.has_ready_endpoint() && self.phase.get() == ServerPhase::Serving
