--- a/crates/gateway/src/downstream/client_disconnect.rs
+++ b/crates/gateway/src/downstream/client_disconnect.rs
@@ -61,9 +61,10 @@
         }
     }
 
-    /// Discards what the client still sends, until it disconnects. Without this, the close of a socket with unread
-    /// bytes would reset the connection, and the client could lose the response that it has not read yet
-    /// (RFC 9112, section 9.6). For the same reason, bytes that came before a disconnect are discarded too.
+    /// Discards what the client still sends, until it disconnects. Without this, the close of a socket with
+    /// unread bytes would reset the connection, and the client could lose the response that it has not read
+    /// yet (RFC 9112, section 9.6). For the same reason, bytes that came before a disconnect are discarded
+    /// too.
     pub(super) async fn discard_until_disconnected(&self) {
         while poll_fn(|cx| self.socket().stream().poll_read_ready(cx)).await.is_ok() {
             if self.discard_round().await == ClientState::Disconnected {
--- a/crates/gateway/src/downstream/client_socket.rs
+++ b/crates/gateway/src/downstream/client_socket.rs
@@ -53,8 +53,8 @@
         self.progress.any_bytes_read.get() || matches!(peeked, Ok(1))
     }
 
-    /// Returns whether the kernel has taken everything that hyper had to write, so that bytes written past hyper
-    /// follow a complete response.
+    /// Returns whether the kernel has taken everything that hyper had to write, so that bytes written past
+    /// hyper follow a complete response.
     pub(super) fn is_flushed(&self) -> bool {
         !self.progress.has_unflushed_bytes.get()
     }
--- a/crates/gateway/src/downstream/connection.rs
+++ b/crates/gateway/src/downstream/connection.rs
@@ -13,8 +13,8 @@
 /// How long the first request of a new connection, head and body, may take to arrive. It leaves time to
 /// keep the guarantee that a client gets a response or a close within 3 s of connecting.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(2500);
-/// The rejection of a request whose head is incomplete, in the form of the other rejections. hyper can't write it,
-/// because it has no request to respond to.
+/// The rejection of a request whose head is incomplete, in the form of the other rejections. hyper can't
+/// write it, because it has no request to respond to.
 const INCOMPLETE_HEAD_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 7\r\n\r\nrefused";
 
@@ -164,8 +164,8 @@
         self.is_request_cut_off.set(true);
     }
 
-    /// Rejects a request whose head has not completely arrived, and ends the gateway's side of the connection. To be
-    /// called once hyper no longer uses the stream.
+    /// Rejects a request whose head has not completely arrived, and ends the gateway's side of the
+    /// connection. To be called once hyper no longer uses the stream.
     pub(super) fn reject_incomplete_head(&self) {
         self.set_request_cut_off();
         let stream = self.socket.stream();
--- a/crates/gateway/src/downstream/handler.rs
+++ b/crates/gateway/src/downstream/handler.rs
@@ -80,8 +80,8 @@
     }
 
     /// Parses the head of a request, reads its body, dispatches it and waits for its response. A health check
-    /// is answered at once. A request on a connection beyond the limit is rejected once its head is parsed, and
-    /// one that has not been dispatched when the server ends is rejected then.
+    /// is answered at once. A request on a connection beyond the limit is rejected once its head is parsed,
+    /// and one that has not been dispatched when the server ends is rejected then.
     async fn handle(
         &self,
         request: hyper::Request<Incoming>,
--- a/crates/gateway/src/downstream/mod.rs
+++ b/crates/gateway/src/downstream/mod.rs
@@ -1,8 +1,8 @@
 //! The downstream side: accepts clients' connections, reads their requests and writes the responses.
 //!
 //! - [`listener`] accepts connections, up to a limit.
-//! - [`server`] serves each accepted connection, and drains all of them on shutdown; [`server_phase`] says how far
-//!   the shutdown is.
+//! - [`server`] serves each accepted connection, and drains all of them on shutdown; [`server_phase`] says
+//!   how far the shutdown is.
 //! - [`connection_table`] holds the open connections.
 //! - [`connection`] tracks the stage of one connection, with the help of [`client_socket`];
 //!   [`client_disconnect`] detects that its client has disconnected, and [`flood`] discards the bytes of a
--- a/crates/gateway/src/downstream/request_rules.rs
+++ b/crates/gateway/src/downstream/request_rules.rs
@@ -1,5 +1,5 @@
-//! The rules for when the body of a request must be complete, after which responses a connection closes, and how it
-//! closes on request.
+//! The rules for when the body of a request must be complete, after which responses a connection closes, and
+//! how it closes on request.
 use super::connection::{ConnectionRole, ConnectionStage, RequestProgress};
 use super::server_phase::ServerPhase;
 use crate::clock::duration_from_ms;
@@ -91,9 +91,9 @@
 
 /// Returns how a connection in `stage` closes, of whose next request so much has arrived as `progress` says.
 ///
-/// A request that has begun to arrive gets a response: hyper takes a connection for idle until the head is complete,
-/// and would close it without one. In the last phase nothing more is read of it, because the process might end before
-/// the response to it.
+/// A request that has begun to arrive gets a response: hyper takes a connection for idle until the head is
+/// complete, and would close it without one. In the last phase nothing more is read of it, because the
+/// process might end before the response to it.
 pub(super) fn close_mode(phase: ServerPhase, stage: ConnectionStage, progress: RequestProgress) -> CloseMode {
     match (stage, progress, phase) {
         (ConnectionStage::Aborted, _, _) => CloseMode::Abort,
--- a/crates/gateway/src/downstream/server.rs
+++ b/crates/gateway/src/downstream/server.rs
@@ -59,22 +59,22 @@
     }
 
     /// Starts to drain the server. A connection that has already had a request closes at once, or after the
-    /// response if a request is in progress or has begun to arrive. A connection that has had no request yet, or is
-    /// accepted later, closes after its first response.
+    /// response if a request is in progress or has begun to arrive. A connection that has had no request yet,
+    /// or is accepted later, closes after its first response.
     pub(crate) fn drain(&self) {
         self.handler.phase().advance(ServerPhase::Draining);
         self.connections.request_close_of_used();
     }
 
-    /// Drains all connections, including those that have had no request: if none has begun to arrive, they close
-    /// at once. To be called once no further connection is accepted.
+    /// Drains all connections, including those that have had no request: if none has begun to arrive, they
+    /// close at once. To be called once no further connection is accepted.
     pub(crate) fn drain_all(&self) {
         self.connections.request_close_of_all();
     }
 
     /// Ends the server: no further request is dispatched, and each request that has not completely arrived is
-    /// rejected at once. The responses to the requests that were dispatched are left to the dispatcher. Returns the
-    /// number of open connections.
+    /// rejected at once. The responses to the requests that were dispatched are left to the dispatcher.
+    /// Returns the number of open connections.
     pub(crate) fn end(&self) -> usize {
         self.handler.phase().advance(ServerPhase::Ending);
         self.connections.request_close_of_all();
--- a/crates/gateway/src/http_connection/mod.rs
+++ b/crates/gateway/src/http_connection/mod.rs
@@ -2,8 +2,8 @@
 //! counter.
 //!
 //! The same future drives the connection and the request. Dropping that future together with the connection
-//! closes the socket at once, so no request outlives its attempt. A connection never sends a request twice, and
-//! carries the next one only some time after a response ([`reuse_delay`]).
+//! closes the socket at once, so no request outlives its attempt. A connection never sends a request twice,
+//! and carries the next one only some time after a response ([`reuse_delay`]).
 mod exchange_error;
 mod exchange_state;
 mod idle_check;
@@ -150,8 +150,8 @@
     }
 
     /// Waits until the reuse delay after the last response has passed, and checks the connection.
-    /// [`exchange`](Self::exchange) does so too; this method is for callers that time their exchange without the
-    /// wait.
+    /// [`exchange`](Self::exchange) does so too; this method is for callers that time their exchange without
+    /// the wait.
     ///
     /// # Errors
     ///
--- a/crates/gateway/src/http_connection/reuse_delay.rs
+++ b/crates/gateway/src/http_connection/reuse_delay.rs
@@ -1,14 +1,14 @@
 //! Protects a request from bytes that an earlier response still owes its connection.
 //!
 //! A server, or an intermediary in front of it, may send a response twice, the second copy some milliseconds
-//! after the first. Responses in HTTP/1.1 do not say which request they answer: they are matched to requests by
-//! their order alone (RFC 9112, section 9.3.2). If the next request has been written by the time the copy
+//! after the first. Responses in HTTP/1.1 do not say which request they answer: they are matched to requests
+//! by their order alone (RFC 9112, section 9.3.2). If the next request has been written by the time the copy
 //! arrives, the copy is read as its response, a client gets the response to another client's request, and the
 //! connection stays one response behind.
 //!
 //! So no connection carries another request until [`REUSE_DELAY`] has passed since its last response. A copy
-//! that arrives in that time belongs to no request in progress, is detected as surplus bytes, and the connection
-//! is closed.
+//! that arrives in that time belongs to no request in progress, is detected as surplus bytes, and the
+//! connection is closed.
 //!
 //! The server's kernel may hold the copy back until the response is acknowledged (Nagle's algorithm), and the
 //! gateway's kernel may wait for a request that can carry the acknowledgement (RFC 9293, section 3.8.6.3). So
--- a/crates/gateway/src/http_connection/tests.rs
+++ b/crates/gateway/src/http_connection/tests.rs
@@ -11,8 +11,8 @@
 
 const RESPONSE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine";
 
-/// Returns a connection and the server's end of it, after one exchange. From the connection on, the clock stands
-/// still but for sleeps.
+/// Returns a connection and the server's end of it, after one exchange. From the connection on, the clock
+/// stands still but for sleeps.
 async fn connection_after_a_response() -> (HttpConnection, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind a loopback port");
     let addr = listener.local_addr().expect("the listener is bound");
@@ -53,9 +53,9 @@
     write(server, RESPONSE);
 }
 
-/// Bytes that follow a response arrive some milliseconds late: a copy of it, or noise. If the next request had
-/// been written by then, they would be read as its response. Expected: the next request is not written, and its
-/// exchange fails.
+/// Bytes that follow a response arrive some milliseconds late: a copy of it, or noise. If the next request
+/// had been written by then, they would be read as its response. Expected: the next request is not written,
+/// and its exchange fails.
 #[tokio::test]
 async fn late_surplus_bytes_are_not_read_as_the_next_response() {
     for late_ms in [0, 1, 5, 14] {
@@ -75,8 +75,8 @@
     }
 }
 
-/// The server closes the connection right after its response. A request written to it would be lost. Expected:
-/// the next request is not written.
+/// The server closes the connection right after its response. A request written to it would be lost.
+/// Expected: the next request is not written.
 #[tokio::test]
 async fn connection_that_closes_during_the_reuse_delay_carries_no_request() {
     let (mut connection, server) = connection_after_a_response().await;
@@ -85,8 +85,8 @@
     assert!(!connection.write_status().any_written());
 }
 
-/// Expected: a request that comes right after a response is served on the same connection, and is written when
-/// the reuse delay is over.
+/// Expected: a request that comes right after a response is served on the same connection, and is written
+/// when the reuse delay is over.
 #[tokio::test]
 async fn next_request_is_written_when_the_reuse_delay_is_over() {
     let (mut connection, server) = connection_after_a_response().await;
@@ -121,9 +121,9 @@
     }
 }
 
-/// The server responds before it has read the whole request, whose rest is still unsent. If the connection were reused,
-/// the server would read the next request as that rest. Expected: the response is returned, and the connection is not
-/// usable.
+/// The server responds before it has read the whole request, whose rest is still unsent. If the connection
+/// were reused, the server would read the next request as that rest. Expected: the response is returned, and
+/// the connection is not usable.
 #[tokio::test]
 async fn connection_with_an_unsent_rest_of_its_request_is_not_usable() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind a loopback port");
--- a/crates/gateway/src/idle_connections/tests.rs
+++ b/crates/gateway/src/idle_connections/tests.rs
@@ -59,9 +59,9 @@
 }
 
 /// The most recently used connection has just had a response, and its reuse delay is not over. If it were
-/// closed, the delay would cost a handshake; if it were taken, a late copy of the response would be read as the
-/// next one. Expected: one that has been idle for longer is taken, and the most recently used one stays idle
-/// until its delay is over.
+/// closed, the delay would cost a handshake; if it were taken, a late copy of the response would be read as
+/// the next one. Expected: one that has been idle for longer is taken, and the most recently used one stays
+/// idle until its delay is over.
 #[tokio::test]
 async fn connection_that_may_not_be_reused_yet_stays_idle() {
     let mut idle = IdleConnections::new(TIMEOUT);
@@ -83,9 +83,9 @@
     assert!(is_closed(&mut server_streams[1]));
 }
 
-/// A caller waits for a connection whose reuse delay is not over, and surplus bytes may arrive meanwhile. If the
-/// connection were returned all the same, they would be read as the next response. Expected: the connection is returned
-/// when its delay is over, unless it has received surplus bytes.
+/// A caller waits for a connection whose reuse delay is not over, and surplus bytes may arrive meanwhile. If
+/// the connection were returned all the same, they would be read as the next response. Expected: the
+/// connection is returned when its delay is over, unless it has received surplus bytes.
 #[tokio::test]
 async fn delayed_connection_is_returned_after_its_delay_unless_it_has_surplus_bytes() {
     for has_surplus in [false, true] {
@@ -112,9 +112,9 @@
     }
 }
 
-/// Surplus bytes may arrive on an idle connection at any time: a response to no request, or noise. They would be
-/// read as the response to the next request. Expected: the connection is closed and not taken, whether or not
-/// the server then closes its end, and the close is reported; a close without surplus bytes is not.
+/// Surplus bytes may arrive on an idle connection at any time: a response to no request, or noise. They would
+/// be read as the response to the next request. Expected: the connection is closed and not taken, whether or
+/// not the server then closes its end, and the close is reported; a close without surplus bytes is not.
 #[tokio::test]
 async fn connection_with_surplus_bytes_is_closed_and_reported() {
     for (surplus, closes) in
@@ -140,8 +140,9 @@
     }
 }
 
-/// A server repeats every response. A line for each would fill the log; a line that said nothing of the others
-/// would hide how many there are. Expected: one line a minute, with the number of connections since the last.
+/// A server repeats every response. A line for each would fill the log; a line that said nothing of the
+/// others would hide how many there are. Expected: one line a minute, with the number of connections since
+/// the last.
 #[test]
 fn surplus_bytes_are_logged_once_a_minute_with_their_count() {
     let start = Instant::now();
--- a/crates/gateway/src/observed_stream.rs
+++ b/crates/gateway/src/observed_stream.rs
@@ -1,5 +1,5 @@
-//! A TCP stream that hyper reads and writes while its owner inspects the socket and learns of the progress, which
-//! hyper does not report.
+//! A TCP stream that hyper reads and writes while its owner inspects the socket and learns of the progress,
+//! which hyper does not report.
 use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
@@ -20,8 +20,8 @@
     fn on_flush(&self, _result: &Poll<io::Result<()>>) {}
 }
 
-/// A TCP stream that reports to an observer. Its owner shares the socket, so that it can inspect the socket while
-/// hyper owns this stream.
+/// A TCP stream that reports to an observer. Its owner shares the socket, so that it can inspect the socket
+/// while hyper owns this stream.
 pub(crate) struct ObservedStream<O> {
     /// The socket.
     stream: Rc<RefCell<TcpStream>>,
--- a/crates/gateway/src/quota_counter/tests.rs
+++ b/crates/gateway/src/quota_counter/tests.rs
@@ -54,9 +54,9 @@
     }
 }
 
-/// The quota counter, or an intermediary, sends each response a second time, 2 ms late. If the next call were on the
-/// same connection by then, it would take the total of another count for its own. Expected: each call gets its own
-/// total.
+/// The quota counter, or an intermediary, sends each response a second time, 2 ms late. If the next call were
+/// on the same connection by then, it would take the total of another count for its own. Expected: each call
+/// gets its own total.
 #[tokio::test]
 async fn late_copy_of_a_total_is_not_the_next_total() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("bind a loopback port");
@@ -75,8 +75,8 @@
     }
 }
 
-/// All permitted connections have just had a response. If a call were given up for this, it would count as rejected, and
-/// its request would be sent without a count. Expected: it waits for one of them.
+/// All permitted connections have just had a response. If a call were given up for this, it would count as
+/// rejected, and its request would be sent without a count. Expected: it waits for one of them.
 #[tokio::test]
 async fn call_waits_for_a_delayed_connection_at_the_connection_limit() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("bind a loopback port");
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -1,5 +1,5 @@
-//! Graceful shutdown: after SIGTERM, every request that the gateway has begun to read gets its response before
-//! SIGKILL can arrive.
+//! Graceful shutdown: after SIGTERM, every request that the gateway has begun to read gets its response
+//! before SIGKILL can arrive.
 use crate::clock::duration_from_ms;
 use crate::dispatcher::Dispatcher;
 use crate::downstream::DownstreamServer;
@@ -20,7 +20,8 @@
 const KILL_DELAY_AFTER_DEADLINE: Duration = Duration::from_millis(700);
 /// The longest deadline that SIGKILL waits for. Longer deadlines count as this long.
 const MAX_DEADLINE: Duration = Duration::from_millis(3000);
-/// How long before SIGKILL all requests that are still in progress, or have not completely arrived, get a response.
+/// How long before SIGKILL all requests that are still in progress, or have not completely arrived, get a
+/// response.
 const RESPOND_BEFORE_KILL: Duration = Duration::from_millis(300);
 /// How long before SIGKILL the process ends. All responses must be written by then.
 const FINISH_BEFORE_KILL: Duration = Duration::from_millis(150);
@@ -94,8 +95,8 @@
 
 /// Responds to all requests, also to those that have not completely arrived, and accepts no further one.
 fn respond_to_all(downstream: &DownstreamServer, dispatcher: &Rc<Dispatcher>) {
-    // In this order, and with nothing awaited in between: a request that was dispatched after the dispatcher has
-    // responded to all would run without a response.
+    // In this order, and with nothing awaited in between: a request that was dispatched after the dispatcher
+    // has responded to all would run without a response.
     let connections = downstream.end();
     let requests = dispatcher.respond_to_all();
     tracing::warn!(
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -116,8 +116,8 @@
     /// Returns an idle connection to an endpoint, or else a new one. Returns `None` if all permitted
     /// connections are in use, or if a new one is not established within the connect timeout.
     ///
-    /// If all idle connections have just had a response, waits for one of them: the rest of the reuse delay is
-    /// short compared with the time and the work that a handshake would cost the endpoint.
+    /// If all idle connections have just had a response, waits for one of them: the rest of the reuse delay
+    /// is short compared with the time and the work that a handshake would cost the endpoint.
     pub(super) async fn acquire(&self, endpoint: EndpointId, addr: SocketAddr) -> Option<BudgetedConnection> {
         if let Some(pooled) = self.idle_connections(endpoint, IdleConnections::take) {
             return Some(pooled);
