End a case's program and its gateways when the script is ended

Cause: a script that got SIGTERM left its program running until the end of the case. Change: play.sh kills the program, and the kernel ends the gateways with it. No product code changes.

--- a/review/standins-2/play.sh
+++ b/review/standins-2/play.sh
@@ -7,8 +7,18 @@
 CASE_TMP=$(mktemp -d) || exit 2
 RECORD=$case_folder/record.txt
 export CASE_TMP RECORD
-trap 'rm -rf "$CASE_TMP"' EXIT
-review/standins-2/target/release/review-standins-2 "$case_name"
+program=
+# The gateways end with the program.
+clean_up() {
+  [ -n "$program" ] && kill -KILL "$program" 2>/dev/null
+  rm -rf "$CASE_TMP"
+}
+trap clean_up EXIT
+trap 'exit 2' INT TERM
+review/standins-2/target/release/review-standins-2 "$case_name" &
+program=$!
+wait "$program"
 status=$?
+program=
 [ "$status" -le 1 ] && exit "$status"
 exit 2
